--- /dev/null
+++ b/apps/sycamorewinch-standin/main.cpp
@@ -0,0 +1,137 @@
+/** \file
+ * Stand-ins for the demo and the bench: `target` answers requests, `load` makes calls.
+ */
+#include <csignal>
+#include <iostream>
+
+#include <QCoreApplication>
+#include <boost/program_options.hpp>
+#include <fmt/core.h>
+
+#include "standin/load_maker.h"
+#include "standin/standin_target.h"
+
+namespace {
+
+using namespace sycamorewinch;
+namespace po = boost::program_options;
+
+constexpr int exit_wrong_arguments = 2;
+
+auto make_target_options() -> po::options_description
+{
+    po::options_description options("target");
+    auto add = options.add_options();
+    add("service", po::value<std::string>()->required(), "service it belongs to");
+    add("target", po::value<std::string>()->required(), "its name within the service");
+    add("listen", po::value<std::string>()->default_value("127.0.0.1:0"), "IP:PORT");
+    add("node-admin", po::value<std::string>()->default_value(""), "admin address of its node");
+    add("slots", po::value<std::uint32_t>()->default_value(10), "requests at once");
+    add("delay-ms", po::value<int>()->default_value(0), "time before each answer");
+    return options;
+}
+
+auto make_load_options() -> po::options_description
+{
+    po::options_description options("load");
+    auto add = options.add_options();
+    add("node", po::value<std::vector<std::string>>()->required(), "IP:PORT, may be repeated");
+    add("method", po::value<std::string>()->default_value("GET"), "HTTP method");
+    add("path", po::value<std::string>()->default_value("/"), "path to call");
+    add("caller", po::value<std::string>()->default_value(""), "caller's name");
+    add("calls", po::value<std::uint64_t>()->default_value(100), "how many calls");
+    add("concurrency", po::value<unsigned>()->default_value(1), "calls in flight");
+    add("per-second", po::value<double>()->default_value(0), "start calls at this rate instead");
+    return options;
+}
+
+auto parse(const po::options_description& options, const std::vector<std::string>& arguments)
+    -> po::variables_map
+{
+    po::variables_map values;
+    po::store(po::command_line_parser(arguments).options(options).run(), values);
+    po::notify(values);
+    return values;
+}
+
+auto run_target(const std::vector<std::string>& arguments) -> int
+{
+    const auto values = parse(make_target_options(), arguments);
+    standin_target_options options;
+    options.service_ = values["service"].as<std::string>();
+    options.target_ = values["target"].as<std::string>();
+    options.listen_ = parse_peer_address(values["listen"].as<std::string>()).value();
+    options.slots_ = values["slots"].as<std::uint32_t>();
+    options.delay_ = std::chrono::milliseconds(values["delay-ms"].as<int>());
+    if (const auto node = values["node-admin"].as<std::string>(); !node.empty()) {
+        options.node_admin_ = parse_peer_address(node).value();
+    }
+    const auto target = standin_target::start(options);
+    if (!target) {
+        std::cerr << target.error().message_ << '\n';
+        return 1;
+    }
+    return QCoreApplication::exec();
+}
+
+template <typename Key>
+void print_counts(const char* title, const std::map<Key, std::uint64_t>& counts)
+{
+    for (const auto& [key, count] : counts) {
+        fmt::print("{} {}: {}\n", title, key, count);
+    }
+}
+
+void print(const load_outcome& outcome)
+{
+    constexpr double milliseconds = 1e3;
+    print_counts("status", outcome.by_status_);
+    print_counts("refusal", outcome.by_refusal_);
+    print_counts("target", outcome.by_target_);
+    for (const double fraction : {0.5, 0.99, 0.999}) {
+        fmt::print("latency p{:g}: {:.3f} ms\n", fraction * 100,
+                   quantile_of(outcome.seconds_, fraction) * milliseconds);
+    }
+}
+
+auto run_load(const std::vector<std::string>& arguments) -> int
+{
+    const auto values = parse(make_load_options(), arguments);
+    load_options options;
+    for (const auto& node : values["node"].as<std::vector<std::string>>()) {
+        options.nodes_.push_back(parse_peer_address(node).value());
+    }
+    options.method_ = values["method"].as<std::string>();
+    options.path_ = values["path"].as<std::string>();
+    options.caller_ = values["caller"].as<std::string>();
+    options.calls_ = values["calls"].as<std::uint64_t>();
+    options.concurrency_ = values["concurrency"].as<unsigned>();
+    options.per_second_ = values["per-second"].as<double>();
+    const auto load = make_load(options, [](const load_outcome& outcome) {
+        print(outcome);
+        QCoreApplication::quit();
+    });
+    return QCoreApplication::exec();
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    const QCoreApplication application(argc, argv);
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto command = arguments.empty() ? std::string() : arguments.front();
+    if (command != "target" && command != "load") {
+        std::cerr << "usage: sycamorewinch-standin target|load [options]\n\n"
+                  << make_target_options() << make_load_options();
+        return exit_wrong_arguments;
+    }
+    arguments.erase(arguments.begin());
+    try {
+        return command == "target" ? run_target(arguments) : run_load(arguments);
+    }
+    catch (const std::exception& problem) {
+        std::cerr << problem.what() << '\n';
+        return exit_wrong_arguments;
+    }
+}
--- /dev/null
+++ b/apps/sycamorewinch/main.cpp
@@ -0,0 +1,104 @@
+/** \file
+ * The operators' command-line tool.
+ */
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <unistd.h>
+
+#include <QCoreApplication>
+#include <boost/program_options.hpp>
+
+#include "cli/commands.h"
+
+namespace {
+
+using namespace sycamorewinch;
+namespace po = boost::program_options;
+
+auto from_environment(const char* name, const char* otherwise) -> std::string
+{
+    const auto* value = std::getenv(name);
+    return value == nullptr ? otherwise : value;
+}
+
+auto make_options() -> po::options_description
+{
+    po::options_description options("Options (each also as SYCAMOREWINCH_NAME in the environment)");
+    auto add = options.add_options();
+    add("control",
+        po::value<std::string>()->default_value(
+            from_environment("SYCAMOREWINCH_CONTROL", "127.0.0.1:7003")),
+        "admin addresses of the control group, IP:PORT separated by commas");
+    add("token-file",
+        po::value<std::string>()->default_value(from_environment("SYCAMOREWINCH_TOKEN_FILE", "")),
+        "file with the operator token");
+    add("operator",
+        po::value<std::string>()->default_value(
+            from_environment("SYCAMOREWINCH_OPERATOR", "operator")),
+        "name for the history");
+    add("json", "print JSON; the default when the output is no terminal");
+    add("human", "print for people, also when the output is no terminal");
+    add("help", "show this help");
+    add("command", po::value<std::vector<std::string>>()->default_value({}, ""), "");
+    return options;
+}
+
+auto split_commas(const std::string& text) -> std::vector<std::string>
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');) {
+        parts.push_back(part);
+    }
+    return parts;
+}
+
+auto read_token(const std::string& path) -> std::string
+{
+    std::ifstream file(path);
+    std::string token;
+    std::getline(file, token);
+    return token;
+}
+
+auto run(const po::variables_map& values) -> exit_status
+{
+    control_client_options options;
+    options.addresses_ = split_commas(values["control"].as<std::string>());
+    options.token_ = read_token(values["token-file"].as<std::string>());
+    control_client client(options);
+    command_context context{client, std::cout, std::cerr, false,
+                            values["operator"].as<std::string>()};
+    const bool is_terminal = ::isatty(STDOUT_FILENO) != 0;
+    context.json_ = values.count("json") > 0 || (!is_terminal && values.count("human") == 0);
+    return run_command(context, values["command"].as<std::vector<std::string>>());
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    const QCoreApplication application(argc, argv);
+    const auto options = make_options();
+    po::positional_options_description positions;
+    positions.add("command", -1);
+    po::variables_map values;
+    try {
+        po::store(po::command_line_parser(argc, argv).options(options).positional(positions).run(),
+                  values);
+    }
+    catch (const po::error& problem) {
+        std::cerr << "sycamorewinch: " << problem.what() << '\n';
+        return static_cast<int>(exit_status::wrong_arguments);
+    }
+    if (values.count("help") > 0) {
+        std::cout << "usage: sycamorewinch [options] COMMAND\n\nCommands:\n"
+                  << command_help() << '\n'
+                  << options;
+        return 0;
+    }
+    return static_cast<int>(run(values));
+}
--- a/libs/concurrency/test/correctness/rcu_cell.cpp
+++ b/libs/concurrency/test/correctness/rcu_cell.cpp
@@ -17,6 +17,7 @@
     rcu_cell<pair> cell(std::make_shared<const pair>(pair{0, 0}));
     std::atomic<int> torn = 0;
     std::vector<std::thread> readers;
+    readers.reserve(3);
     for (int reader = 0; reader < 3; ++reader) {
         readers.emplace_back([&] {
             int seen = 0;
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -1,6 +1,7 @@
 #include "control/control_replica.h"
 
 #include "base/invariant.h"
+#include "control/control_command.h"
 
 namespace sycamorewinch {
 
@@ -34,7 +35,8 @@
         callback(failure(error_kind::unavailable, "this replica's disk has failed"));
         return;
     }
-    const auto index = raft_.propose(encode_command(command), now);
+    const auto index =
+        raft_.propose(encode_command({command_kind::accept_table, encode_command(command)}), now);
     if (!index) {
         callback(tl::unexpected(index.error()));
         return;
@@ -92,7 +94,9 @@
     if (entry.kind_ != entry_kind::command) {
         return;
     }
-    const auto command = decode_accept_command(entry.payload_);
+    const auto command = decode_control_command(entry.payload_).and_then([](const auto& envelope) {
+        return decode_accept_command(envelope.body_);
+    });
     invariant(command.has_value(), "committed entry {} cannot be read", entry.index_);
     const auto before = state_.current();
     const auto outcome = state_.apply(*command);
--- /dev/null
+++ b/libs/daemon/admin_server.cpp
@@ -0,0 +1,118 @@
+#include "daemon/admin_server.h"
+
+#include <QHostAddress>
+#include <QHttpServer>
+#include <QJsonDocument>
+#include <fmt/core.h>
+
+namespace sycamorewinch {
+
+namespace {
+
+auto status_of(error_kind kind) -> int
+{
+    switch (kind) {
+    case error_kind::invalid_input:
+        return 400;
+    case error_kind::unauthorized:
+        return 401;
+    case error_kind::not_found:
+        return 404;
+    case error_kind::conflict:
+        return 409;
+    case error_kind::too_large:
+        return 413;
+    case error_kind::unavailable:
+        return 503;
+    case error_kind::corrupt:
+    case error_kind::io:
+        return 500;
+    }
+    return 500;
+}
+
+auto text_answer(const char* type, const std::string& text, bool good = true) -> QHttpServerResponse
+{
+    const auto status = good ? QHttpServerResponse::StatusCode::Ok
+                             : QHttpServerResponse::StatusCode::ServiceUnavailable;
+    return {type, QByteArray::fromStdString(text), status};
+}
+
+} // namespace
+
+admin_server::admin_server(metrics_registry& metrics, std::string token,
+                           const std::function<bool()>& is_ready)
+    : server_(std::make_unique<QHttpServer>()), token_(std::move(token)),
+      unauthorized_(metrics.count("sycamorewinch_admin_unauthorized_total",
+                                  "Operator requests without the right token."))
+{
+    const auto get = QHttpServerRequest::Method::Get;
+    handle(get, "/metrics", admin_access::anybody, [&metrics](const auto&) {
+        return text_answer("text/plain; version=0.0.4", metrics.prometheus_text());
+    });
+    handle(get, "/healthz", admin_access::anybody,
+           [](const auto&) { return text_answer("text/plain", "ok\n"); });
+    handle(get, "/readyz", admin_access::anybody, [is_ready](const auto&) {
+        const bool ready = is_ready();
+        return text_answer("text/plain", ready ? "ready\n" : "not ready\n", ready);
+    });
+}
+
+admin_server::~admin_server() = default;
+
+void admin_server::handle(QHttpServerRequest::Method method, const std::string& path,
+                          admin_access access, admin_handler handler)
+{
+    server_->route(QString::fromStdString(path), method,
+                   [this, access, handler = std::move(handler)](const QHttpServerRequest& request) {
+                       if (access == admin_access::operators && !is_operator(request)) {
+                           unauthorized_.add();
+                           return error_answer(
+                               {error_kind::unauthorized,
+                                "this path needs the operator token as 'Authorization: Bearer'"});
+                       }
+                       return handler(request);
+                   });
+}
+
+auto admin_server::is_operator(const QHttpServerRequest& request) const -> bool
+{
+    const auto given = request.value("authorization").toStdString();
+    return token_.empty() || given == "Bearer " + token_;
+}
+
+auto admin_server::listen(const peer_address& address) -> result<void>
+{
+    const QHostAddress host(QString::fromStdString(address.host_));
+    if (server_->listen(host, address.port_) == 0) {
+        return failure(error_kind::io, fmt::format("cannot listen on {}", to_text(address)));
+    }
+    return {};
+}
+
+auto json_answer(const QJsonObject& body, int status) -> QHttpServerResponse
+{
+    return {"application/json", QJsonDocument(body).toJson(QJsonDocument::Compact),
+            static_cast<QHttpServerResponse::StatusCode>(status)};
+}
+
+auto error_answer(const error& problem) -> QHttpServerResponse
+{
+    const auto kind = std::string(name_of(problem.kind_));
+    return json_answer({{"error", QString::fromStdString(kind)},
+                        {"message", QString::fromStdString(problem.message_)}},
+                       status_of(problem.kind_));
+}
+
+auto read_json(const QHttpServerRequest& request) -> result<QJsonObject>
+{
+    QJsonParseError problem;
+    const auto document = QJsonDocument::fromJson(request.body(), &problem);
+    if (!document.isObject()) {
+        return failure(error_kind::invalid_input, fmt::format("the body must be a JSON object: {}",
+                                                              problem.errorString().toStdString()));
+    }
+    return document.object();
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/hub_server.cpp
@@ -0,0 +1,84 @@
+#include "daemon/hub_server.h"
+
+#include "observability/log.h"
+
+namespace sycamorewinch {
+
+hub_server::hub_server(metrics_registry& metrics, hub_server_hooks hooks)
+    : hooks_(std::move(hooks)),
+      bad_messages_(metrics.count("sycamorewinch_hub_bad_messages_total",
+                                  "Messages from subscribers that could not be read.")),
+      bytes_sent_(metrics.count("sycamorewinch_hub_bytes_sent_total",
+                                "Message bytes sent to subscribers.")),
+      subscribers_(metrics.gauge("sycamorewinch_hub_subscribers", "Subscribers connected."))
+{
+}
+
+auto hub_server::accept(const std::shared_ptr<h2_connection>& connection, stream_id stream)
+    -> stream_hooks
+{
+    const auto id = next_id_++;
+    channel_hooks hooks;
+    hooks.on_message_ = [this, id](std::string_view bytes) {
+        on_message(id, bytes);
+    };
+    hooks.on_closed_ = [this, id] {
+        channels_.erase(id);
+        hub_.on_gone(id);
+        run();
+    };
+    stream_hooks stream_hooks;
+    channels_[id] = message_channel::accept(connection, stream, std::move(hooks), stream_hooks);
+    return stream_hooks;
+}
+
+void hub_server::on_message(subscriber_id from, std::string_view bytes)
+{
+    const auto message = decode_distribution_message(bytes);
+    if (!message) {
+        bad_messages_.add();
+        log_event(log_level::warning, "bad_subscriber_message",
+                  {{"reason", message.error().message_}});
+        drop(from);
+        return;
+    }
+    hub_.on_message(from, *message);
+    run();
+}
+
+void hub_server::drop(subscriber_id id)
+{
+    const auto found = channels_.find(id);
+    if (found != channels_.end()) {
+        const auto channel = found->second; // closing erases it from the map
+        channel->close();
+    }
+}
+
+void hub_server::run()
+{
+    const auto output = hub_.take_output();
+    subscribers_.set(hub_.subscriber_count());
+    for (const auto& message : output.messages_) {
+        const auto found = channels_.find(message.to_);
+        if (found != channels_.end()) {
+            bytes_sent_.add(message.bytes_->size());
+            const auto channel = found->second;
+            channel->send(*message.bytes_);
+        }
+    }
+    if (!output.news_.empty()) {
+        hooks_.on_target_news_(output.news_);
+    }
+    if (output.progress_changed_) {
+        hooks_.on_progress_();
+    }
+    if (output.proof_wanted_) {
+        hooks_.on_proof_wanted_();
+    }
+    for (const auto id : output.drop_) {
+        drop(id);
+    }
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/hub_server.h
@@ -0,0 +1,53 @@
+/** \file
+ * Serves a hub's subscribers over the network, in control processes and relays.
+ */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "distribution/hub.h"
+#include "observability/metrics.h"
+#include "transport/message_channel.h"
+
+namespace sycamorewinch {
+
+/** What a hub needs of its role. */
+struct hub_server_hooks {
+    std::function<void()> on_proof_wanted_;
+    std::function<void(const std::vector<target_record>& news)> on_target_news_;
+    std::function<void()> on_progress_;
+};
+
+/** The path of the channel between a subscriber and its hub. */
+constexpr std::string_view distribution_path = "/channel/distribution";
+
+/** Joins a hub to the channels of its subscribers. */
+class hub_server {
+  public:
+    hub_server(metrics_registry& metrics, hub_server_hooks hooks);
+
+    /** Takes a subscriber's channel request; returns the hooks of its stream. */
+    auto accept(const std::shared_ptr<h2_connection>& connection, stream_id stream) -> stream_hooks;
+
+    /** Returns the hub; call run() after changing it. */
+    [[nodiscard]] auto logic() -> hub& { return hub_; }
+
+    /** Carries out what the hub wants. */
+    void run();
+
+  private:
+    void on_message(subscriber_id from, std::string_view bytes);
+    void drop(subscriber_id id);
+
+    hub hub_;
+    hub_server_hooks hooks_;
+    std::map<subscriber_id, std::shared_ptr<message_channel>> channels_;
+    subscriber_id next_id_ = 1;
+    counter& bad_messages_;
+    counter& bytes_sent_;
+    counter& subscribers_;
+};
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/node_role.cpp
@@ -0,0 +1,242 @@
+#include "daemon/daemon_role.h"
+
+#include <QDateTime>
+#include <QTimer>
+
+#include "daemon/admin_server.h"
+#include "daemon/target_registry.h"
+#include "daemon/upstream_link.h"
+#include "membership/target_directory.h"
+#include "observability/log.h"
+#include "request_path/node_worker.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr auto lease_check_period = std::chrono::milliseconds(200);
+constexpr auto shutdown_check_period = std::chrono::milliseconds(20);
+constexpr int default_lease_ms = 5'000;
+constexpr int max_lease_ms = 600'000;
+constexpr int max_slots = 100'000;
+
+auto text_of(const QJsonObject& object, const char* name) -> std::string
+{
+    return object.value(QLatin1String(name)).toString().toStdString();
+}
+
+/** Reads `{"service":..,"target":..,"address":"IP:PORT","slots":..}` and the optional fields. */
+auto read_announcement(const QJsonObject& object) -> result<target_announcement>
+{
+    target_announcement announcement;
+    announcement.service_ = text_of(object, "service");
+    announcement.target_ = text_of(object, "target");
+    if (announcement.service_.empty() || announcement.target_.empty()) {
+        return failure(error_kind::invalid_input, "an announcement needs 'service' and 'target'");
+    }
+    const auto address = parse_peer_address(text_of(object, "address"));
+    if (!address) {
+        return tl::unexpected(address.error());
+    }
+    announcement.address_ = *address;
+    const auto slots = object.value(QLatin1String("slots")).toInt();
+    const auto lease = object.value(QLatin1String("lease_ms")).toInt(default_lease_ms);
+    if (slots < 1 || slots > max_slots || lease < 1 || lease > max_lease_ms) {
+        return failure(error_kind::invalid_input,
+                       "'slots' is from 1 to 100000 and 'lease_ms' from 1 to 600000");
+    }
+    announcement.slots_ = static_cast<std::uint32_t>(slots);
+    announcement.lease_ = std::chrono::milliseconds(lease);
+    announcement.cold_start_ =
+        std::chrono::milliseconds(object.value(QLatin1String("cold_start_ms")).toInt(0));
+    announcement.draining_ = object.value(QLatin1String("draining")).toBool(false);
+    return announcement;
+}
+
+/** A node: subscribes upwards, registers targets, and carries calls on its workers. */
+class node_role {
+  public:
+    node_role(const daemon_settings& settings, const daemon_secrets& secrets)
+        : settings_(settings), secrets_(secrets), state_(to_text(settings.listen_peers_), metrics_),
+          registry_(settings.availability_zone_, to_text(settings.listen_peers_),
+                    static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch())),
+          admin_(metrics_, secrets.operator_token_,
+                 [this] { return link_.logic().enforced() && !state_.is_shutting_down(); }),
+          link_(settings.upstreams_, secrets.key_,
+                {settings.name_, settings.availability_zone_, false, system_random()}, metrics_,
+                {[this](const auto& output) { on_output(output); },
+                 [this] {
+                     on_connected();
+                 }}),
+          version_(metrics_.gauge("sycamorewinch_table_version",
+                                  "Number of the table version in force."))
+    {
+        admin_.handle(QHttpServerRequest::Method::Post, "/v1/targets", admin_access::anybody,
+                      [this](const auto& request) { return on_announce(request); });
+        QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_,
+                         [this] { check_leases(); });
+    }
+
+    auto start() -> result<void>
+    {
+        for (unsigned index = 0; index < settings_.workers_; ++index) {
+            auto worker = node_worker::start(state_, secrets_.key_,
+                                             {*settings_.listen_callers_, settings_.listen_peers_});
+            if (!worker) {
+                return tl::unexpected(worker.error());
+            }
+            workers_.push_back(std::move(*worker));
+        }
+        if (auto listening = admin_.listen(settings_.listen_admin_); !listening) {
+            return listening;
+        }
+        lease_timer_.start(lease_check_period);
+        link_.start();
+        return {};
+    }
+
+    void shut_down(std::function<void()> done)
+    {
+        state_.begin_shutdown();
+        for (const auto& [name, gate] : admissions_) {
+            gate->set_draining(true);
+        }
+        tell(registry_.drain_all());
+        for (const auto& worker : workers_) {
+            worker->begin_shutdown();
+        }
+        QObject::connect(&shutdown_timer_, &QTimer::timeout, &shutdown_timer_,
+                         [this, done = std::move(done)] {
+                             if (state_.calls_in_flight() == 0) {
+                                 shutdown_timer_.stop();
+                                 done();
+                             }
+                         });
+        shutdown_timer_.start(shutdown_check_period);
+    }
+
+  private:
+    auto on_announce(const QHttpServerRequest& request) -> QHttpServerResponse
+    {
+        const auto announcement = read_json(request).and_then(read_announcement);
+        if (!announcement) {
+            return error_answer(announcement.error());
+        }
+        if (state_.is_shutting_down()) {
+            return error_answer({error_kind::unavailable, "this node is shutting down"});
+        }
+        if (registry_.announce(*announcement, monotonic_now())) {
+            publish_local_targets();
+            tell(registry_.records());
+        }
+        const auto lease = static_cast<qint64>(announcement->lease_.count());
+        return json_answer({{"lease_ms", lease}});
+    }
+
+    void check_leases()
+    {
+        const auto changed = registry_.expire(monotonic_now());
+        if (!changed.empty()) {
+            publish_local_targets();
+            tell(changed);
+        }
+    }
+
+    void tell(const std::vector<target_record>& changed)
+    {
+        for (const auto& record : changed) {
+            directory_.merge(record);
+        }
+        publish_routes();
+        link_.logic().report_targets(changed);
+        link_.run();
+    }
+
+    void publish_local_targets()
+    {
+        auto local = std::make_shared<local_targets>();
+        for (const auto& target : registry_.targets()) {
+            const auto& record = target.record_;
+            auto& gate = admissions_[{record.service_, record.target_}];
+            if (!gate) {
+                gate = std::make_shared<admission>(record.slots_);
+            }
+            gate->set_slots(record.slots_);
+            gate->set_draining(record.state_ != target_state::up);
+            local->push_back(
+                {record.service_, record.target_, target.announcement_.address_, gate});
+        }
+        state_.publish_targets(std::move(local));
+    }
+
+    void publish_routes()
+    {
+        state_.publish_routes(route_table::create(link_.logic().enforced(), directory_.records()));
+    }
+
+    void on_connected()
+    {
+        link_.logic().report_targets(registry_.records());
+        link_.logic().report_progress(own_progress());
+    }
+
+    void on_output(const subscriber_output& output)
+    {
+        for (const auto& record : output.targets_) {
+            directory_.merge(record);
+        }
+        if (output.enforce_ || !output.targets_.empty()) {
+            publish_routes();
+        }
+        if (output.enforce_) {
+            version_.set(output.enforce_->version_.number_);
+            log_event(log_level::info, "table_in_force",
+                      {{"version", output.enforce_->version_.number_},
+                       {"digest", to_hex(output.enforce_->version_.digest_)}});
+        }
+        if (output.held_ || output.enforce_) {
+            link_.logic().report_progress(own_progress());
+            link_.run();
+        }
+    }
+
+    auto own_progress() -> std::vector<zone_progress>
+    {
+        const auto& enforced = link_.logic().enforced();
+        const auto number = enforced ? enforced->version_.number_ : 0;
+        return {{settings_.availability_zone_, 1, number, 1, {settings_.name_}}};
+    }
+
+    daemon_settings settings_;
+    daemon_secrets secrets_;
+    metrics_registry metrics_;
+    node_state state_;
+    target_registry registry_;
+    target_directory directory_;
+    std::map<std::pair<std::string, std::string>, std::shared_ptr<admission>> admissions_;
+    admin_server admin_;
+    upstream_link link_;
+    counter& version_;
+    QTimer lease_timer_;
+    QTimer shutdown_timer_;
+    std::vector<std::unique_ptr<node_worker>> workers_;
+};
+
+} // namespace
+
+auto start_node_role(const daemon_settings& settings, const daemon_secrets& secrets)
+    -> result<running_role>
+{
+    const auto role = std::make_shared<node_role>(settings, secrets);
+    if (auto started = role->start(); !started) {
+        return tl::unexpected(started.error());
+    }
+    return running_role{[role = std::weak_ptr(role)](std::function<void()> done) {
+                            if (const auto alive = role.lock()) {
+                                alive->shut_down(std::move(done));
+                            }
+                        },
+                        role};
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/operator_api.cpp
@@ -0,0 +1,163 @@
+#include "daemon/operator_api.h"
+
+#include <set>
+
+#include <fmt/core.h>
+
+#include "daemon/operator_json.h"
+#include "table/table_check.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+auto status_of(const accept_outcome& outcome) -> int
+{
+    switch (outcome.status_) {
+    case accept_status::accepted:
+        return 200;
+    case accept_status::conflict:
+        return 409;
+    case accept_status::refused:
+        return 422;
+    }
+    return 500;
+}
+
+/** Proposes edits and remembers which ones have no outcome yet. */
+class accept_desk {
+  public:
+    explicit accept_desk(operator_api_hooks hooks) : hooks_(std::move(hooks)) {}
+
+    auto answer(const QHttpServerRequest& request) -> QHttpServerResponse
+    {
+        auto& replica = hooks_.replica_();
+        const auto command = read_json(request).and_then([&](const QJsonObject& object) {
+            return read_accept_command(object, *replica.state().current());
+        });
+        if (!command) {
+            return error_answer(command.error());
+        }
+        if (!replica.state().outcome_of(command->edit_id_)) {
+            propose(replica, *command);
+        }
+        if (const auto outcome = replica.state().outcome_of(command->edit_id_)) {
+            return json_answer(to_json(*outcome), status_of(*outcome));
+        }
+        return json_answer({{"status", "pending"}, {"edit_id", to_json(command->edit_id_)}},
+                           pending_status);
+    }
+
+  private:
+    static constexpr int pending_status = 202;
+
+    void propose(control_replica& replica, const accept_command& command)
+    {
+        if (!pending_.insert(command.edit_id_).second) {
+            return;
+        }
+        const auto forget = [this, id = command.edit_id_](const result<accept_outcome>&) {
+            pending_.erase(id);
+        };
+        replica.accept(command, forget, monotonic_now());
+    }
+
+    operator_api_hooks hooks_;
+    std::set<std::string> pending_;
+};
+
+auto on_check(const QHttpServerRequest& request) -> QHttpServerResponse
+{
+    const auto rows = read_csv(request.body().toStdString());
+    if (!rows) {
+        return error_answer(rows.error());
+    }
+    QJsonArray findings;
+    for (const auto& finding : check_table(*rows)) {
+        findings.append(QJsonObject{{"service", to_json(finding.service_)},
+                                    {"column", to_json(name_of(finding.column_))},
+                                    {"message", to_json(finding.message_)}});
+    }
+    return json_answer({{"findings", findings}});
+}
+
+auto on_table(const operator_api_hooks& hooks) -> QHttpServerResponse
+{
+    const auto& table = *hooks.replica_().state().current();
+    return json_answer(
+        {{"version", to_json(table.version_)}, {"csv", to_json(write_csv(table.rows_))}});
+}
+
+auto on_history(const operator_api_hooks& hooks) -> QHttpServerResponse
+{
+    QJsonArray entries;
+    for (const auto& entry : hooks.replica_().state().history()) {
+        entries.append(to_json(entry));
+    }
+    return json_answer({{"history", entries}});
+}
+
+auto on_status(const operator_api_hooks& hooks) -> QHttpServerResponse
+{
+    auto& replica = hooks.replica_();
+    const auto& raft = replica.raft_state();
+    return json_answer({{"name", to_json(raft.options().self_)},
+                        {"role", to_json(name_of(raft.role()))},
+                        {"leader", to_json(raft.leader())},
+                        {"term", static_cast<qint64>(raft.term())},
+                        {"commit", static_cast<qint64>(raft.commit_index())},
+                        {"version", to_json(replica.state().current()->version_)},
+                        {"zones", to_json(hooks.progress_())}});
+}
+
+auto on_progress(const operator_api_hooks& hooks) -> QHttpServerResponse
+{
+    const auto& version = hooks.replica_().state().current()->version_;
+    return json_answer({{"version", to_json(version)}, {"zones", to_json(hooks.progress_())}});
+}
+
+auto on_targets(const operator_api_hooks& hooks) -> QHttpServerResponse
+{
+    QJsonArray targets;
+    for (const auto& target : hooks.targets_()) {
+        targets.append(to_json(target));
+    }
+    return json_answer({{"targets", targets}});
+}
+
+/** Lets only the leader answer, so that no answer is stale. */
+auto on_leader(const operator_api_hooks& hooks, admin_handler handler) -> admin_handler
+{
+    return [hooks, handler = std::move(handler)](const QHttpServerRequest& request) {
+        const auto& raft = hooks.replica_().raft_state();
+        if (raft.role() != raft_role::leader) {
+            const auto leader = raft.leader().empty() ? "none known" : raft.leader();
+            return error_answer({error_kind::unavailable,
+                                 fmt::format("this replica does not lead; leader: {}", leader)});
+        }
+        return handler(request);
+    };
+}
+
+} // namespace
+
+void add_operator_api(admin_server& server, const operator_api_hooks& hooks)
+{
+    const auto get = QHttpServerRequest::Method::Get;
+    const auto post = QHttpServerRequest::Method::Post;
+    const auto add = [&server](auto method, const char* path, const admin_handler& handler) {
+        server.handle(method, path, admin_access::operators, handler);
+    };
+    add(get, "/v1/status", [hooks](const auto&) { return on_status(hooks); });
+    add(get, "/v1/table", on_leader(hooks, [hooks](const auto&) { return on_table(hooks); }));
+    add(get, "/v1/progress", on_leader(hooks, [hooks](const auto&) { return on_progress(hooks); }));
+    add(get, "/v1/table/history",
+        on_leader(hooks, [hooks](const auto&) { return on_history(hooks); }));
+    add(get, "/v1/targets", [hooks](const auto&) { return on_targets(hooks); });
+    add(post, "/v1/table/check", [](const auto& request) { return on_check(request); });
+    const auto desk = std::make_shared<accept_desk>(hooks);
+    add(post, "/v1/table/accept",
+        on_leader(hooks, [desk](const auto& request) { return desk->answer(request); }));
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/operator_json.h
@@ -0,0 +1,28 @@
+/** \file
+ * The JSON forms of the operators' interface.
+ */
+#pragma once
+
+#include <QJsonArray>
+#include <QJsonObject>
+
+#include "control/replicated_state.h"
+#include "membership/target_record.h"
+
+namespace sycamorewinch {
+
+[[nodiscard]] auto to_json(std::string_view text) -> QString;
+/** `{"number":7,"digest":"..."}` */
+[[nodiscard]] auto to_json(const table_version& version) -> QJsonObject;
+/** `{"status":"conflict","version":..,"conflicts":[..],"message":".."}` */
+[[nodiscard]] auto to_json(const accept_outcome& outcome) -> QJsonObject;
+[[nodiscard]] auto to_json(const std::vector<zone_progress>& zones) -> QJsonArray;
+[[nodiscard]] auto to_json(const target_record& target) -> QJsonObject;
+[[nodiscard]] auto to_json(const history_entry& entry) -> QJsonObject;
+
+/** Reads `{"edit_id":..,"operator":..,"base":{"number":..,"digest":..},"csv":..}`. The change is
+ * taken against \p current; against another base it only serves to show the conflict. */
+[[nodiscard]] auto read_accept_command(const QJsonObject& object, const table& current)
+    -> result<accept_command>;
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/relay_role.cpp
@@ -0,0 +1,108 @@
+#include "daemon/daemon_role.h"
+
+#include "daemon/admin_server.h"
+#include "daemon/hub_server.h"
+#include "daemon/peer_listener.h"
+#include "daemon/upstream_link.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+/** A relay: a subscriber upwards, a hub downwards. */
+class relay_role {
+  public:
+    relay_role(const daemon_settings& settings, const daemon_secrets& secrets)
+        : admin_(metrics_, secrets.operator_token_, [this] { return link_.is_connected(); }),
+          listener_(secrets.key_, metrics_),
+          hub_(metrics_,
+               {[this] { ask_for_proof(); }, [this](const auto& news) { report_targets(news); },
+                [this] {
+                    report_progress();
+                }}),
+          link_(settings.upstreams_, secrets.key_,
+                {settings.name_, settings.availability_zone_, true, system_random()}, metrics_,
+                {[this](const auto& output) { on_output(output); },
+                 [this] {
+                     on_connected();
+                 }})
+    {
+        listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
+            return hub_.accept(connection, stream);
+        });
+    }
+
+    auto start(const daemon_settings& settings) -> result<void>
+    {
+        if (auto listening = listener_.listen(settings.listen_peers_); !listening) {
+            return listening;
+        }
+        if (auto listening = admin_.listen(settings.listen_admin_); !listening) {
+            return listening;
+        }
+        link_.start();
+        return {};
+    }
+
+  private:
+    void on_connected()
+    {
+        link_.logic().report_targets(hub_.logic().targets().records());
+        link_.logic().report_progress(hub_.logic().progress());
+    }
+
+    void ask_for_proof()
+    {
+        link_.logic().request_proof();
+        link_.run();
+    }
+
+    void report_targets(const std::vector<target_record>& news)
+    {
+        link_.logic().report_targets(news);
+        link_.run();
+    }
+
+    void report_progress()
+    {
+        link_.logic().report_progress(hub_.logic().progress());
+        link_.run();
+    }
+
+    void on_output(const subscriber_output& output)
+    {
+        if (output.held_) {
+            hub_.logic().set_table(output.held_);
+        }
+        if (!output.targets_.empty()) {
+            hub_.logic().merge_targets(output.targets_);
+        }
+        if (output.proof_) {
+            hub_.logic().on_proof(*output.proof_);
+        }
+        hub_.run();
+        if (output.held_) {
+            report_progress(); // also tells the upstream that the update has arrived
+        }
+    }
+
+    metrics_registry metrics_;
+    admin_server admin_;
+    peer_listener listener_;
+    hub_server hub_;
+    upstream_link link_;
+};
+
+} // namespace
+
+auto start_relay_role(const daemon_settings& settings, const daemon_secrets& secrets)
+    -> result<running_role>
+{
+    const auto role = std::make_shared<relay_role>(settings, secrets);
+    if (auto started = role->start(settings); !started) {
+        return tl::unexpected(started.error());
+    }
+    return running_role{[](const std::function<void()>& done) { done(); }, role};
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/replica_links.cpp
@@ -0,0 +1,155 @@
+#include "daemon/replica_links.h"
+
+#include "codec/cbor_reader.h"
+#include "codec/cbor_writer.h"
+#include "observability/log.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr auto redial_after = std::chrono::milliseconds(200);
+constexpr std::size_t max_name_length = 64;
+constexpr std::size_t max_body_bytes = 64U * 1024 * 1024;
+constexpr std::size_t max_queued_bytes = 16U * 1024 * 1024;
+
+/** What a replica's message carries. */
+enum class replica_payload : std::uint8_t { raft, distribution };
+
+auto wrap(replica_payload kind, const std::string& from, std::string_view body) -> std::string
+{
+    cbor_writer writer;
+    writer.array(3).number(static_cast<std::uint64_t>(kind)).text(from).bytes(body);
+    return writer.take();
+}
+
+} // namespace
+
+replica_links::replica_links(std::string self, const std::vector<control_peer>& peers,
+                             cluster_key key, replica_link_hooks hooks)
+    : self_(std::move(self)), key_(std::move(key)), hooks_(std::move(hooks))
+{
+    for (const auto& peer : peers) {
+        if (peer.name_ != self_) {
+            links_[peer.name_].address_ = peer.address_;
+        }
+    }
+}
+
+void replica_links::start()
+{
+    for (const auto& [name, link] : links_) {
+        dial(name);
+    }
+}
+
+void replica_links::dial(const std::string& name)
+{
+    auto& link = links_.at(name);
+    peer_client_hooks hooks;
+    hooks.on_ready_ = [this, name] {
+        open_channel(name);
+    };
+    hooks.on_ended_ = [this, name](connection_end) {
+        redial_later(name);
+    };
+    link.client_ = peer_client::dial(link.address_, key_, std::move(hooks));
+}
+
+void replica_links::redial_later(const std::string& name)
+{
+    links_.at(name).channel_.reset();
+    QTimer::singleShot(redial_after, &context_, [this, name] { dial(name); });
+}
+
+void replica_links::open_channel(const std::string& name)
+{
+    auto& link = links_.at(name);
+    channel_hooks hooks;
+    hooks.on_message_ = [](std::string_view) {
+    };
+    hooks.on_closed_ = [this, name] {
+        const auto client = links_.at(name).client_;
+        client->close();
+    };
+    auto channel =
+        message_channel::open(link.client_->connection(), replica_path, {}, std::move(hooks));
+    if (!channel) {
+        link.client_->close();
+        return;
+    }
+    link.channel_ = std::move(*channel);
+    hooks_.on_connected_(name);
+}
+
+auto replica_links::accept(const std::shared_ptr<h2_connection>& connection, stream_id stream)
+    -> stream_hooks
+{
+    const auto id = next_accepted_++;
+    channel_hooks hooks;
+    hooks.on_message_ = [this](std::string_view bytes) {
+        on_message(bytes);
+    };
+    hooks.on_closed_ = [this, id] {
+        accepted_.erase(id);
+    };
+    stream_hooks stream_hooks;
+    accepted_[id] = message_channel::accept(connection, stream, std::move(hooks), stream_hooks);
+    return stream_hooks;
+}
+
+void replica_links::on_message(std::string_view bytes)
+{
+    cbor_reader reader(bytes);
+    reader.array(3);
+    const auto kind = static_cast<replica_payload>(reader.number());
+    const auto from = reader.text(max_name_length);
+    const auto body = reader.bytes(max_body_bytes);
+    if (!reader.finish() || !links_.contains(from)) {
+        log_event(log_level::warning, "bad_replica_message", {{"from", from}});
+        return;
+    }
+    if (kind == replica_payload::raft) {
+        if (const auto message = decode_raft_message(body)) {
+            hooks_.on_raft_(*message);
+        }
+        return;
+    }
+    if (const auto message = decode_distribution_message(body)) {
+        hooks_.on_distribution_(from, *message);
+    }
+}
+
+void replica_links::send(const raft_message& message)
+{
+    send_bytes(message.to_, wrap(replica_payload::raft, self_, encode_message(message)));
+}
+
+void replica_links::send(const std::string& to, const distribution_message& message)
+{
+    send_bytes(to, wrap(replica_payload::distribution, self_, encode_message(message)));
+}
+
+void replica_links::send_bytes(const std::string& to, std::string_view bytes)
+{
+    const auto found = links_.find(to);
+    if (found == links_.end() || !found->second.channel_) {
+        return;
+    }
+    const auto channel = found->second.channel_;
+    if (channel->queued_bytes() < max_queued_bytes) { // consensus sends again what is dropped
+        channel->send(bytes);
+    }
+}
+
+auto replica_links::others() const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    names.reserve(links_.size());
+    for (const auto& [name, link] : links_) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/target_registry.cpp
@@ -0,0 +1,87 @@
+#include "daemon/target_registry.h"
+
+namespace sycamorewinch {
+
+target_registry::target_registry(std::string availability_zone, std::string node_address,
+                                 std::uint64_t incarnation)
+    : availability_zone_(std::move(availability_zone)), node_address_(std::move(node_address)),
+      incarnation_(incarnation)
+{
+}
+
+auto target_registry::announce(const target_announcement& announcement, instant now) -> bool
+{
+    auto& target = targets_[{announcement.service_, announcement.target_}];
+    const auto before = target.record_;
+    target.announcement_ = announcement;
+    target.lease_end_ = now + announcement.lease_;
+    auto& record = target.record_;
+    record.service_ = announcement.service_;
+    record.target_ = announcement.target_;
+    record.availability_zone_ = availability_zone_;
+    record.node_address_ = node_address_;
+    record.incarnation_ = incarnation_;
+    record.slots_ = announcement.slots_;
+    record.cold_start_ = announcement.cold_start_;
+    record.state_ = announcement.draining_ ? target_state::draining : target_state::up;
+    if (record == before) {
+        return false;
+    }
+    record.sequence_ = ++sequence_;
+    return true;
+}
+
+auto target_registry::set_state(registered_target& target, target_state state) -> bool
+{
+    if (target.record_.state_ == state) {
+        return false;
+    }
+    target.record_.state_ = state;
+    target.record_.sequence_ = ++sequence_;
+    return true;
+}
+
+auto target_registry::expire(instant now) -> std::vector<target_record>
+{
+    std::vector<target_record> changed;
+    for (auto& [name, target] : targets_) {
+        if (target.lease_end_ <= now && set_state(target, target_state::gone)) {
+            changed.push_back(target.record_);
+        }
+    }
+    return changed;
+}
+
+auto target_registry::drain_all() -> std::vector<target_record>
+{
+    std::vector<target_record> changed;
+    for (auto& [name, target] : targets_) {
+        if (target.record_.state_ == target_state::up &&
+            set_state(target, target_state::draining)) {
+            changed.push_back(target.record_);
+        }
+    }
+    return changed;
+}
+
+auto target_registry::records() const -> std::vector<target_record>
+{
+    std::vector<target_record> all;
+    all.reserve(targets_.size());
+    for (const auto& [name, target] : targets_) {
+        all.push_back(target.record_);
+    }
+    return all;
+}
+
+auto target_registry::targets() const -> std::vector<registered_target>
+{
+    std::vector<registered_target> all;
+    all.reserve(targets_.size());
+    for (const auto& [name, target] : targets_) {
+        all.push_back(target);
+    }
+    return all;
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/target_registry.h
@@ -0,0 +1,65 @@
+/** \file
+ * The targets that announced themselves to this node, with their leases.
+ *
+ * Pure: announcements and the time go in; records for the system come out.
+ */
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "membership/target_record.h"
+#include "transport/peer_connection.h"
+
+namespace sycamorewinch {
+
+/** What a target says of itself. */
+struct target_announcement {
+    std::string service_;
+    std::string target_;
+    peer_address address_; ///< Where it takes requests.
+    std::uint32_t slots_ = 0;
+    std::chrono::milliseconds cold_start_{0};
+    std::chrono::milliseconds lease_{0}; ///< It announces itself again before this is over.
+    bool draining_ = false;
+};
+
+/** One announced target. */
+struct registered_target {
+    target_announcement announcement_;
+    target_record record_;
+    instant lease_end_;
+};
+
+/** The targets beside one node. */
+class target_registry {
+  public:
+    /** \p incarnation rises with every start of the node. */
+    target_registry(std::string availability_zone, std::string node_address,
+                    std::uint64_t incarnation);
+
+    /** Takes an announcement; returns whether the target's record changed. */
+    auto announce(const target_announcement& announcement, instant now) -> bool;
+
+    /** Ends leases that have run out; returns the records that changed. */
+    auto expire(instant now) -> std::vector<target_record>;
+
+    /** Marks every target as draining; returns the records that changed. */
+    auto drain_all() -> std::vector<target_record>;
+
+    [[nodiscard]] auto records() const -> std::vector<target_record>;
+    [[nodiscard]] auto targets() const -> std::vector<registered_target>;
+
+  private:
+    auto set_state(registered_target& target, target_state state) -> bool;
+
+    std::string availability_zone_;
+    std::string node_address_;
+    std::uint64_t incarnation_;
+    std::uint64_t sequence_ = 0;
+    std::map<std::pair<std::string, std::string>, registered_target> targets_;
+};
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/request_path/caller_call.cpp
@@ -0,0 +1,368 @@
+#include "request_path/caller_call.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <QTimer>
+#include <fmt/core.h>
+
+#include "request_path/peer_headers.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr std::size_t max_replay_bytes = 64U * 1024;
+constexpr std::size_t high_water_bytes = 256U * 1024;
+constexpr std::string_view default_caller = "anonymous";
+
+auto time_left_of(const message_head& head, const row& row) -> std::chrono::milliseconds
+{
+    const auto text = find_header(head.headers_, deadline_header);
+    std::int64_t stated = 0;
+    const auto [stop, problem] = std::from_chars(text.data(), text.data() + text.size(), stated);
+    const bool is_stated = !text.empty() && problem == std::errc();
+    return is_stated ? std::min(row.timeout_, std::chrono::milliseconds(stated)) : row.timeout_;
+}
+
+/** Whether another attempt may succeed where this reason ended one. */
+auto is_worth_another_target(refusal_reason reason) -> bool
+{
+    return reason == refusal_reason::target_draining || reason == refusal_reason::target_full ||
+           reason == refusal_reason::no_target || reason == refusal_reason::target_unreachable ||
+           reason == refusal_reason::target_failed || reason == refusal_reason::table_not_proved;
+}
+
+class caller_call : public std::enable_shared_from_this<caller_call> {
+  public:
+    caller_call(const call_environment& environment,
+                const std::shared_ptr<http1_server_connection>& connection, message_head head)
+        : environment_(environment), connection_(connection), started_(monotonic_now())
+    {
+        request_.head_ = std::move(head);
+    }
+
+    void start()
+    {
+        ++environment_.node_.calls_in_flight();
+        if (environment_.node_.is_shutting_down()) {
+            refuse(make_refusal(refusal_reason::shutting_down));
+            return;
+        }
+        routes_ = environment_.node_.routes();
+        route_ = routes_->match(request_.head_.path_);
+        if (route_ == nullptr) {
+            refuse(make_refusal(routes_->table_in_force() ? refusal_reason::no_route
+                                                          : refusal_reason::table_not_proved));
+            return;
+        }
+        prepare_request();
+        arm_deadline();
+        attempt();
+    }
+
+    auto make_request_hooks() -> request_hooks
+    {
+        const auto self = shared_from_this();
+        return {
+            [self](std::string_view bytes) { self->on_request_body(bytes); },
+            [self] { self->on_request_end(); },
+            [self] { self->on_caller_writable(); },
+            [self] { self->on_cancelled(); },
+        };
+    }
+
+  private:
+    void prepare_request()
+    {
+        const auto caller = find_header(request_.head_.headers_, caller_header);
+        request_.caller_ = caller.empty() ? default_caller : caller;
+        request_.service_ = route_->row_->service_;
+        request_.time_left_ = time_left_of(request_.head_, *route_->row_);
+        remove_system_headers(request_.head_.headers_);
+        set_header(request_.head_.headers_, deadline_header,
+                   std::to_string(request_.time_left_.count()));
+    }
+
+    void arm_deadline()
+    {
+        deadline_.setSingleShot(true);
+        QObject::connect(&deadline_, &QTimer::timeout, &deadline_,
+                         [self = shared_from_this()] { self->on_deadline(); });
+        deadline_.start(request_.time_left_);
+    }
+
+    void attempt()
+    {
+        const auto* target = choose_target(*route_, tried_, environment_.random_);
+        if (target == nullptr) {
+            refuse(make_refusal(refusal_reason::no_target));
+            return;
+        }
+        const auto number = ++attempts_;
+        request_.target_ = target->record_.target_;
+        tried_.push_back(request_.target_);
+        const auto address = parse_peer_address(target->record_.node_address_);
+        auto hooks = make_exchange_hooks(number);
+        controls_ = {};
+        exchange_controls controls;
+        if (target->record_.node_address_ == environment_.node_.own_address()) {
+            controls = start_local_exchange(environment_.node_, environment_.targets_, request_,
+                                            std::move(hooks));
+        }
+        else if (address) {
+            controls =
+                start_peer_exchange(environment_.peers_, *address, request_, std::move(hooks));
+        }
+        else {
+            on_refused(number, make_refusal(refusal_reason::target_unreachable));
+            return;
+        }
+        if (number != attempts_ || ended_) {
+            return; // refused at once, and another attempt has taken over
+        }
+        controls_ = std::move(controls);
+        if (!replay_.empty()) {
+            controls_.write_(replay_);
+        }
+        if (body_ended_ && request_.head_.has_body_) {
+            controls_.finish_();
+        }
+    }
+
+    auto make_exchange_hooks(unsigned number) -> exchange_hooks
+    {
+        const auto self = shared_from_this();
+        exchange_hooks hooks;
+        hooks.on_response_ = [self](message_head head) {
+            self->on_response(std::move(head));
+        };
+        hooks.on_body_ = [self](std::string_view bytes) {
+            self->on_response_body(bytes);
+        };
+        hooks.on_end_ = [self] {
+            self->on_response_end();
+        };
+        hooks.on_refused_ = [self, number](const refusal& refusal) {
+            self->on_refused(number, refusal);
+        };
+        hooks.on_broken_ = [self] {
+            self->on_broken();
+        };
+        hooks.on_writable_ = [self] {
+            if (const auto connection = self->connection_.lock()) {
+                connection->pause_reading(false);
+            }
+        };
+        return hooks;
+    }
+
+    void on_refused(unsigned number, const refusal& refusal)
+    {
+        if (ended_ || number != attempts_) {
+            return;
+        }
+        ran_ = ran_ || refusal.outcome_ == request_outcome::unknown;
+        if (may_retry(refusal)) {
+            environment_.node_.metrics().count_retry(refusal.reason_, request_.service_);
+            attempt();
+            return;
+        }
+        // An earlier attempt may have run, whatever is known of the last one.
+        refuse({refusal.reason_, ran_ ? request_outcome::unknown : refusal.outcome_});
+    }
+
+    auto may_retry(const refusal& refusal) const -> bool
+    {
+        const bool is_safe =
+            refusal.outcome_ == request_outcome::not_run || route_->row_->repeatable_;
+        return is_safe && !replay_lost_ && attempts_ <= route_->row_->retries_ &&
+               is_worth_another_target(refusal.reason_);
+    }
+
+    void on_response(message_head head)
+    {
+        const auto connection = connection_.lock();
+        if (ended_ || !connection) {
+            return;
+        }
+        responded_ = true;
+        remove_system_headers(head.headers_);
+        connection->respond(std::move(head));
+    }
+
+    void on_response_body(std::string_view bytes)
+    {
+        const auto connection = connection_.lock();
+        if (ended_ || !connection) {
+            return;
+        }
+        connection->write(bytes);
+        if (connection->queued_bytes() > high_water_bytes && controls_.pause_) {
+            controls_.pause_(true);
+        }
+    }
+
+    void on_response_end()
+    {
+        if (ended_) {
+            return;
+        }
+        end();
+        environment_.node_.metrics().record_call(request_.service_, monotonic_now() - started_);
+        if (const auto connection = connection_.lock()) {
+            connection->finish();
+        }
+    }
+
+    void on_broken()
+    {
+        if (ended_) {
+            return;
+        }
+        end();
+        environment_.node_.metrics().count_refusal(refusal_reason::target_failed,
+                                                   request_.service_);
+        if (const auto connection = connection_.lock()) {
+            connection->abort();
+        }
+    }
+
+    void on_deadline()
+    {
+        if (ended_) {
+            return;
+        }
+        cancel_exchange();
+        if (responded_) {
+            on_broken();
+        }
+        else {
+            refuse(make_refusal(refusal_reason::deadline_passed));
+        }
+    }
+
+    void on_request_body(std::string_view bytes)
+    {
+        if (ended_) {
+            return;
+        }
+        if (replay_.size() + bytes.size() <= max_replay_bytes) {
+            replay_ += bytes;
+        }
+        else {
+            replay_lost_ = true;
+        }
+        if (controls_.write_) {
+            controls_.write_(bytes);
+            const auto connection = connection_.lock();
+            if (connection && controls_.queued_bytes_() > high_water_bytes) {
+                connection->pause_reading(true);
+            }
+        }
+    }
+
+    void on_request_end()
+    {
+        body_ended_ = true;
+        if (!ended_ && request_.head_.has_body_ && controls_.finish_) {
+            controls_.finish_();
+        }
+    }
+
+    void on_caller_writable()
+    {
+        if (controls_.pause_) {
+            controls_.pause_(false);
+        }
+    }
+
+    void on_cancelled()
+    {
+        if (!ended_) {
+            cancel_exchange();
+            end();
+        }
+    }
+
+    void cancel_exchange()
+    {
+        const auto controls = std::move(controls_);
+        controls_ = {};
+        ++attempts_; // late hooks of the cancelled attempt no longer count
+        if (controls.cancel_) {
+            controls.cancel_();
+        }
+    }
+
+    void refuse(const refusal& refusal)
+    {
+        end();
+        environment_.node_.metrics().count_refusal(refusal.reason_, request_.service_);
+        if (const auto connection = connection_.lock()) {
+            answer_refusal(*connection, refusal, request_.service_);
+        }
+    }
+
+    void end()
+    {
+        if (!std::exchange(ended_, true)) {
+            --environment_.node_.calls_in_flight();
+        }
+        deadline_.stop();
+        deadline_.disconnect();
+        controls_ = {}; // breaks the cycle of call, exchange and hooks
+    }
+
+    call_environment environment_;
+    std::weak_ptr<http1_server_connection> connection_;
+    instant started_;
+    exchange_request request_;
+    std::shared_ptr<const route_table> routes_;
+    const service_route* route_ = nullptr;
+    exchange_controls controls_;
+    std::vector<std::string> tried_;
+    std::string replay_;
+    QTimer deadline_;
+    unsigned attempts_ = 0;
+    bool replay_lost_ = false;
+    bool body_ended_ = false;
+    bool responded_ = false;
+    bool ran_ = false;
+    bool ended_ = false;
+};
+
+} // namespace
+
+auto start_caller_call(const call_environment& environment,
+                       const std::shared_ptr<http1_server_connection>& connection,
+                       message_head head) -> request_hooks
+{
+    const auto call = std::make_shared<caller_call>(environment, connection, std::move(head));
+    call->start();
+    return call->make_request_hooks();
+}
+
+void answer_refusal(http1_server_connection& connection, const refusal& refusal,
+                    std::string_view service)
+{
+    const auto& description = describe(refusal.reason_);
+    const auto body = fmt::format(R"({{"refusal":"{}","outcome":"{}","service":"{}"}})"
+                                  "\n",
+                                  description.name_, name_of(refusal.outcome_), service);
+    message_head head;
+    head.status_ = description.status_;
+    head.has_body_ = true;
+    head.content_length_ = body.size();
+    head.headers_ = {{"content-type", "application/json"},
+                     {std::string(refusal_header), std::string(description.name_)},
+                     {std::string(outcome_header), std::string(name_of(refusal.outcome_))}};
+    if (description.retry_after_seconds_ > 0) {
+        head.headers_.push_back({"retry-after", std::to_string(description.retry_after_seconds_)});
+    }
+    connection.respond(std::move(head));
+    connection.write(body);
+    connection.finish();
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/request_path/exchange.h
@@ -0,0 +1,60 @@
+/** \file
+ * One attempt of a call, wherever it runs: at the target beside this node, or through another node.
+ *
+ * The side that starts an exchange gets its controls, and hears of the answer by hooks. Exactly one
+ * of on_end_, on_refused_ and on_broken_ is called, and nothing after it.
+ */
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "http1/http1_parser.h"
+#include "policy/refusal.h"
+
+namespace sycamorewinch {
+
+/** A request on its way to one target. */
+struct exchange_request {
+    message_head head_;
+    std::string service_;
+    std::string target_;
+    std::string caller_;
+    std::chrono::milliseconds time_left_{0}; ///< Until the call's deadline.
+};
+
+/** A refusal and what is known of the request. */
+struct refusal {
+    refusal_reason reason_ = refusal_reason::no_target;
+    request_outcome outcome_ = request_outcome::unknown;
+};
+
+/** Returns a refusal with the outcome that \p reason usually has. */
+[[nodiscard]] inline auto make_refusal(refusal_reason reason) -> refusal
+{
+    return {reason, describe(reason).outcome_};
+}
+
+/** What the starter of an exchange hears. */
+struct exchange_hooks {
+    std::function<void(message_head head)> on_response_;
+    std::function<void(std::string_view bytes)> on_body_;
+    std::function<void()> on_end_;
+    std::function<void(const refusal& refusal)> on_refused_; ///< Before any response.
+    std::function<void()> on_broken_;   ///< After the response began: it is not whole.
+    std::function<void()> on_writable_; ///< Room for more of the request's body.
+};
+
+/** What the starter of an exchange can do. */
+struct exchange_controls {
+    std::function<void(std::string_view bytes)> write_; ///< A part of the request's body.
+    std::function<void()> finish_;                      ///< The request's body is whole.
+    std::function<void()> cancel_;                      ///< Give up; no hook follows.
+    std::function<void(bool paused)> pause_;            ///< Stop or resume the answer's body.
+    std::function<std::size_t()> queued_bytes_;         ///< Request bytes not yet taken.
+};
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/request_path/local_exchange.h
@@ -0,0 +1,17 @@
+/** \file
+ * An exchange with a target beside this node: admission first, then HTTP/1.1 to the target.
+ */
+#pragma once
+
+#include "request_path/exchange.h"
+#include "request_path/node_state.h"
+#include "request_path/target_connections.h"
+
+namespace sycamorewinch {
+
+/** Starts an exchange with the named local target. Hooks may be called before it returns. */
+[[nodiscard]] auto start_local_exchange(node_state& node, target_connections& connections,
+                                        const exchange_request& request, exchange_hooks hooks)
+    -> exchange_controls;
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/request_path/node_state.h
@@ -0,0 +1,91 @@
+/** \file
+ * What the threads of one node share: the routes in force, the targets beside the node, and the
+ * metrics. Requests read it without a lock.
+ */
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "concurrency/rcu_cell.h"
+#include "observability/metrics.h"
+#include "policy/admission.h"
+#include "policy/route_table.h"
+#include "transport/peer_connection.h"
+
+namespace sycamorewinch {
+
+/** A target beside this node. */
+struct local_target {
+    std::string service_;
+    std::string target_;
+    peer_address address_;
+    std::shared_ptr<admission> admission_;
+};
+
+/** All targets beside this node. */
+using local_targets = std::vector<local_target>;
+
+/** Counts refusals by reason and service, and retries by reason. */
+class call_metrics {
+  public:
+    explicit call_metrics(metrics_registry& registry) : registry_(registry) {}
+
+    void count_refusal(refusal_reason reason, std::string_view service);
+    void count_retry(refusal_reason reason, std::string_view service);
+    void record_call(std::string_view service, duration taken);
+
+  private:
+    metrics_registry& registry_;
+};
+
+/** The shared state of one node. */
+class node_state {
+  public:
+    /** \p own_address is where this node takes calls from other nodes. */
+    node_state(std::string own_address, metrics_registry& registry);
+
+    /** Returns the routes in force. */
+    [[nodiscard]] auto routes() const -> std::shared_ptr<const route_table>
+    {
+        return routes_.read();
+    }
+    void publish_routes(std::shared_ptr<const route_table> routes)
+    {
+        routes_.publish(std::move(routes));
+    }
+
+    [[nodiscard]] auto targets() const -> std::shared_ptr<const local_targets>
+    {
+        return targets_.read();
+    }
+    void publish_targets(std::shared_ptr<const local_targets> targets)
+    {
+        targets_.publish(std::move(targets));
+    }
+
+    [[nodiscard]] auto own_address() const -> const std::string& { return own_address_; }
+    [[nodiscard]] auto metrics() -> call_metrics& { return metrics_; }
+
+    /** From now on callers are refused; requests in flight go on. */
+    void begin_shutdown() { shutting_down_ = true; }
+    [[nodiscard]] auto is_shutting_down() const -> bool { return shutting_down_; }
+
+    /** Counts calls in flight on any thread. */
+    [[nodiscard]] auto calls_in_flight() -> std::atomic<std::int64_t>& { return in_flight_; }
+
+  private:
+    std::string own_address_;
+    rcu_cell<route_table> routes_;
+    rcu_cell<local_targets> targets_;
+    call_metrics metrics_;
+    std::atomic<bool> shutting_down_{false};
+    std::atomic<std::int64_t> in_flight_{0};
+};
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/request_path/target_connections.cpp
@@ -0,0 +1,37 @@
+#include "request_path/target_connections.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr std::chrono::milliseconds longest_idle{30'000};
+constexpr std::chrono::milliseconds longest_idle_unrepeatable{500};
+constexpr std::size_t max_idle_per_target = 32;
+
+} // namespace
+
+auto target_connections::take(const peer_address& address, bool fresh_only)
+    -> std::shared_ptr<http1_client_connection>
+{
+    const auto limit = fresh_only ? longest_idle_unrepeatable : longest_idle;
+    auto& idle = idle_[address];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->is_reusable() && connection->idle_time() < limit) {
+            return connection;
+        }
+    }
+    return http1_client_connection::dial(address.host_, address.port_);
+}
+
+void target_connections::give_back(const peer_address& address,
+                                   std::shared_ptr<http1_client_connection> connection)
+{
+    auto& idle = idle_[address];
+    if (connection->is_reusable() && idle.size() < max_idle_per_target) {
+        idle.push_back(std::move(connection));
+    }
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/settings/daemon_settings.cpp
@@ -0,0 +1,217 @@
+#include "settings/daemon_settings.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <sstream>
+
+#include <QHostAddress>
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include "base/enum_names.h"
+#include "settings/settings_reader.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+namespace po = boost::program_options;
+using internal::settings_reader;
+
+constexpr enum_names<daemon_role, 3> role_names{{"control", "relay", "node"}};
+constexpr std::string_view environment_prefix = "SYCAMOREWINCH_";
+constexpr unsigned max_workers = 256;
+
+auto make_options() -> po::options_description
+{
+    po::options_description options(
+        "Settings (each also as SYCAMOREWINCH_NAME in the environment)");
+    auto add = options.add_options();
+    const auto text = [] {
+        return po::value<std::string>();
+    };
+    const auto empty = [] {
+        return po::value<std::string>()->default_value("");
+    };
+    add("role", text(), "control, relay or node");
+    add("name", text(), "this process's name, unique in the system");
+    add("zone", text(), "the availability zone it runs in");
+    add("listen-peers", text(), "IP:PORT for the system's other processes");
+    add("listen-callers", text(), "node: IP:PORT for callers");
+    add("listen-admin", text(), "IP:PORT for operators, metrics, health and targets");
+    add("control-peers", empty(), "control: NAME=IP:PORT of every replica, separated by commas");
+    add("upstreams", empty(),
+        "relay, node: IP:PORT of processes to subscribe to, separated by commas");
+    add("data-dir", empty(), "control: the data folder");
+    add("cluster-key-file", empty(),
+        "file with the secret that all processes share; without it only loopback is used");
+    add("operator-token-file", empty(),
+        "file with the bearer token of the operator API; without it only loopback is used");
+    add("workers", po::value<std::string>()->default_value("1"),
+        "node: threads that carry calls, 1 to 256");
+    add("log-level", po::value<std::string>()->default_value("info"),
+        "debug, info, warning or error");
+    add("check-settings", "check the settings and stop");
+    add("help", "show this help");
+    add("version", "show the version");
+    return options;
+}
+
+auto is_loopback(const peer_address& address) -> bool
+{
+    return QHostAddress(QString::fromStdString(address.host_)).isLoopback();
+}
+
+void check_loopback(settings_reader& reader, const daemon_settings& settings)
+{
+    const auto check = [&reader](const char* name, const peer_address& address,
+                                 const char* needed) {
+        if (!is_loopback(address)) {
+            reader.refuse(name, to_text(address),
+                          fmt::format("without {} only a loopback address", needed));
+        }
+    };
+    if (settings.cluster_key_file_.empty()) {
+        check("listen-peers", settings.listen_peers_, "cluster-key-file");
+    }
+    if (settings.operator_token_file_.empty()) {
+        check("listen-admin", settings.listen_admin_, "operator-token-file");
+    }
+}
+
+void read_control_settings(settings_reader& reader, daemon_settings& settings)
+{
+    settings.control_peers_ = reader.peers("control-peers");
+    settings.data_dir_ = reader.text("data-dir");
+    if (std::ranges::find(settings.control_peers_, settings.name_, &control_peer::name_) ==
+        settings.control_peers_.end()) {
+        reader.refuse("control-peers", reader.optional_text("control-peers"),
+                      fmt::format("it must list this replica, '{}'", settings.name_));
+    }
+}
+
+void read_subscriber_settings(settings_reader& reader, daemon_settings& settings)
+{
+    settings.upstreams_ = reader.addresses("upstreams");
+    if (settings.upstreams_.empty()) {
+        reader.refuse("upstreams", "", "one IP:PORT or more");
+    }
+    if (settings.role_ == daemon_role::node) {
+        settings.listen_callers_ = reader.address("listen-callers");
+        settings.workers_ = reader.count("workers", max_workers);
+    }
+}
+
+auto read_settings(const po::variables_map& values) -> result<daemon_settings>
+{
+    settings_reader reader(values);
+    daemon_settings settings;
+    const auto role_text = reader.text("role");
+    const auto role = role_names.parse(role_text);
+    if (!role) {
+        reader.refuse("role", role_text, "control, relay or node");
+    }
+    settings.role_ = role.value_or(daemon_role::node);
+    settings.name_ = reader.name("name");
+    settings.availability_zone_ = reader.name("zone");
+    settings.listen_peers_ = reader.address("listen-peers");
+    settings.listen_admin_ = reader.address("listen-admin");
+    settings.cluster_key_file_ = reader.optional_text("cluster-key-file");
+    settings.operator_token_file_ = reader.optional_text("operator-token-file");
+    const auto level_text = reader.text("log-level");
+    const auto level = parse_log_level(level_text);
+    if (!level) {
+        reader.refuse("log-level", level_text, "debug, info, warning or error");
+    }
+    settings.log_level_ = level.value_or(log_level::info);
+    if (settings.role_ == daemon_role::control) {
+        read_control_settings(reader, settings);
+    }
+    else {
+        read_subscriber_settings(reader, settings);
+    }
+    check_loopback(reader, settings);
+    if (reader.problem()) {
+        return tl::unexpected(*reader.problem());
+    }
+    return settings;
+}
+
+/** Returns the name of the environment variable of a setting. */
+auto variable_of(const std::string& name) -> std::string
+{
+    std::string variable(environment_prefix);
+    for (const char letter : name) {
+        const auto upper = std::toupper(static_cast<unsigned char>(letter));
+        variable.push_back(letter == '-' ? '_' : static_cast<char>(upper));
+    }
+    return variable;
+}
+
+void store_environment(const po::options_description& options, const environment_hook& environment,
+                       po::variables_map& values)
+{
+    po::parsed_options parsed(&options);
+    for (const auto& option : options.options()) {
+        const auto& name = option->long_name();
+        const auto value = environment(variable_of(name));
+        if (value && option->semantic()->max_tokens() > 0) {
+            parsed.options.emplace_back(name, std::vector<std::string>{*value});
+        }
+    }
+    po::store(parsed, values);
+}
+
+} // namespace
+
+auto name_of(daemon_role role) -> std::string_view
+{
+    return role_names.name(role);
+}
+
+auto process_environment() -> environment_hook
+{
+    return [](const std::string& name) -> std::optional<std::string> {
+        const auto* value = std::getenv(name.c_str());
+        return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+    };
+}
+
+auto parse_daemon_settings(const std::vector<std::string>& arguments,
+                           const environment_hook& environment) -> result<parsed_settings>
+{
+    const auto options = make_options();
+    po::variables_map values;
+    try {
+        const po::positional_options_description none;
+        po::store(po::command_line_parser(arguments).options(options).positional(none).run(),
+                  values);
+        store_environment(options, environment, values); // what is stored first wins
+    }
+    catch (const po::error& problem) {
+        return failure(error_kind::invalid_input, problem.what());
+    }
+    parsed_settings parsed;
+    if (values.count("help") > 0) {
+        std::ostringstream help;
+        help << options;
+        parsed.help_ = help.str();
+        parsed.action_ = settings_action::show_help;
+        return parsed;
+    }
+    if (values.count("version") > 0) {
+        parsed.action_ = settings_action::show_version;
+        return parsed;
+    }
+    auto settings = read_settings(values);
+    if (!settings) {
+        return tl::unexpected(settings.error());
+    }
+    parsed.settings_ = std::move(*settings);
+    parsed.action_ =
+        values.count("check-settings") > 0 ? settings_action::check_only : settings_action::run;
+    return parsed;
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/settings/daemon_settings.h
@@ -0,0 +1,69 @@
+/** \file
+ * The settings of the daemon, from flags and from environment variables of the same names.
+ *
+ * The flag `--listen-peers` and the variable `SYCAMOREWINCH_LISTEN_PEERS` are one setting; the flag
+ * wins. A wrong setting gives one line that names it, its value and what is allowed.
+ */
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "observability/log.h"
+#include "transport/peer_connection.h"
+
+namespace sycamorewinch {
+
+/** What a daemon process does. */
+enum class daemon_role : std::uint8_t { control, relay, node };
+
+/** Returns the name of \p role. */
+[[nodiscard]] auto name_of(daemon_role role) -> std::string_view;
+
+/** One replica of the control group. */
+struct control_peer {
+    std::string name_;
+    peer_address address_;
+};
+
+/** The checked settings of one daemon process. */
+struct daemon_settings {
+    daemon_role role_ = daemon_role::node;
+    std::string name_;
+    std::string availability_zone_;
+    peer_address listen_peers_;                  ///< HTTP/2 from other processes of the system.
+    std::optional<peer_address> listen_callers_; ///< Node: HTTP/1.1 from callers.
+    peer_address listen_admin_;               ///< HTTP: operators, metrics, health, announcements.
+    std::vector<control_peer> control_peers_; ///< Control: all replicas, this one included.
+    std::vector<peer_address> upstreams_;     ///< Relay and node: where to subscribe.
+    std::string data_dir_;                    ///< Control: the data folder.
+    std::string cluster_key_file_;
+    std::string operator_token_file_;
+    unsigned workers_ = 1; ///< Node: threads that carry calls.
+    log_level log_level_ = log_level::info;
+};
+
+/** What the command line asks for. */
+enum class settings_action : std::uint8_t { run, check_only, show_help, show_version };
+
+/** The outcome of reading the settings. */
+struct parsed_settings {
+    settings_action action_ = settings_action::run;
+    daemon_settings settings_;
+    std::string help_; ///< For show_help.
+};
+
+/** Looks up an environment variable; returns nothing when it is not set. */
+using environment_hook = std::function<std::optional<std::string>(const std::string& name)>;
+
+/** Reads the process's environment. */
+[[nodiscard]] auto process_environment() -> environment_hook;
+
+/** Reads and checks the settings. */
+[[nodiscard]] auto parse_daemon_settings(const std::vector<std::string>& arguments,
+                                         const environment_hook& environment)
+    -> result<parsed_settings>;
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/settings/test/error/wrong_settings.cpp
@@ -0,0 +1,71 @@
+#include <boost/test/unit_test.hpp>
+
+#include "settings/daemon_settings.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+const std::vector<std::string> good{"--role=node",
+                                    "--name=node-1",
+                                    "--zone=zone-a",
+                                    "--listen-peers=127.0.0.1:7001",
+                                    "--listen-callers=127.0.0.1:7002",
+                                    "--listen-admin=127.0.0.1:7003",
+                                    "--upstreams=127.0.0.1:7000"};
+
+auto no_environment(const std::string&) -> std::optional<std::string>
+{
+    return std::nullopt;
+}
+
+auto message_with(const std::string& wrong) -> std::string
+{
+    const auto name = wrong.substr(0, wrong.find('='));
+    std::vector<std::string> arguments;
+    for (const auto& argument : good) {
+        if (!argument.starts_with(name + "=")) {
+            arguments.push_back(argument);
+        }
+    }
+    arguments.push_back(wrong);
+    const auto parsed = parse_daemon_settings(arguments, no_environment);
+    return parsed ? "accepted" : parsed.error().message_;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(good_settings_are_read)
+{
+    const auto parsed = parse_daemon_settings(good, no_environment);
+    BOOST_REQUIRE(parsed.has_value());
+    BOOST_TEST(parsed->settings_.listen_callers_->port_ == 7002);
+}
+
+BOOST_AUTO_TEST_CASE(a_wrong_setting_names_itself_its_value_and_what_is_allowed)
+{
+    BOOST_TEST(message_with("--role=boss") ==
+               "setting role: 'boss' is not allowed: control, relay or node");
+    BOOST_TEST(message_with("--workers=0") ==
+               "setting workers: '0' is not allowed: a number from 1 to 256");
+    BOOST_TEST(message_with("--listen-callers=localhost:1").find("listen-callers") !=
+               std::string::npos);
+    BOOST_TEST(message_with("--listen-peers=10.0.0.1:1") ==
+               "setting listen-peers: '10.0.0.1:1' is not allowed: without cluster-key-file only a "
+               "loopback address");
+    BOOST_TEST(message_with("--frobnicate=1").find("frobnicate") != std::string::npos);
+    BOOST_TEST(message_with("--upstreams=").find("upstreams") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_flag_wins_over_the_environment)
+{
+    const environment_hook environment = [](const std::string& name) {
+        return name == "SYCAMOREWINCH_ZONE" || name == "SYCAMOREWINCH_WORKERS"
+                   ? std::optional<std::string>("3")
+                   : std::nullopt;
+    };
+    const auto parsed = parse_daemon_settings(good, environment);
+    BOOST_REQUIRE(parsed.has_value());
+    BOOST_TEST(parsed->settings_.availability_zone_ == "zone-a");
+    BOOST_TEST(parsed->settings_.workers_ == 3);
+}
--- /dev/null
+++ b/libs/standin/load_maker.h
@@ -0,0 +1,45 @@
+/** \file
+ * A maker of load, for tests, the demo and the bench alone: keeps a number of calls in flight, or
+ * starts them at a rate, and counts the answers.
+ */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http1/http1_client_connection.h"
+#include "transport/peer_connection.h"
+
+namespace sycamorewinch {
+
+/** What load to make. */
+struct load_options {
+    std::vector<peer_address> nodes_; ///< Called in turn.
+    std::string method_ = "GET";
+    std::string path_ = "/";
+    std::string caller_;
+    std::uint64_t calls_ = 100;
+    unsigned concurrency_ = 1;
+    double per_second_ = 0; ///< Above 0: starts calls at this rate.
+};
+
+/** What came of it. */
+struct load_outcome {
+    std::map<unsigned, std::uint64_t> by_status_;     ///< HTTP status; 0 for a broken answer.
+    std::map<std::string, std::uint64_t> by_refusal_; ///< Refusal reason.
+    std::map<std::string, std::uint64_t> by_target_;  ///< Who answered.
+    std::vector<double> seconds_;                     ///< Latency of each answered call.
+};
+
+/** Makes load and calls \p done once. Keep the returned object until then. */
+[[nodiscard]] auto make_load(const load_options& options,
+                             std::function<void(const load_outcome& outcome)> done)
+    -> std::shared_ptr<void>;
+
+/** Returns the given quantile of \p seconds. */
+[[nodiscard]] auto quantile_of(std::vector<double> seconds, double fraction) -> double;
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/standin/standin_target.cpp
@@ -0,0 +1,159 @@
+#include "standin/standin_target.h"
+
+#include <optional>
+#include <set>
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QTcpSocket>
+#include <QTimer>
+#include <fmt/core.h>
+
+namespace sycamorewinch {
+
+/** One request being answered. */
+struct standin_request {
+    message_head head_;
+    std::string body_;
+    std::weak_ptr<http1_server_connection> connection_;
+};
+
+struct standin_target::state {
+    standin_target_options options_;
+    std::unique_ptr<reuse_port_listener> listener_;
+    std::set<std::shared_ptr<http1_server_connection>> connections_;
+    std::map<std::string, unsigned> runs_;
+    unsigned count_ = 0;
+    QNetworkAccessManager network_;
+    QTimer renewal_;
+    QObject context_;
+
+    void accept(std::unique_ptr<QTcpSocket> socket)
+    {
+        const auto self = std::make_shared<std::weak_ptr<http1_server_connection>>();
+        server_connection_hooks hooks;
+        hooks.on_request_ = [this, self](message_head head) {
+            return on_request(self->lock(), std::move(head));
+        };
+        hooks.on_bad_request_ = [self](http1_problem) {
+            self->lock()->abort();
+        };
+        hooks.on_closed_ = [this, self] {
+            connections_.erase(self->lock());
+        };
+        auto connection = http1_server_connection::create(std::move(socket), {}, std::move(hooks));
+        *self = connection;
+        connections_.insert(std::move(connection));
+    }
+
+    auto on_request(const std::shared_ptr<http1_server_connection>& connection, message_head head)
+        -> request_hooks
+    {
+        auto request = std::make_shared<standin_request>();
+        request->head_ = std::move(head);
+        request->connection_ = connection;
+        request_hooks hooks;
+        hooks.on_body_ = [request](std::string_view bytes) {
+            request->body_ += bytes;
+        };
+        hooks.on_body_end_ = [this, request] {
+            on_whole(request);
+        };
+        return hooks;
+    }
+
+    void on_whole(const std::shared_ptr<standin_request>& request)
+    {
+        const auto key = find_header(request->head_.headers_, "idempotency-key");
+        ++runs_[key.empty() ? request->head_.path_ : std::string(key)];
+        ++count_;
+        QTimer::singleShot(options_.delay_, &context_, [this, request] { answer(*request); });
+    }
+
+    void answer(const standin_request& request) const
+    {
+        const auto connection = request.connection_.lock();
+        if (!connection) {
+            return;
+        }
+        const auto body =
+            fmt::format("{} {} {} {} {} {}\n", options_.service_, options_.target_, count_,
+                        request.head_.method_, request.head_.path_, request.body_);
+        message_head head;
+        head.status_ = 200;
+        head.has_body_ = true;
+        head.content_length_ = body.size();
+        head.headers_ = {{"content-type", "text/plain"},
+                         {"x-target", options_.service_ + "/" + options_.target_}};
+        connection->respond(std::move(head));
+        connection->write(body);
+        connection->finish();
+    }
+
+    void announce(bool draining)
+    {
+        if (!options_.node_admin_) {
+            return;
+        }
+        const auto& listen = options_.listen_;
+        const QJsonObject body{
+            {"service", QString::fromStdString(options_.service_)},
+            {"target", QString::fromStdString(options_.target_)},
+            {"address", QString::fromStdString(to_text({listen.host_, listener_->port()}))},
+            {"slots", static_cast<int>(options_.slots_)},
+            {"lease_ms", static_cast<int>(options_.lease_.count())},
+            {"draining", draining}};
+        QNetworkRequest request(QUrl(
+            QString::fromStdString("http://" + to_text(*options_.node_admin_) + "/v1/targets")));
+        request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+        auto* reply = network_.post(request, QJsonDocument(body).toJson(QJsonDocument::Compact));
+        QObject::connect(reply, &QNetworkReply::finished, reply, &QNetworkReply::deleteLater);
+    }
+};
+
+standin_target::standin_target(standin_target_options options) : state_(std::make_unique<state>())
+{
+    state_->options_ = std::move(options);
+}
+
+standin_target::~standin_target() = default;
+
+auto standin_target::start(standin_target_options options)
+    -> result<std::unique_ptr<standin_target>>
+{
+    std::unique_ptr<standin_target> target(new standin_target(std::move(options)));
+    auto& state = *target->state_;
+    auto listener = reuse_port_listener::listen(
+        state.options_.listen_, [&state](auto socket) { state.accept(std::move(socket)); });
+    if (!listener) {
+        return tl::unexpected(listener.error());
+    }
+    state.listener_ = std::move(*listener);
+    QObject::connect(&state.renewal_, &QTimer::timeout, &state.context_,
+                     [&state] { state.announce(false); });
+    state.renewal_.start(state.options_.lease_ / 4);
+    state.announce(false);
+    return target;
+}
+
+auto standin_target::port() const -> std::uint16_t
+{
+    return state_->listener_->port();
+}
+
+auto standin_target::runs() const -> const std::map<std::string, unsigned>&
+{
+    return state_->runs_;
+}
+
+void standin_target::announce(bool draining)
+{
+    if (draining) {
+        state_->renewal_.stop();
+    }
+    state_->announce(draining);
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/transport/reuse_port_listener.cpp
@@ -0,0 +1,102 @@
+#include "transport/reuse_port_listener.h"
+
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <fmt/core.h>
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr int backlog = 1024;
+
+/** A socket address of either family. */
+struct native_address {
+    sockaddr_storage storage_{};
+    socklen_t length_ = 0;
+};
+
+auto to_native(const peer_address& address) -> native_address
+{
+    native_address native;
+    auto* v4 = reinterpret_cast<sockaddr_in*>(&native.storage_);
+    if (::inet_pton(AF_INET, address.host_.c_str(), &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(address.port_);
+        native.length_ = sizeof(sockaddr_in);
+        return native;
+    }
+    auto* v6 = reinterpret_cast<sockaddr_in6*>(&native.storage_);
+    ::inet_pton(AF_INET6, address.host_.c_str(), &v6->sin6_addr);
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(address.port_);
+    native.length_ = sizeof(sockaddr_in6);
+    return native;
+}
+
+auto open_listening(const peer_address& address) -> int
+{
+    const auto native = to_native(address);
+    const int one = 1;
+    const auto* base = reinterpret_cast<const sockaddr*>(&native.storage_);
+    const auto file =
+        ::socket(native.storage_.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (file < 0) {
+        return -1;
+    }
+    if (::setsockopt(file, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) != 0 ||
+        ::setsockopt(file, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one)) != 0 ||
+        ::bind(file, base, native.length_) != 0 || ::listen(file, backlog) != 0) {
+        ::close(file);
+        return -1;
+    }
+    return file;
+}
+
+} // namespace
+
+reuse_port_listener::reuse_port_listener(std::unique_ptr<QTcpServer> server)
+    : server_(std::move(server))
+{
+}
+
+reuse_port_listener::~reuse_port_listener() = default;
+
+auto reuse_port_listener::listen(const peer_address& address, accept_hook on_accept)
+    -> result<std::unique_ptr<reuse_port_listener>>
+{
+    const auto file = open_listening(address);
+    auto server = std::make_unique<QTcpServer>();
+    if (file < 0 || !server->setSocketDescriptor(file)) {
+        return failure(error_kind::io, fmt::format("cannot listen on {}: {}", to_text(address),
+                                                   std::strerror(errno)));
+    }
+    auto* raw = server.get();
+    QObject::connect(raw, &QTcpServer::newConnection, raw, [raw, on_accept = std::move(on_accept)] {
+        while (auto* socket = raw->nextPendingConnection()) {
+            socket->setParent(nullptr);
+            on_accept(std::unique_ptr<QTcpSocket>(socket));
+        }
+    });
+    return std::unique_ptr<reuse_port_listener>(new reuse_port_listener(std::move(server)));
+}
+
+auto reuse_port_listener::port() const -> std::uint16_t
+{
+    return server_->serverPort();
+}
+
+void reuse_port_listener::close()
+{
+    server_->close();
+}
+
+} // namespace sycamorewinch
