--- a/libs/base/invariant.h
+++ b/libs/base/invariant.h
@@ -8,6 +8,7 @@
  */
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,10 @@
 /** Writes \p message to standard error and aborts. */
 [[noreturn]] void stop_on_broken_invariant(const std::string& message);
 
+/** For tests of deliberately broken variants: \p handler is called first, and may throw. Set it
+ * from one thread, before any other runs. */
+void set_broken_invariant_handler(std::function<void(const std::string& message)> handler);
+
 } // namespace internal
 
 /** Stops the process with the formatted message unless \p holds. */
--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -308,10 +308,10 @@
         peer.next_ = std::max(peer.next_, peer.match_ + 1);
         advance_commit();
     }
-    else {
-        peer.next_ = std::max(peer.match_, message.log_index_) + 1;
+    else if (message.log_index_ >= peer.match_) {
+        peer.next_ = message.log_index_ + 1;
         send_append(message.from_);
-    }
+    } // else a late reply, or a replica that lost what it stored: answering would never end
     confirm_reads();
 }
 
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -91,6 +91,9 @@
 
 void control_replica::apply(const log_entry& entry)
 {
+    if (hooks_.on_committed_) {
+        hooks_.on_committed_(entry);
+    }
     if (entry.kind_ != entry_kind::command) {
         return;
     }
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -29,6 +29,10 @@
     std::function<void(const table_pointer& table)> on_table_;
     /** The disk failed; the replica has stopped taking part. */
     std::function<void(const error& problem)> on_disk_failure_;
+    /** A committed entry is about to be applied; may be empty. */
+    std::function<void(const log_entry& entry)> on_committed_;
+    /** What the replicated state remembers; the same on every replica. */
+    state_limits limits_;
 };
 
 /** Receives the outcome of an accept command, or why it is not known. */
@@ -54,10 +58,12 @@
 
     [[nodiscard]] auto raft_state() const -> const raft& { return raft_; }
     [[nodiscard]] auto state() const -> const replicated_state& { return state_; }
+    /** Returns whether a write failed; the replica then takes no further part. */
+    [[nodiscard]] auto disk_failed() const -> bool { return disk_failed_; }
 
   private:
     control_replica(raft replica, control_hooks hooks)
-        : raft_(std::move(replica)), hooks_(std::move(hooks))
+        : raft_(std::move(replica)), hooks_(std::move(hooks)), state_(hooks_.limits_)
     {
     }
 
--- a/libs/control/replicated_state.cpp
+++ b/libs/control/replicated_state.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::size_t max_remembered_edits = 8192;
-constexpr std::size_t max_history = 1024;
 constexpr std::size_t max_conflict_cells = 256;
 
 /** Returns the cells in which \p proposed differs from \p current. */
@@ -41,7 +39,10 @@
 
 } // namespace
 
-replicated_state::replicated_state() : current_(std::make_shared<const table>(make_table(0, {}))) {}
+replicated_state::replicated_state(state_limits limits)
+    : limits_(limits), current_(std::make_shared<const table>(make_table(0, {})))
+{
+}
 
 auto replicated_state::apply(const accept_command& command) -> accept_outcome
 {
@@ -76,7 +77,7 @@
     current_ = std::make_shared<const table>(std::move(next));
     history_.push_back({current_->version_, command.operator_, command.edit_id_,
                         command.change_.upserts_.size() + command.change_.removals_.size()});
-    if (history_.size() > max_history) {
+    if (history_.size() > limits_.history_) {
         history_.pop_front();
     }
     return {accept_status::accepted, current_->version_, {}, {}};
@@ -86,7 +87,7 @@
 {
     outcomes_[edit_id] = outcome;
     outcome_order_.push_back(edit_id);
-    if (outcome_order_.size() > max_remembered_edits) {
+    if (outcome_order_.size() > limits_.remembered_edits_) {
         outcomes_.erase(outcome_order_.front());
         outcome_order_.pop_front();
     }
--- a/libs/control/replicated_state.h
+++ b/libs/control/replicated_state.h
@@ -24,10 +24,16 @@
     std::uint64_t rows_changed_ = 0;
 };
 
+/** How much the replicated state remembers. The same on every replica. */
+struct state_limits {
+    std::size_t remembered_edits_ = 8192; ///< An older edit sent again counts as a new one.
+    std::size_t history_ = 1024;          ///< Accepted versions listed for operators.
+};
+
 /** The replicated state. */
 class replicated_state {
   public:
-    replicated_state();
+    explicit replicated_state(state_limits limits = {});
 
     /** Applies one command. An edit id seen before gets its first outcome again. */
     auto apply(const accept_command& command) -> accept_outcome;
@@ -43,6 +49,7 @@
     auto decide(const accept_command& command) -> accept_outcome;
     void remember(const std::string& edit_id, const accept_outcome& outcome);
 
+    state_limits limits_;
     table_pointer current_;
     std::map<std::string, accept_outcome> outcomes_;
     std::deque<std::string> outcome_order_;
