Elect by pre-vote, pipeline appends, share syncs; split the consensus module

Cause: a replica back from a partition raised the term and unseated a leader that the others heard; every proposal sent all entries from the last acknowledged one again; each proposal had its own sync; the log was a vector that could not start behind index 1.

Ruled out: timers for lost appends, since the next heartbeat shows the gap.

--- a/libs/consensus/log_entry.h
+++ b/libs/consensus/log_entry.h
@@ -34,10 +34,20 @@
     [[nodiscard]] auto operator==(const vote_state&) const -> bool = default;
 };
 
+/** The replicated state as of one entry, in place of the log up to there. */
+struct log_snapshot {
+    std::uint64_t index_ = 0; ///< Last entry that the state contains; 0 for none.
+    std::uint64_t term_ = 0;  ///< Term of that entry.
+    std::string data_;        ///< The state, as its owner encodes it.
+
+    [[nodiscard]] auto operator==(const log_snapshot&) const -> bool = default;
+};
+
 /** Everything that a replica finds on its disk when it starts. */
 struct durable_state {
     vote_state vote_;
-    std::vector<log_entry> entries_;
+    log_snapshot snapshot_;
+    std::vector<log_entry> entries_; ///< What follows the snapshot.
 };
 
 } // namespace sycamorewinch
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -4,14 +4,19 @@
  *
  * The algorithm is Raft (Ongaro and Ousterhout, "In Search of an Understandable Consensus
  * Algorithm", 2014). A leader that has not heard from a quorum for one lease steps down by itself,
- * so a replica behind a silent partition stops claiming to be current.
+ * so a replica behind a silent partition stops claiming to be current. A replica asks whether it
+ * could win before it raises the term (pre-vote), so one that comes back from a partition does not
+ * unseat a leader that the others still hear. Appends are pipelined: a leader goes on sending up to
+ * a bound of unanswered bytes. A replica that lags behind the compacted log is sent a snapshot in
+ * chunks.
  *
  * The owner must make an output's vote and entries durable before it sends the output's messages:
  *
  * \code
  * replica.receive(message, now);
  * auto output = replica.take_output();
- * store(output.vote_, output.truncate_after_, output.append_);   // sync here
+ * if (output.install_) switch_to(*output.install_, output.append_); // sync here
+ * else store(output.vote_, output.truncate_after_, output.append_); // or here
  * for (auto& message : output.messages_) send(message);
  * for (auto& entry : output.committed_) apply(entry);
  * \endcode
@@ -20,6 +25,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -29,7 +35,9 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "consensus/log_entry.h"
+#include "consensus/peer_progress.h"
 #include "consensus/raft_message.h"
+#include "consensus/replicated_log.h"
 
 namespace sycamorewinch {
 
@@ -43,7 +51,7 @@
 };
 
 /** What a replica currently is. */
-enum class raft_role : std::uint8_t { follower, candidate, leader };
+enum class raft_role : std::uint8_t { follower, pre_candidate, candidate, leader };
 
 /** Returns the name of \p role for logs. */
 [[nodiscard]] auto name_of(raft_role role) -> std::string_view;
@@ -56,7 +64,9 @@
 
 /** What the owner of a replica must do next, in this order. */
 struct raft_output {
-    std::optional<vote_state> vote_;              ///< Make durable.
+    std::optional<vote_state> vote_; ///< Make durable.
+    /** Make durable in place of the whole log, which append_ then holds; then restore the state. */
+    std::shared_ptr<const log_snapshot> install_;
     std::optional<std::uint64_t> truncate_after_; ///< Drop stored entries above this index.
     std::vector<log_entry> append_;               ///< Make durable.
     std::vector<raft_message> messages_;          ///< Send.
@@ -84,6 +94,21 @@
     /** Asks for proof by a quorum that this replica leads now; the answer comes in an output. */
     void request_read(std::uint64_t token, instant now);
 
+    /** Lets go of the entries that \p snapshot contains, once it is durable. Some stay in memory,
+     * so that a replica a little behind is sent entries and not the snapshot. */
+    void compact(std::shared_ptr<const log_snapshot> snapshot);
+
+    /** Returns the entries behind \p index. */
+    [[nodiscard]] auto entries_after(std::uint64_t index) const -> std::vector<log_entry>
+    {
+        return log_.after(index);
+    }
+    /** Returns the term of a committed entry that is still held. */
+    [[nodiscard]] auto term_of(std::uint64_t index) const -> std::uint64_t
+    {
+        return log_.term_at(index).value_or(0);
+    }
+
     /** Returns and clears what must be done. */
     [[nodiscard]] auto take_output() -> raft_output;
 
@@ -92,16 +117,10 @@
     /** Returns the leader's name as far as known, else an empty string. */
     [[nodiscard]] auto leader() const -> const std::string& { return leader_; }
     [[nodiscard]] auto commit_index() const -> std::uint64_t { return commit_; }
-    [[nodiscard]] auto last_index() const -> std::uint64_t { return log_.size(); }
+    [[nodiscard]] auto last_index() const -> std::uint64_t { return log_.last_index(); }
     [[nodiscard]] auto options() const -> const raft_options& { return options_; }
 
   private:
-    struct progress {
-        std::uint64_t next_ = 1;  ///< First entry to send.
-        std::uint64_t match_ = 0; ///< Last entry known stored there.
-        std::uint64_t round_ = 0; ///< Latest heartbeat round echoed.
-        instant heard_{};         ///< Last reply.
-    };
     struct pending_read {
         std::uint64_t token_ = 0;
         std::uint64_t round_ = 0;
@@ -111,36 +130,56 @@
     raft(raft_options options, durable_state state, instant now);
 
     [[nodiscard]] auto quorum() const -> std::size_t { return options_.voters_.size() / 2 + 1; }
-    [[nodiscard]] auto term_at(std::uint64_t index) const -> std::uint64_t;
+    void send(raft_message message);
+
+    // raft_election.cpp
+    void reset_election_timer(instant now);
     void become_follower(std::uint64_t term, const std::string& leader, instant now);
+    void become_pre_candidate(instant now);
     void become_candidate(instant now);
     void become_leader(instant now);
-    void reset_election_timer(instant now);
-    void append_entry(entry_kind kind, std::string payload);
-    void send_to_all(instant now);
-    void send_append(const std::string& peer);
-    void send(raft_message message);
+    void ask_for_votes(raft_message_kind kind, std::uint64_t term);
+    [[nodiscard]] auto is_log_current(const raft_message& message) const -> bool;
+    void on_pre_vote_request(const raft_message& message, instant now);
+    void on_pre_vote_reply(const raft_message& message, instant now);
     void on_vote_request(const raft_message& message, instant now);
     void on_vote_reply(const raft_message& message, instant now);
+    void check_lease(instant now);
+
+    // raft_replication.cpp
+    void append_entry(entry_kind kind, std::string payload);
+    void replicate();
+    void send_heartbeats(instant now);
+    void send_pending(const std::string& name, peer_progress& peer);
+    void send_append(const std::string& name, peer_progress& peer);
     void on_append_request(const raft_message& message, instant now);
     void on_append_reply(const raft_message& message, instant now);
     void take_entries(const raft_message& message);
     void advance_commit();
     void commit_up_to(std::uint64_t index);
+
+    // raft_snapshot.cpp
+    void send_snapshot(const std::string& name, peer_progress& peer);
+    void on_snapshot_request(const raft_message& message, instant now);
+    void on_snapshot_reply(const raft_message& message, instant now);
+    void install(log_snapshot snapshot);
+
     void confirm_reads();
     void fail_reads();
-    void check_lease(instant now);
 
     raft_options options_;
     vote_state vote_;
-    std::vector<log_entry> log_; ///< log_[0] is the entry with index 1.
+    replicated_log log_;
+    std::shared_ptr<const log_snapshot> snapshot_; ///< The latest; null for none.
+    log_snapshot incoming_;                        ///< Chunks received so far.
     raft_role role_ = raft_role::follower;
     std::string leader_;
     std::uint64_t commit_ = 0;
+    instant leader_heard_{};
     instant election_due_{};
     instant heartbeat_due_{};
     std::set<std::string> votes_;
-    std::map<std::string, progress> peers_;
+    std::map<std::string, peer_progress> peers_;
     std::uint64_t round_ = 0;
     std::vector<pending_read> reads_;
     raft_output output_;
--- a/libs/consensus/raft_message.cpp
+++ b/libs/consensus/raft_message.cpp
@@ -8,10 +8,11 @@
 
 namespace {
 
-constexpr enum_names<raft_message_kind, 4> kind_names{
-    {"vote_request", "vote_reply", "append_request", "append_reply"}};
+constexpr enum_names<raft_message_kind, 8> kind_names{
+    {"vote_request", "vote_reply", "append_request", "append_reply", "pre_vote_request",
+     "pre_vote_reply", "snapshot_request", "snapshot_reply"}};
 
-constexpr std::size_t message_fields = 10;
+constexpr std::size_t message_fields = 13;
 constexpr std::size_t entry_fields = 4;
 constexpr std::size_t max_replica_name_bytes = 64;
 constexpr std::size_t max_entries_per_message = 4096;
@@ -51,6 +52,7 @@
         writer.array(entry_fields).number(entry.index_).number(entry.term_);
         writer.number(static_cast<std::uint64_t>(entry.kind_)).bytes(entry.payload_);
     }
+    writer.number(message.offset_).number(message.total_).bytes(message.data_);
     return writer.take();
 }
 
@@ -75,6 +77,9 @@
     for (auto left = reader.list(max_entries_per_message); left > 0 && reader.good(); --left) {
         message.entries_.push_back(read_entry(reader));
     }
+    message.offset_ = reader.number();
+    message.total_ = reader.number();
+    message.data_ = reader.bytes(max_payload_bytes);
     if (auto done = reader.finish(); !done) {
         return tl::unexpected(done.error());
     }
--- a/libs/consensus/raft_message.h
+++ b/libs/consensus/raft_message.h
@@ -19,6 +19,10 @@
     vote_reply,
     append_request, ///< Also the heartbeat, when it carries no entries.
     append_reply,
+    pre_vote_request, ///< Asks whether an election could be won, before the term is raised.
+    pre_vote_reply,
+    snapshot_request, ///< One chunk of a snapshot.
+    snapshot_reply,
 };
 
 /** Returns the name of \p kind for logs. */
@@ -36,6 +40,9 @@
     std::uint64_t round_ = 0;     ///< Heartbeat round, echoed, which proves a read current.
     bool accepted_ = false;       ///< Replies: whether the vote or the entries were taken.
     std::vector<log_entry> entries_;
+    std::uint64_t offset_ = 0; ///< Snapshot: where data_ starts; reply: bytes held so far.
+    std::uint64_t total_ = 0;  ///< Snapshot: bytes in all.
+    std::string data_;         ///< Snapshot: this chunk.
 };
 
 /** Returns \p message as bytes. */
--- /dev/null
+++ b/libs/consensus/raft_replication.cpp
@@ -0,0 +1,177 @@
+// The part of class raft that copies entries to followers and commits them.
+#include "consensus/raft.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr std::size_t max_append_bytes = 256U * 1024;
+constexpr std::size_t max_bytes_in_flight = 1024U * 1024;
+constexpr std::size_t entry_overhead_bytes = 32;
+
+} // namespace
+
+void raft::append_entry(entry_kind kind, std::string payload)
+{
+    log_.append({log_.last_index() + 1, vote_.term_, kind, std::move(payload)});
+    output_.append_.push_back(log_.at(log_.last_index()));
+}
+
+// Sends what is new to every follower that has room for it.
+void raft::replicate()
+{
+    for (auto& [name, peer] : peers_) {
+        send_pending(name, peer);
+    }
+}
+
+// A heartbeat goes to every follower, with or without entries, and names the round it proves. When
+// an append was lost, the heartbeat behind it does not fit and the follower says where it stands.
+void raft::send_heartbeats(instant now)
+{
+    ++round_;
+    heartbeat_due_ = now + options_.heartbeat_;
+    for (auto& [name, peer] : peers_) {
+        send_append(name, peer);
+        send_pending(name, peer);
+    }
+}
+
+void raft::send_pending(const std::string& name, peer_progress& peer)
+{
+    while (!peer.is_probing_ && peer.next_ <= log_.last_index() && peer.next_ > log_.base_index() &&
+           peer.bytes_in_flight_ < max_bytes_in_flight) {
+        send_append(name, peer);
+    }
+    if (peer.is_probing_ && !peer.probe_is_sent_) {
+        send_append(name, peer);
+    }
+}
+
+void raft::send_append(const std::string& name, peer_progress& peer)
+{
+    const auto before = peer.next_ - 1;
+    const auto term = log_.term_at(before);
+    if (!term) {
+        send_snapshot(name, peer);
+        return;
+    }
+    raft_message request;
+    request.kind_ = raft_message_kind::append_request;
+    request.to_ = name;
+    request.log_index_ = before;
+    request.log_term_ = *term;
+    request.commit_ = commit_;
+    request.round_ = round_;
+    std::size_t bytes = 0;
+    const bool has_room = peer.bytes_in_flight_ < max_bytes_in_flight;
+    for (auto next = peer.next_; has_room && next <= log_.last_index(); ++next) {
+        const auto& entry = log_.at(next);
+        if (bytes > 0 && bytes + entry.payload_.size() > max_append_bytes) {
+            break;
+        }
+        bytes += entry.payload_.size() + entry_overhead_bytes;
+        request.entries_.push_back(entry);
+    }
+    if (!request.entries_.empty()) {
+        peer.on_sent(request.entries_.back().index_, bytes);
+    }
+    send(std::move(request));
+}
+
+void raft::on_append_request(const raft_message& message, instant now)
+{
+    raft_message reply;
+    reply.kind_ = raft_message_kind::append_reply;
+    reply.to_ = message.from_;
+    reply.round_ = message.round_;
+    if (message.term_ < vote_.term_) {
+        send(std::move(reply)); // the sender sees the newer term and steps down
+        return;
+    }
+    invariant(role_ != raft_role::leader, "two leaders in term {}: {} and {}", message.term_,
+              options_.self_, message.from_);
+    become_follower(message.term_, message.from_, now);
+    leader_heard_ = now;
+    const bool is_compacted = message.log_index_ < log_.base_index();
+    if (!is_compacted && log_.term_at(message.log_index_) != message.log_term_) {
+        reply.log_index_ = std::min(message.log_index_ - 1, log_.last_index());
+        send(std::move(reply));
+        return;
+    }
+    take_entries(message);
+    reply.accepted_ = true;
+    reply.log_index_ = message.log_index_ + message.entries_.size();
+    send(std::move(reply));
+    commit_up_to(std::min(message.commit_, message.log_index_ + message.entries_.size()));
+}
+
+void raft::take_entries(const raft_message& message)
+{
+    for (const auto& entry : message.entries_) {
+        if (entry.index_ <= log_.last_index()) {
+            const bool is_held = entry.index_ <= log_.base_index() || // committed, so the same
+                                 log_.term_at(entry.index_) == entry.term_;
+            if (is_held) {
+                continue;
+            }
+            invariant(entry.index_ > commit_, "committed entry {} would change (commit is {})",
+                      entry.index_, commit_);
+            log_.truncate_after(entry.index_ - 1);
+            output_.truncate_after_ =
+                std::min(output_.truncate_after_.value_or(UINT64_MAX), entry.index_ - 1);
+            std::erase_if(output_.append_,
+                          [&](const auto& kept) { return kept.index_ >= entry.index_; });
+        }
+        log_.append(entry);
+        output_.append_.push_back(entry);
+    }
+}
+
+void raft::on_append_reply(const raft_message& message, instant now)
+{
+    const auto found = peers_.find(message.from_);
+    if (role_ != raft_role::leader || message.term_ != vote_.term_ || found == peers_.end()) {
+        return;
+    }
+    auto& peer = found->second;
+    peer.heard_ = now;
+    peer.round_ = std::max(peer.round_, message.round_);
+    if (message.accepted_) {
+        peer.on_stored(message.log_index_);
+        advance_commit();
+        send_pending(message.from_, peer);
+    }
+    else if (message.log_index_ >= peer.match_ && message.log_index_ < peer.next_) {
+        peer.on_rejected(message.log_index_);
+        send_pending(message.from_, peer);
+    } // else a late reply, or a replica that lost what it stored: answering would never end
+    confirm_reads();
+}
+
+void raft::advance_commit()
+{
+    std::vector<std::uint64_t> matches{log_.last_index()};
+    for (const auto& [name, peer] : peers_) {
+        matches.push_back(peer.match_);
+    }
+    std::ranges::sort(matches, std::greater<>());
+    const auto stored_by_quorum = matches[quorum() - 1];
+    if (stored_by_quorum > commit_ && log_.term_at(stored_by_quorum) == vote_.term_) {
+        commit_up_to(stored_by_quorum);
+    }
+}
+
+void raft::commit_up_to(std::uint64_t index)
+{
+    while (commit_ < index) {
+        ++commit_;
+        output_.committed_.push_back(log_.at(commit_));
+    }
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/consensus/raft_snapshot.cpp
@@ -0,0 +1,108 @@
+// The part of class raft that brings a replica behind the compacted log up to date by a snapshot.
+#include "consensus/raft.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr std::size_t chunk_bytes = 256U * 1024;
+
+} // namespace
+
+// One chunk at a time; a heartbeat sends the chunk again when it or its answer was lost.
+void raft::send_snapshot(const std::string& name, peer_progress& peer)
+{
+    invariant(snapshot_ != nullptr, "the log starts at {} without a snapshot", log_.base_index());
+    if (!peer.snapshot_) {
+        peer.snapshot_ = snapshot_;
+        peer.snapshot_offset_ = 0;
+    }
+    raft_message request;
+    request.kind_ = raft_message_kind::snapshot_request;
+    request.to_ = name;
+    request.log_index_ = peer.snapshot_->index_;
+    request.log_term_ = peer.snapshot_->term_;
+    request.round_ = round_;
+    request.offset_ = peer.snapshot_offset_;
+    request.total_ = peer.snapshot_->data_.size();
+    request.data_ = peer.snapshot_->data_.substr(request.offset_, chunk_bytes);
+    peer.probe_is_sent_ = true;
+    send(std::move(request));
+}
+
+void raft::on_snapshot_request(const raft_message& message, instant now)
+{
+    raft_message reply;
+    reply.kind_ = raft_message_kind::snapshot_reply;
+    reply.to_ = message.from_;
+    reply.round_ = message.round_;
+    reply.log_index_ = message.log_index_;
+    if (message.term_ < vote_.term_) {
+        send(std::move(reply));
+        return;
+    }
+    invariant(role_ != raft_role::leader, "two leaders in term {}: {} and {}", message.term_,
+              options_.self_, message.from_);
+    become_follower(message.term_, message.from_, now);
+    leader_heard_ = now;
+    if (message.log_index_ > commit_) {
+        if (incoming_.index_ != message.log_index_ || incoming_.term_ != message.log_term_) {
+            incoming_ = {message.log_index_, message.log_term_, {}};
+        }
+        if (message.offset_ == incoming_.data_.size()) {
+            incoming_.data_ += message.data_;
+        }
+        reply.offset_ = incoming_.data_.size();
+        if (incoming_.data_.size() == message.total_) {
+            install(std::exchange(incoming_, {}));
+        }
+    }
+    reply.accepted_ = message.log_index_ <= commit_; // all of it is held
+    send(std::move(reply));
+}
+
+// Entries behind the snapshot stay when they follow it: the leader may have counted them.
+void raft::install(log_snapshot snapshot)
+{
+    std::vector<log_entry> rest;
+    if (log_.term_at(snapshot.index_) == snapshot.term_) {
+        rest = log_.after(snapshot.index_);
+    }
+    log_ = replicated_log(snapshot.index_, snapshot.term_, rest);
+    commit_ = snapshot.index_;
+    snapshot_ = std::make_shared<const log_snapshot>(std::move(snapshot));
+    output_.install_ = snapshot_;
+    output_.append_ = std::move(rest);
+    output_.truncate_after_.reset();
+    output_.committed_.clear();
+}
+
+void raft::on_snapshot_reply(const raft_message& message, instant now)
+{
+    const auto found = peers_.find(message.from_);
+    if (role_ != raft_role::leader || message.term_ != vote_.term_ || found == peers_.end()) {
+        return;
+    }
+    auto& peer = found->second;
+    peer.heard_ = now;
+    peer.round_ = std::max(peer.round_, message.round_);
+    if (message.accepted_) {
+        peer.snapshot_.reset();
+        peer.on_stored(message.log_index_);
+        advance_commit();
+        send_pending(message.from_, peer);
+    }
+    else if (peer.snapshot_ && peer.snapshot_->index_ == message.log_index_ &&
+             message.offset_ != peer.snapshot_offset_ &&
+             message.offset_ < peer.snapshot_->data_.size()) {
+        peer.snapshot_offset_ = message.offset_;
+        send_snapshot(message.from_, peer);
+    }
+    confirm_reads();
+}
+
+} // namespace sycamorewinch
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -25,7 +25,25 @@
 {
     if (!disk_failed_) {
         raft_.receive(message, now);
+        flush_soon();
+    }
+}
+
+void control_replica::flush()
+{
+    if (!disk_failed_) {
+        run_output();
+    }
+}
+
+void control_replica::flush_soon()
+{
+    if (!hooks_.request_flush_) {
         run_output();
+        return;
+    }
+    if (!std::exchange(flush_is_due_, true)) {
+        hooks_.request_flush_();
     }
 }
 
@@ -42,7 +60,7 @@
         return;
     }
     accepts_[*index] = {raft_.term(), std::move(callback)};
-    run_output();
+    flush_soon();
 }
 
 void control_replica::prove_current(proof_callback callback, instant now)
@@ -50,11 +68,12 @@
     const auto token = next_token_++;
     proofs_[token] = std::move(callback);
     raft_.request_read(token, now);
-    run_output();
+    flush_soon();
 }
 
 void control_replica::run_output()
 {
+    flush_is_due_ = false;
     const auto output = raft_.take_output();
     if (const auto stored = persist(output); !stored) {
         disk_failed_ = true;
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -29,6 +29,9 @@
     std::function<void(const table_pointer& table)> on_table_;
     /** The disk failed; the replica has stopped taking part. */
     std::function<void(const error& problem)> on_disk_failure_;
+    /** Asks for flush() soon, so that what arrives until then shares one sync. Empty: no waiting.
+     */
+    std::function<void()> request_flush_;
     /** A committed entry is about to be applied; may be empty. */
     std::function<void(const log_entry& entry)> on_committed_;
     /** What the replicated state remembers; the same on every replica. */
@@ -50,6 +53,9 @@
     void tick(instant now);
     void receive(const raft_message& message, instant now);
 
+    /** Writes, sends and answers what was put off by the hook request_flush_. */
+    void flush();
+
     /** Proposes a new version. On a replica that does not lead, fails at once. */
     void accept(const accept_command& command, accept_callback callback, instant now);
 
@@ -67,6 +73,7 @@
     {
     }
 
+    void flush_soon();
     void run_output();
     [[nodiscard]] auto persist(const raft_output& output) -> result<void>;
     void apply(const log_entry& entry);
@@ -85,6 +92,7 @@
     std::map<std::uint64_t, proof_callback> proofs_;  ///< By read token.
     std::uint64_t next_token_ = 1;
     bool disk_failed_ = false;
+    bool flush_is_due_ = false;
 };
 
 } // namespace sycamorewinch
--- a/libs/control/test/correctness/accept.cpp
+++ b/libs/control/test/correctness/accept.cpp
@@ -81,7 +81,7 @@
     replica.prove_current([&](const auto& version) { proved = version.value_or(0); }, now);
     BOOST_TEST(proved == 1);
 
-    auto again = control_replica::create(options, {{}, disk}, hooks, now).value();
+    auto again = control_replica::create(options, {{}, {}, disk}, hooks, now).value();
     now += std::chrono::seconds(1);
     again.tick(now);
     BOOST_TEST(again.state().current()->version_.number_ == 1);
--- a/libs/control/test/error/simulated_group.cpp
+++ b/libs/control/test/error/simulated_group.cpp
@@ -162,6 +162,8 @@
     hooks.on_disk_failure_ = [this, &process](const error& problem) {
         trace(process.name_ + " disk failed: " + problem.message_);
     };
+    hooks.request_flush_ = [] {
+    };
     hooks.on_committed_ = [this, &process](const log_entry& entry) {
         on_committed(process, entry);
     };
@@ -560,7 +562,9 @@
         strike();
     }
     deliver();
+    check_leaders();
     for (auto& process : processes_) {
+        guard(*process, [](auto& replica, instant) { replica.flush(); });
         step_process(*process);
     }
     check_leaders();
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -115,6 +115,9 @@
             hub_.logic().set_table(table);
             hub_.run();
         };
+        hooks.request_flush_ = [this] {
+            QTimer::singleShot(0, &ticker_, [this] { replica_->flush(); });
+        };
         hooks.on_disk_failure_ = [](const error& problem) {
             log_event(log_level::error, "disk_failure", {{"message", problem.message_}});
         };
