Leave an upstream that does not prove what is current

Cause: a subscriber stayed with an upstream that was silent, cut off from the quorum, or behind what the quorum had proved: the proof was asked for once a connection, and nothing measured the wait for its answer. Change: a subscriber asks for proof every 2 s (a relay every 1 s) and leaves its upstream when it was not shown to hold what is current for 8 s (a relay for 4 s, so that it moves before its nodes do). A process that was itself stopped does not blame its upstream. A dial without an answer ends after 3 s. The backoff ends only at a proof. Relays send progress at most every 50 ms. Metrics: sycamorewinch_upstream_stale_total, sycamorewinch_table_proof_age_ms. Ruled out: a new question each period whatever is open, as with answers slower than the period none would answer the latest question.

--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon_role.h"
 
+#include <QTimer>
+
 #include "daemon/admin_server.h"
 #include "daemon/hub_server.h"
 #include "daemon/peer_listener.h"
@@ -9,6 +11,12 @@
 
 namespace {
 
+/** Shorter than a node's, so that a relay has changed upstream before its nodes leave it. */
+constexpr duration relay_proof_timeout = std::chrono::seconds(4);
+
+/** At most one report of progress goes upwards in this time. */
+constexpr auto progress_period = std::chrono::milliseconds(50);
+
 /** A relay: a subscriber upwards, a hub downwards. */
 class relay_role {
   public:
@@ -18,10 +26,12 @@
           hub_(metrics_,
                {[this] { ask_for_proof(); }, [this](const auto& news) { report_targets(news); },
                 [this] {
-                    report_progress();
+                    report_progress_soon();
                 }}),
           link_(settings.upstreams_, secrets.key_,
-                {settings.name_, settings.availability_zone_, true, system_random()}, metrics_,
+                {settings.name_, settings.availability_zone_, true, system_random(),
+                 std::chrono::seconds(1), relay_proof_timeout},
+                metrics_,
                 {[this](const auto& output) { on_output(output); },
                  [this] {
                      on_connected();
@@ -30,6 +40,9 @@
         listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
             return hub_.accept(connection, stream);
         });
+        progress_timer_.setSingleShot(true);
+        QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
+                         [this] { report_progress(); });
     }
 
     auto start(const daemon_settings& settings) -> result<void>
@@ -63,6 +76,13 @@
         link_.run();
     }
 
+    void report_progress_soon()
+    {
+        if (!progress_timer_.isActive()) {
+            progress_timer_.start(progress_period);
+        }
+    }
+
     void report_progress()
     {
         link_.logic().report_progress(hub_.logic().progress());
@@ -91,6 +111,7 @@
     peer_listener listener_;
     hub_server hub_;
     upstream_link link_;
+    QTimer progress_timer_;
 };
 
 } // namespace
--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -12,6 +12,8 @@
 constexpr duration first_backoff = std::chrono::milliseconds(100);
 constexpr duration longest_backoff = std::chrono::seconds(5);
 constexpr unsigned max_doublings = 6;
+constexpr auto tick_period = std::chrono::milliseconds(250);
+constexpr duration dial_timeout = std::chrono::seconds(3);
 
 auto backoff_for(unsigned failures, const random_hook& random) -> duration
 {
@@ -29,20 +31,41 @@
       subscriber_(std::move(options)), hooks_(std::move(hooks)),
       current_(uniform_below(random_, upstreams_.size())),
       lost_(metrics.count("sycamorewinch_upstream_lost_total", "Upstream connections lost.")),
+      stale_(metrics.count("sycamorewinch_upstream_stale_total",
+                           "Upstreams left because they did not prove what is current.")),
+      proof_age_(metrics.gauge("sycamorewinch_table_proof_age_ms",
+                               "Milliseconds since the table held was last known to be current.")),
       bytes_received_(metrics.count("sycamorewinch_upstream_bytes_received_total",
                                     "Message bytes received from upstreams."))
 {
     retry_.setSingleShot(true);
     QObject::connect(&retry_, &QTimer::timeout, &retry_, [this] { dial(); });
+    QObject::connect(&ticker_, &QTimer::timeout, &ticker_, [this] { tick(); });
 }
 
 void upstream_link::start()
 {
+    ticker_.start(tick_period);
     dial();
 }
 
+void upstream_link::tick()
+{
+    const auto now = monotonic_now();
+    subscriber_.tick(now);
+    if (const auto& current = subscriber_.current_at()) {
+        proof_age_.set(static_cast<std::uint64_t>(to_milliseconds(now - *current)));
+    }
+    if (!channel_ && !retry_.isActive() && now - dialled_at_ >= dial_timeout) {
+        on_lost("dial_timeout");
+        return;
+    }
+    run();
+}
+
 void upstream_link::dial()
 {
+    dialled_at_ = monotonic_now();
     peer_client_hooks hooks;
     hooks.on_ready_ = [this] {
         open_channel();
@@ -70,7 +93,7 @@
     }
     channel_ = std::move(*channel);
     log_event(log_level::info, "upstream_connected", {{"upstream", to_text(upstreams_[current_])}});
-    subscriber_.on_connected();
+    subscriber_.on_connected(monotonic_now());
     hooks_.on_connected_();
     run();
 }
@@ -85,7 +108,6 @@
         on_lost(taken.error().message_);
         return;
     }
-    failures_ = 0;
     run();
 }
 
@@ -97,7 +119,14 @@
             channel_->send(encode_message(message));
         }
     }
+    if (output.proof_) {
+        failures_ = 0; // only an upstream that proves itself ends the backoff
+    }
     hooks_.on_output_(output);
+    if (output.change_upstream_) {
+        stale_.add();
+        on_lost("stale");
+    }
 }
 
 void upstream_link::on_lost(std::string_view reason)
@@ -105,6 +134,7 @@
     if (retry_.isActive()) {
         return;
     }
+    subscriber_.on_disconnected();
     const auto channel = std::move(channel_);
     const auto client = std::move(client_);
     const auto wait = backoff_for(failures_++, random_);
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -44,6 +44,7 @@
     void open_channel();
     void on_message(std::string_view bytes);
     void on_lost(std::string_view reason);
+    void tick();
 
     std::vector<peer_address> upstreams_;
     cluster_key key_;
@@ -53,9 +54,13 @@
     std::shared_ptr<peer_client> client_;
     std::shared_ptr<message_channel> channel_;
     QTimer retry_;
+    QTimer ticker_;
+    instant dialled_at_{};
     std::size_t current_ = 0;
     unsigned failures_ = 0;
     counter& lost_;
+    counter& stale_;
+    counter& proof_age_;
     counter& bytes_received_;
 };
 
--- a/libs/distribution/subscriber.cpp
+++ b/libs/distribution/subscriber.cpp
@@ -13,16 +13,50 @@
 {
 }
 
-void subscriber::on_connected()
+void subscriber::on_connected(instant now)
 {
+    now_ = now;
+    good_at_ = now;
+    connected_ = true;
     output_.messages_.emplace_back(subscribe{options_.name_, options_.availability_zone_,
                                              options_.is_relay_, held_->version_});
     request_proof();
 }
 
+void subscriber::on_disconnected()
+{
+    connected_ = false;
+    asking_ = false;
+}
+
+void subscriber::tick(instant now)
+{
+    const auto was = std::exchange(now_, now);
+    if (!connected_) {
+        return;
+    }
+    // A process that was itself stopped for long has no evidence against its upstream.
+    if (now - was >= options_.proof_period_) {
+        good_at_ = now;
+    }
+    if (now - good_at_ >= options_.proof_timeout_) {
+        connected_ = false;
+        output_.change_upstream_ = true;
+        return;
+    }
+    // A question that is still open is not overtaken by the next one: with answers slower than
+    // the period, none would ever be the answer to the latest question.
+    const auto wait = asking_ ? options_.proof_timeout_ / 2 : options_.proof_period_;
+    if (now - asked_at_ >= wait) {
+        request_proof();
+    }
+}
+
 void subscriber::request_proof()
 {
     nonce_ = options_.random_() >> 1U;
+    asking_ = true;
+    asked_at_ = now_;
     output_.messages_.emplace_back(currency_request{nonce_});
 }
 
@@ -73,17 +107,29 @@
     held_ = std::move(next);
     output_.held_ = held_;
     enforce_if_proved();
+    note_if_current();
     return {};
 }
 
 void subscriber::on_currency_proof(const currency_proof& proof)
 {
-    if (proof.nonce_ != nonce_) {
+    if (!asking_ || proof.nonce_ != nonce_) {
         return; // an answer to an earlier question
     }
+    asking_ = false;
     proved_version_ = std::max(proved_version_.value_or(0), proof.version_);
     output_.proof_ = proof.version_;
     enforce_if_proved();
+    note_if_current();
+}
+
+// A proof speaks of the moment it was asked for.
+void subscriber::note_if_current()
+{
+    if (proved_version_ && held_->version_.number_ >= *proved_version_ && !asking_) {
+        good_at_ = now_;
+        current_at_ = asked_at_;
+    }
 }
 
 void subscriber::enforce_if_proved()
--- a/libs/distribution/subscriber.h
+++ b/libs/distribution/subscriber.h
@@ -4,6 +4,10 @@
  * Pure: messages go in; messages to send and tables to enforce come out. A subscriber enforces
  * nothing until a quorum has proved, after this process started, what the current version is, and
  * then only that version or a later one. So no restart goes back to an older table.
+ *
+ * It asks for proof again every proof_period_. An upstream that for proof_timeout_ has not shown
+ * that what is held is current is left for another one: it is silent, cut off, or behind. What is
+ * in force stays in force meanwhile.
  */
 #pragma once
 
@@ -14,6 +18,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "base/time.h"
 #include "distribution/distribution_message.h"
 
 namespace sycamorewinch {
@@ -27,6 +32,8 @@
     std::string availability_zone_;
     bool is_relay_ = false;
     random_hook random_;
+    duration proof_period_ = std::chrono::seconds(2);
+    duration proof_timeout_ = std::chrono::seconds(8);
 };
 
 /** What the owner of a subscriber must do next. */
@@ -36,6 +43,7 @@
     table_pointer enforce_;                      ///< Set when a newer table is to be enforced.
     std::vector<target_record> targets_;         ///< News of targets from upstream.
     std::optional<std::uint64_t> proof_;         ///< Set when a version number was proved current.
+    bool change_upstream_ = false;               ///< Drop the connection and dial another upstream.
 };
 
 /** Follows an upstream hub. */
@@ -44,7 +52,13 @@
     explicit subscriber(subscriber_options options);
 
     /** A connection to an upstream is up: introduces itself and asks for proof. */
-    void on_connected();
+    void on_connected(instant now);
+
+    /** The connection is gone; nothing is asked for until the next one. */
+    void on_disconnected();
+
+    /** Lets time pass; call it a few times a second. */
+    void tick(instant now);
 
     /** Takes a message from the upstream. An error means the upstream broke the protocol and the
      * connection must be dropped. */
@@ -63,6 +77,8 @@
     [[nodiscard]] auto take_output() -> subscriber_output;
 
     [[nodiscard]] auto held() const -> const table_pointer& { return held_; }
+    /** Returns the last moment at which what is held was known to be current, if ever. */
+    [[nodiscard]] auto current_at() const -> const std::optional<instant>& { return current_at_; }
     /** Returns the table in force, or nullptr before the first proof. */
     [[nodiscard]] auto enforced() const -> const table_pointer& { return enforced_; }
 
@@ -70,12 +86,19 @@
     [[nodiscard]] auto on_table_update(const table_update& update) -> result<void>;
     void on_currency_proof(const currency_proof& proof);
     void enforce_if_proved();
+    void note_if_current();
 
     subscriber_options options_;
     table_pointer held_;
     table_pointer enforced_;
     std::optional<std::uint64_t> proved_version_;
     std::uint64_t nonce_ = 0;
+    bool connected_ = false;
+    bool asking_ = false; ///< The latest request has no answer yet.
+    instant now_{};
+    instant asked_at_{};
+    instant good_at_{}; ///< When the upstream last showed itself current, or was connected.
+    std::optional<instant> current_at_;
     subscriber_output output_;
 };
 
--- a/libs/distribution/test/correctness/hub_and_subscriber.cpp
+++ b/libs/distribution/test/correctness/hub_and_subscriber.cpp
@@ -54,7 +54,7 @@
 {
     pair_of_both both;
     both.hub_.set_table(make_version(8));
-    both.subscriber_.on_connected();
+    both.subscriber_.on_connected(instant{});
     both.up();
     BOOST_TEST(both.down().proof_wanted_);
     BOOST_TEST(both.subscriber_.held()->version_.number_ == 8);
@@ -75,7 +75,7 @@
 {
     pair_of_both both;
     both.hub_.set_table(make_version(1));
-    both.subscriber_.on_connected();
+    both.subscriber_.on_connected(instant{});
     both.up();
     both.down();
     for (std::uint64_t number = 2; number <= 300; ++number) {
