Record unrepeatable requests in the quorum's log

Cause: rows with repeatable=no were only kept from being retried by one call; a caller's resend to another node ran the request a second time.

Change: library run_record: operations (reserve, release, finish, lose), the deterministic record with bounded keys and outcomes, the node's side and the forwarder of relays, all pure; a new kind of command in the replicated log. Nothing calls it yet. control_command and control_replica get the new kind only.

Conclusion: a log entry a batch was chosen over a node owning each key by rendezvous hash: a node has no disk, and its crash or a change of membership would lose what ran. Ruled out: evicting old keys when full (a resend would run again); wall-clock expiry without a bound on its steps (a leader with a wrong clock would forget keys).

--- a/libs/control/control_command.h
+++ b/libs/control/control_command.h
@@ -14,6 +14,7 @@
 /** The kinds of command. Values are stored: add at the end, never change one. */
 enum class command_kind : std::uint8_t {
     accept_table, ///< Body: accept_command.
+    run_batch,    ///< Body: run_batch, operations on the record of unrepeatable requests.
 };
 
 /** One command as stored. */
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -45,6 +45,22 @@
     run_output();
 }
 
+void control_replica::apply_runs(const run_batch& batch, runs_callback callback, instant now)
+{
+    if (disk_failed_) {
+        callback(failure(error_kind::unavailable, "this replica's disk has failed"));
+        return;
+    }
+    const auto index =
+        raft_.propose(encode_command({command_kind::run_batch, encode_run_batch(batch)}), now);
+    if (!index) {
+        callback(tl::unexpected(index.error()));
+        return;
+    }
+    run_batches_[*index] = {raft_.term(), std::move(callback)};
+    run_output();
+}
+
 void control_replica::prove_current(proof_callback callback, instant now)
 {
     const auto token = next_token_++;
@@ -94,9 +110,32 @@
     if (entry.kind_ != entry_kind::command) {
         return;
     }
-    const auto command = decode_control_command(entry.payload_).and_then([](const auto& envelope) {
-        return decode_accept_command(envelope.body_);
-    });
+    const auto envelope = decode_control_command(entry.payload_);
+    invariant(envelope.has_value(), "committed entry {} cannot be read", entry.index_);
+    if (envelope->kind_ == command_kind::run_batch) {
+        apply_run_batch(entry, envelope->body_);
+    }
+    else {
+        apply_accept(entry, envelope->body_);
+    }
+}
+
+void control_replica::apply_run_batch(const log_entry& entry, const std::string& body)
+{
+    const auto batch = decode_run_batch(body);
+    invariant(batch.has_value(), "committed entry {} cannot be read", entry.index_);
+    const auto results = runs_.apply(*batch);
+    const auto waiting = run_batches_.find(entry.index_);
+    if (waiting != run_batches_.end() && waiting->second.term_ == entry.term_) {
+        const auto callback = std::move(waiting->second.callback_);
+        run_batches_.erase(waiting);
+        callback(results);
+    }
+}
+
+void control_replica::apply_accept(const log_entry& entry, const std::string& body)
+{
+    const auto command = decode_accept_command(body);
     invariant(command.has_value(), "committed entry {} cannot be read", entry.index_);
     const auto before = state_.current();
     const auto outcome = state_.apply(*command);
@@ -140,6 +179,11 @@
                                   "leadership was lost before the outcome was known; send the "
                                   "edit again with the same id"));
     }
+    const auto batches = std::move(run_batches_);
+    run_batches_.clear();
+    for (const auto& [index, waiting] : batches) {
+        waiting.callback_(failure(error_kind::unavailable, "leadership was lost"));
+    }
     if (disk_failed_) {
         const auto proofs = std::move(proofs_);
         proofs_.clear();
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -12,6 +12,7 @@
 
 #include "consensus/raft.h"
 #include "control/replicated_state.h"
+#include "run_record/run_records.h"
 
 namespace sycamorewinch {
 
@@ -37,6 +38,9 @@
 /** Receives the current version's number, proved by a quorum, or why it cannot be proved. */
 using proof_callback = std::function<void(const result<std::uint64_t>& version)>;
 
+/** Receives the results of a batch of run operations, or why they are not known. */
+using runs_callback = std::function<void(const result<std::vector<run_result>>& results)>;
+
 /** One control replica. */
 class control_replica {
   public:
@@ -49,11 +53,16 @@
     /** Proposes a new version. On a replica that does not lead, fails at once. */
     void accept(const accept_command& command, accept_callback callback, instant now);
 
+    /** Applies a batch to the record of unrepeatable requests. On a replica that does not lead,
+     * fails at once. */
+    void apply_runs(const run_batch& batch, runs_callback callback, instant now);
+
     /** Proves the current version's number by a quorum. */
     void prove_current(proof_callback callback, instant now);
 
     [[nodiscard]] auto raft_state() const -> const raft& { return raft_; }
     [[nodiscard]] auto state() const -> const replicated_state& { return state_; }
+    [[nodiscard]] auto runs() const -> const run_records& { return runs_; }
 
   private:
     control_replica(raft replica, control_hooks hooks)
@@ -64,6 +73,8 @@
     void run_output();
     [[nodiscard]] auto persist(const raft_output& output) -> result<void>;
     void apply(const log_entry& entry);
+    void apply_accept(const log_entry& entry, const std::string& body);
+    void apply_run_batch(const log_entry& entry, const std::string& body);
     void answer_reads(const raft_output& output);
     void fail_waiting();
 
@@ -72,11 +83,18 @@
         accept_callback callback_;
     };
 
+    struct waiting_runs {
+        std::uint64_t term_ = 0;
+        runs_callback callback_;
+    };
+
     raft raft_;
     control_hooks hooks_;
     replicated_state state_;
-    std::map<std::uint64_t, waiting_accept> accepts_; ///< By log index.
-    std::map<std::uint64_t, proof_callback> proofs_;  ///< By read token.
+    run_records runs_;
+    std::map<std::uint64_t, waiting_accept> accepts_;   ///< By log index.
+    std::map<std::uint64_t, waiting_runs> run_batches_; ///< By log index.
+    std::map<std::uint64_t, proof_callback> proofs_;    ///< By read token.
     std::uint64_t next_token_ = 1;
     bool disk_failed_ = false;
 };
--- /dev/null
+++ b/libs/run_record/run_operation.cpp
@@ -0,0 +1,129 @@
+#include "run_record/run_operation.h"
+
+#include "base/enum_names.h"
+#include "codec/cbor_reader.h"
+#include "codec/cbor_writer.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr enum_names<run_operation_kind, run_operation_kind_count> kind_names{
+    {"reserve", "release", "finish", "lose"}};
+constexpr enum_names<run_verdict, run_verdict_count> verdict_names{
+    {"granted", "running", "finished", "not_kept", "lost", "key_reused", "record_full",
+     "unreachable", "acknowledged"}};
+constexpr std::size_t max_operations = 16'384;
+constexpr std::size_t max_node_bytes = 256;
+
+void write_operation(cbor_writer& writer, const run_operation& one)
+{
+    writer.array(8).number(static_cast<std::uint64_t>(one.kind_));
+    writer.number(one.key_.shard_).digest_value(one.key_.digest_).digest_value(one.attempt_);
+    writer.number(one.request_hash_).text(one.node_).number(one.incarnation_);
+    writer.bytes(one.outcome_);
+}
+
+auto read_operation(cbor_reader& reader) -> run_operation
+{
+    run_operation one;
+    reader.array(8);
+    const auto kind = reader.number();
+    if (kind >= run_operation_kind_count) {
+        reader.reject("unknown kind of run operation");
+    }
+    one.kind_ = static_cast<run_operation_kind>(kind);
+    one.key_.shard_ = static_cast<std::uint32_t>(reader.number());
+    one.key_.digest_ = reader.digest_value();
+    one.attempt_ = reader.digest_value();
+    one.request_hash_ = reader.number();
+    one.node_ = reader.text(max_node_bytes);
+    one.incarnation_ = reader.number();
+    one.outcome_ = reader.bytes(max_outcome_bytes);
+    return one;
+}
+
+} // namespace
+
+auto make_run_key(std::string_view service, std::string_view caller,
+                  std::string_view idempotency_key) -> run_key
+{
+    cbor_writer writer; // lengths are part of the encoding, so that no two triples look alike
+    writer.array(3).text(service).text(caller).text(idempotency_key);
+    return {0, digest_of(writer.take())};
+}
+
+auto new_attempt(const random_hook& random) -> digest
+{
+    return {random(), random()};
+}
+
+auto name_of(run_operation_kind kind) -> std::string_view
+{
+    return kind_names.name(kind);
+}
+
+auto name_of(run_verdict verdict) -> std::string_view
+{
+    return verdict_names.name(verdict);
+}
+
+auto encode_run_batch(const run_batch& batch) -> std::string
+{
+    cbor_writer writer;
+    writer.array(2).number(batch.time_ms_).array(batch.operations_.size());
+    for (const auto& one : batch.operations_) {
+        write_operation(writer, one);
+    }
+    return writer.take();
+}
+
+auto decode_run_batch(std::string_view bytes) -> result<run_batch>
+{
+    run_batch batch;
+    cbor_reader reader(bytes);
+    reader.array(2);
+    batch.time_ms_ = reader.number();
+    for (auto left = reader.list(max_operations); left > 0 && reader.good(); --left) {
+        batch.operations_.push_back(read_operation(reader));
+    }
+    if (auto done = reader.finish(); !done) {
+        return tl::unexpected(done.error());
+    }
+    return batch;
+}
+
+auto encode_run_results(const std::vector<run_result>& results) -> std::string
+{
+    cbor_writer writer;
+    writer.array(results.size());
+    for (const auto& one : results) {
+        writer.array(3).digest_value(one.attempt_);
+        writer.number(static_cast<std::uint64_t>(one.verdict_)).bytes(one.outcome_);
+    }
+    return writer.take();
+}
+
+auto decode_run_results(std::string_view bytes) -> result<std::vector<run_result>>
+{
+    std::vector<run_result> results;
+    cbor_reader reader(bytes);
+    for (auto left = reader.list(max_operations); left > 0 && reader.good(); --left) {
+        run_result one;
+        reader.array(3);
+        one.attempt_ = reader.digest_value();
+        const auto verdict = reader.number();
+        if (verdict >= run_verdict_count) {
+            reader.reject("unknown verdict on a run operation");
+        }
+        one.verdict_ = static_cast<run_verdict>(verdict);
+        one.outcome_ = reader.bytes(max_outcome_bytes);
+        results.push_back(std::move(one));
+    }
+    if (auto done = reader.finish(); !done) {
+        return tl::unexpected(done.error());
+    }
+    return results;
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/run_record/test/correctness/run_client.cpp
@@ -0,0 +1,87 @@
+#include <boost/test/unit_test.hpp>
+
+#include "run_record/run_client.h"
+#include "run_record/run_forwarder.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+constexpr instant start{};
+
+auto operation(std::uint64_t attempt) -> run_operation
+{
+    run_operation one;
+    one.attempt_ = {attempt, 0};
+    return one;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_reservation_without_an_upstream_is_unreachable_at_once)
+{
+    run_client client({.node_ = "n1"});
+    auto verdict = run_verdict::granted;
+    client.reserve(
+        operation(1), [&](const auto& result) { verdict = result.verdict_; }, start);
+    BOOST_TEST((verdict == run_verdict::unreachable));
+    BOOST_TEST(client.take_output().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_late_grant_is_never_used_and_the_key_is_released)
+{
+    run_client client({.node_ = "n1"});
+    client.on_connected(start);
+    unsigned granted = 0;
+    client.reserve(
+        operation(1),
+        [&](const auto& result) { granted += result.verdict_ == run_verdict::granted ? 1U : 0U; },
+        start);
+    BOOST_TEST(client.take_output().size() == 1U);
+    client.tick(start + std::chrono::seconds(2));
+    const auto sent = client.take_output();
+    BOOST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST((sent.front().kind_ == run_operation_kind::release));
+    client.on_results({{{1, 0}, run_verdict::granted, {}}}, start + std::chrono::seconds(2));
+    BOOST_TEST(granted == 0U);
+    client.on_results({{{1, 0}, run_verdict::acknowledged, {}}}, start + std::chrono::seconds(2));
+    BOOST_TEST(client.unacknowledged() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_outcome_is_sent_again_until_it_is_acknowledged)
+{
+    run_client client({.node_ = "n1"});
+    auto finished = operation(1);
+    finished.kind_ = run_operation_kind::finish;
+    client.end(finished, start);
+    BOOST_TEST(client.take_output().empty());
+    client.on_connected(start);
+    BOOST_TEST(client.take_output().size() == 1U);
+    client.tick(start + std::chrono::seconds(1));
+    BOOST_TEST(client.take_output().size() == 1U);
+    client.on_results({{{1, 0}, run_verdict::acknowledged, {}}}, start);
+    client.tick(start + std::chrono::seconds(9));
+    BOOST_TEST(client.take_output().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_result_finds_its_sender)
+{
+    run_forwarder forwarder;
+    forwarder.on_operations(7, {operation(1)}, start);
+    forwarder.on_operations(8, {operation(2)}, start);
+    BOOST_TEST(forwarder.take_upward().size() == 2U);
+    forwarder.on_results({{{2, 0}, run_verdict::granted, {}}});
+    const auto down = forwarder.take_downward();
+    BOOST_REQUIRE(down.size() == 1U);
+    BOOST_TEST(down.contains(8));
+    forwarder.tick(start + std::chrono::seconds(3));
+    BOOST_TEST((forwarder.take_downward().at(7).front().verdict_ == run_verdict::unreachable));
+}
+
+BOOST_AUTO_TEST_CASE(a_full_forwarder_refuses_at_once)
+{
+    run_forwarder forwarder({.max_waiting_ = 1});
+    forwarder.on_operations(7, {operation(1), operation(2)}, start);
+    BOOST_TEST(forwarder.take_upward().size() == 1U);
+    BOOST_TEST((forwarder.take_downward().at(7).front().attempt_ == digest{2, 0}));
+}
--- /dev/null
+++ b/libs/run_record/test/correctness/run_records.cpp
@@ -0,0 +1,128 @@
+#include <boost/test/unit_test.hpp>
+
+#include "run_record/run_records.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+auto operation(run_operation_kind kind, std::uint64_t attempt, const std::string& key = "k")
+    -> run_operation
+{
+    run_operation one{.kind_ = kind};
+    one.key_ = make_run_key("dialer", "desk", key);
+    one.attempt_ = {attempt, 0};
+    one.node_ = "n1";
+    one.incarnation_ = 1;
+    return one;
+}
+
+auto apply(run_records& records, const run_operation& one, std::uint64_t time_ms = 0) -> run_result
+{
+    return records.apply({time_ms, {one}}).front();
+}
+
+using enum run_operation_kind;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_key_is_granted_to_one_attempt)
+{
+    run_records records;
+    BOOST_TEST((apply(records, operation(reserve, 1)).verdict_ == run_verdict::granted));
+    BOOST_TEST((apply(records, operation(reserve, 2)).verdict_ == run_verdict::running));
+    BOOST_TEST((apply(records, operation(reserve, 1)).verdict_ == run_verdict::granted));
+}
+
+BOOST_AUTO_TEST_CASE(a_resend_gets_the_stored_outcome)
+{
+    run_records records;
+    apply(records, operation(reserve, 1));
+    auto finished = operation(finish, 1);
+    finished.outcome_ = "answer";
+    apply(records, finished);
+    const auto again = apply(records, operation(reserve, 2));
+    BOOST_TEST((again.verdict_ == run_verdict::finished));
+    BOOST_TEST(again.outcome_ == "answer");
+}
+
+BOOST_AUTO_TEST_CASE(an_attempt_that_never_ran_frees_its_key)
+{
+    run_records records;
+    apply(records, operation(reserve, 1));
+    apply(records, operation(release, 2)); // another attempt cannot free it
+    BOOST_TEST((apply(records, operation(reserve, 2)).verdict_ == run_verdict::running));
+    apply(records, operation(release, 1));
+    BOOST_TEST((apply(records, operation(reserve, 2)).verdict_ == run_verdict::granted));
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_node_makes_its_attempts_lost_for_good)
+{
+    run_records records;
+    apply(records, operation(reserve, 1));
+    auto later = operation(reserve, 2, "other");
+    later.incarnation_ = 2;
+    apply(records, later);
+    auto resend = operation(reserve, 3);
+    resend.node_ = "n2";
+    BOOST_TEST((apply(records, resend).verdict_ == run_verdict::lost));
+    const auto late = apply(records, operation(reserve, 4, "third"));
+    BOOST_TEST((late.verdict_ == run_verdict::unreachable));
+}
+
+BOOST_AUTO_TEST_CASE(a_key_belongs_to_one_request)
+{
+    run_records records;
+    apply(records, operation(reserve, 1));
+    auto other = operation(reserve, 2);
+    other.request_hash_ = 7;
+    BOOST_TEST((apply(records, other).verdict_ == run_verdict::key_reused));
+}
+
+BOOST_AUTO_TEST_CASE(keys_are_kept_for_the_window_and_new_ones_refused_when_full)
+{
+    run_records records({.keys_ = 1, .window_ = std::chrono::seconds(30)});
+    apply(records, operation(reserve, 1), 1'000);
+    BOOST_TEST(
+        (apply(records, operation(reserve, 2, "b"), 30'000).verdict_ == run_verdict::record_full));
+    BOOST_TEST(
+        (apply(records, operation(reserve, 3, "b"), 61'001).verdict_ == run_verdict::granted));
+}
+
+BOOST_AUTO_TEST_CASE(a_clock_that_jumps_cannot_expire_keys)
+{
+    run_records records({.window_ = std::chrono::hours(1)});
+    apply(records, operation(reserve, 1), 1'000);
+    constexpr std::uint64_t a_year_later = 31'536'000'000;
+    BOOST_TEST(
+        (apply(records, operation(reserve, 2), a_year_later).verdict_ == run_verdict::running));
+}
+
+BOOST_AUTO_TEST_CASE(an_outcome_that_was_dropped_still_says_that_it_ran)
+{
+    run_records records({.outcome_bytes_ = 10});
+    for (std::uint64_t attempt = 1; attempt <= 3; ++attempt) {
+        apply(records, operation(reserve, attempt, std::to_string(attempt)));
+        auto finished = operation(finish, attempt, std::to_string(attempt));
+        finished.outcome_ = "12345";
+        apply(records, finished);
+    }
+    BOOST_TEST(records.outcome_bytes() == 10U);
+    BOOST_TEST((apply(records, operation(reserve, 9, "1")).verdict_ == run_verdict::not_kept));
+    BOOST_TEST((apply(records, operation(reserve, 9, "3")).verdict_ == run_verdict::finished));
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_carries_the_whole_state)
+{
+    run_records records;
+    apply(records, operation(reserve, 1, "a"));
+    apply(records, operation(reserve, 2, "b"));
+    auto finished = operation(finish, 2, "b");
+    finished.outcome_ = "answer";
+    apply(records, finished, 5'000);
+    auto copy = run_records::decode(records.encode());
+    BOOST_REQUIRE(copy.has_value());
+    BOOST_TEST(copy->encode() == records.encode());
+    BOOST_TEST((apply(*copy, operation(reserve, 3, "a")).verdict_ == run_verdict::running));
+    BOOST_TEST((apply(*copy, operation(reserve, 3, "b")).outcome_ == "answer"));
+}
