Let operators drain a target or a node through the node beside it

Cause: nothing let an operator take a target out of work; only the target itself could ask. Change: a node takes POST /v1/drain from operators; the drain outlives the target's own renewals and covers targets that come later when the whole node is drained. A target's record names its node's admin address, so that the operators' tool finds the node (a field in libs/membership and its announcement in node_role: a small hook there). An edit asked for again by its id costs no reading of its table. parse_digest moves to base, for the tool. Conclusion: the node beside the target stays the one authority. Ruled out: an order passed down through hubs, which would need routing by target in every relay for an order meant for one node.

--- a/libs/base/digest.cpp
+++ b/libs/base/digest.cpp
@@ -1,5 +1,6 @@
 #include "base/digest.h"
 
+#include <charconv>
 #include <fmt/core.h>
 #include <xxhash.h>
 
@@ -21,4 +22,20 @@
     return fmt::format("{:016x}{:016x}", value.high_, value.low_);
 }
 
+auto parse_digest(std::string_view text) -> result<digest>
+{
+    constexpr std::size_t word_digits = 16;
+    constexpr int hexadecimal = 16;
+    digest value;
+    const auto read = [&text](std::size_t start, std::uint64_t& word) {
+        const auto* first = text.data() + start;
+        const auto* last = first + word_digits;
+        return std::from_chars(first, last, word, hexadecimal).ptr == last;
+    };
+    if (text.size() != 2 * word_digits || !read(0, value.high_) || !read(word_digits, value.low_)) {
+        return failure(error_kind::invalid_input, "a digest has 32 hexadecimal digits");
+    }
+    return value;
+}
+
 } // namespace sycamorewinch
--- a/libs/base/digest.h
+++ b/libs/base/digest.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "base/result.h"
+
 namespace sycamorewinch {
 
 /** A 128-bit digest. The default value is the digest of nothing yet. */
@@ -27,4 +29,7 @@
 /** Returns \p value as 32 hexadecimal digits. */
 [[nodiscard]] auto to_hex(const digest& value) -> std::string;
 
+/** Reads 32 hexadecimal digits back. */
+[[nodiscard]] auto parse_digest(std::string_view text) -> result<digest>;
+
 } // namespace sycamorewinch
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -4,6 +4,7 @@
 #include <QTimer>
 
 #include "daemon/admin_server.h"
+#include "daemon/drain_api.h"
 #include "daemon/target_registry.h"
 #include "daemon/upstream_link.h"
 #include "membership/target_directory.h"
@@ -59,7 +60,8 @@
     node_role(const daemon_settings& settings, const daemon_secrets& secrets)
         : settings_(settings), secrets_(secrets), state_(to_text(settings.listen_peers_), metrics_),
           registry_(settings.availability_zone_, to_text(settings.listen_peers_),
-                    static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch())),
+                    static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch()),
+                    to_text(settings.listen_admin_)),
           admin_(metrics_, secrets.operator_token_,
                  [this] { return link_.logic().enforced() && !state_.is_shutting_down(); }),
           link_(settings.upstreams_, secrets.key_,
@@ -73,6 +75,10 @@
     {
         admin_.handle(QHttpServerRequest::Method::Post, "/v1/targets", admin_access::anybody,
                       [this](const auto& request) { return on_announce(request); });
+        add_drain_api(admin_, registry_, [this](const auto& changed) {
+            publish_local_targets();
+            tell(changed);
+        });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_,
                          [this] { check_leases(); });
     }
--- a/libs/daemon/operator_api.cpp
+++ b/libs/daemon/operator_api.cpp
@@ -31,21 +31,24 @@
 
     auto answer(const QHttpServerRequest& request) -> QHttpServerResponse
     {
-        auto& replica = hooks_.replica_();
-        const auto command = read_json(request).and_then([&](const QJsonObject& object) {
-            return read_accept_command(object, *replica.state().current());
-        });
-        if (!command) {
-            return error_answer(command.error());
+        const auto object = read_json(request);
+        if (!object) {
+            return error_answer(object.error());
         }
-        if (!replica.state().outcome_of(command->edit_id_)) {
+        const auto edit_id = object->value(QLatin1String("edit_id")).toString().toStdString();
+        auto& replica = hooks_.replica_();
+        // An edit that is asked for again costs no reading of its table.
+        if (!replica.state().outcome_of(edit_id) && !pending_.contains(edit_id)) {
+            const auto command = read_accept_command(*object, *replica.state().current());
+            if (!command) {
+                return error_answer(command.error());
+            }
             propose(replica, *command);
         }
-        if (const auto outcome = replica.state().outcome_of(command->edit_id_)) {
+        if (const auto outcome = replica.state().outcome_of(edit_id)) {
             return json_answer(to_json(*outcome), status_of(*outcome));
         }
-        return json_answer({{"status", "pending"}, {"edit_id", to_json(command->edit_id_)}},
-                           pending_status);
+        return json_answer({{"status", "pending"}, {"edit_id", to_json(edit_id)}}, pending_status);
     }
 
   private:
@@ -53,9 +56,7 @@
 
     void propose(control_replica& replica, const accept_command& command)
     {
-        if (!pending_.insert(command.edit_id_).second) {
-            return;
-        }
+        pending_.insert(command.edit_id_);
         const auto forget = [this, id = command.edit_id_](const result<accept_outcome>&) {
             pending_.erase(id);
         };
--- a/libs/daemon/operator_json.cpp
+++ b/libs/daemon/operator_json.cpp
@@ -1,7 +1,5 @@
 #include "daemon/operator_json.h"
 
-#include <charconv>
-
 namespace sycamorewinch {
 
 namespace {
@@ -13,22 +11,6 @@
     return object.value(QLatin1String(name)).toString().toStdString();
 }
 
-auto parse_digest(const std::string& text) -> result<digest>
-{
-    constexpr std::size_t word_digits = 16;
-    constexpr int hexadecimal = 16;
-    digest value;
-    const auto read = [&text](std::size_t start, std::uint64_t& word) {
-        const auto* first = text.data() + start;
-        const auto* last = first + word_digits;
-        return std::from_chars(first, last, word, hexadecimal).ptr == last;
-    };
-    if (text.size() != 2 * word_digits || !read(0, value.high_) || !read(word_digits, value.low_)) {
-        return failure(error_kind::invalid_input, "a digest has 32 hexadecimal digits");
-    }
-    return value;
-}
-
 } // namespace
 
 auto to_json(std::string_view text) -> QString
@@ -76,12 +58,11 @@
 
 auto to_json(const target_record& target) -> QJsonObject
 {
-    return {{"service", to_json(target.service_)},
-            {"target", to_json(target.target_)},
-            {"zone", to_json(target.availability_zone_)},
-            {"node", to_json(target.node_address_)},
-            {"state", to_json(name_of(target.state_))},
-            {"slots", static_cast<qint64>(target.slots_)}};
+    return {
+        {"service", to_json(target.service_)},        {"target", to_json(target.target_)},
+        {"zone", to_json(target.availability_zone_)}, {"node", to_json(target.node_address_)},
+        {"admin", to_json(target.node_admin_)},       {"state", to_json(name_of(target.state_))},
+        {"slots", static_cast<qint64>(target.slots_)}};
 }
 
 auto to_json(const history_entry& entry) -> QJsonObject
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -3,9 +3,9 @@
 namespace sycamorewinch {
 
 target_registry::target_registry(std::string availability_zone, std::string node_address,
-                                 std::uint64_t incarnation)
+                                 std::uint64_t incarnation, std::string node_admin)
     : availability_zone_(std::move(availability_zone)), node_address_(std::move(node_address)),
-      incarnation_(incarnation)
+      incarnation_(incarnation), node_admin_(std::move(node_admin))
 {
 }
 
@@ -20,10 +20,11 @@
     record.target_ = announcement.target_;
     record.availability_zone_ = availability_zone_;
     record.node_address_ = node_address_;
+    record.node_admin_ = node_admin_;
     record.incarnation_ = incarnation_;
     record.slots_ = announcement.slots_;
     record.cold_start_ = announcement.cold_start_;
-    record.state_ = announcement.draining_ ? target_state::draining : target_state::up;
+    record.state_ = announced_state(target);
     if (record == before) {
         return false;
     }
@@ -31,6 +32,13 @@
     return true;
 }
 
+auto target_registry::announced_state(const registered_target& target) const -> target_state
+{
+    const bool drains =
+        target.announcement_.draining_ || target.drained_by_operator_ || node_drained_;
+    return drains ? target_state::draining : target_state::up;
+}
+
 auto target_registry::set_state(registered_target& target, target_state state) -> bool
 {
     if (target.record_.state_ == state) {
@@ -64,6 +72,38 @@
     return changed;
 }
 
+auto target_registry::refresh(registered_target& target, std::vector<target_record>& changed)
+    -> void
+{
+    if (target.record_.state_ != target_state::gone && set_state(target, announced_state(target))) {
+        changed.push_back(target.record_);
+    }
+}
+
+auto target_registry::drain_target(const std::string& service, const std::string& target,
+                                   bool drained) -> result<std::vector<target_record>>
+{
+    const auto found = targets_.find({service, target});
+    if (found == targets_.end()) {
+        return failure(error_kind::not_found, "no target '" + target + "' of service '" + service +
+                                                  "' is beside this node");
+    }
+    found->second.drained_by_operator_ = drained;
+    std::vector<target_record> changed;
+    refresh(found->second, changed);
+    return changed;
+}
+
+auto target_registry::drain_node(bool drained) -> std::vector<target_record>
+{
+    node_drained_ = drained;
+    std::vector<target_record> changed;
+    for (auto& [name, target] : targets_) {
+        refresh(target, changed);
+    }
+    return changed;
+}
+
 auto target_registry::records() const -> std::vector<target_record>
 {
     std::vector<target_record> all;
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -31,14 +31,16 @@
     target_announcement announcement_;
     target_record record_;
     instant lease_end_;
+    bool drained_by_operator_ = false; ///< Whatever the target itself announces.
 };
 
 /** The targets beside one node. */
 class target_registry {
   public:
-    /** \p incarnation rises with every start of the node. */
+    /** \p incarnation rises with every start of the node; \p node_admin is where the node takes
+     * operators' requests. */
     target_registry(std::string availability_zone, std::string node_address,
-                    std::uint64_t incarnation);
+                    std::uint64_t incarnation, std::string node_admin = {});
 
     /** Takes an announcement; returns whether the target's record changed. */
     auto announce(const target_announcement& announcement, instant now) -> bool;
@@ -49,15 +51,28 @@
     /** Marks every target as draining; returns the records that changed. */
     auto drain_all() -> std::vector<target_record>;
 
+    /** An operator drains one target, or lets it take work again; an unknown one is an error. Lasts
+     * until the node ends. Returns the records that changed. */
+    auto drain_target(const std::string& service, const std::string& target, bool drained)
+        -> result<std::vector<target_record>>;
+
+    /** An operator drains the whole node, or lets it take work again: every target beside it, those
+     * that come later included. Returns the records that changed. */
+    auto drain_node(bool drained) -> std::vector<target_record>;
+
     [[nodiscard]] auto records() const -> std::vector<target_record>;
     [[nodiscard]] auto targets() const -> std::vector<registered_target>;
 
   private:
     auto set_state(registered_target& target, target_state state) -> bool;
+    [[nodiscard]] auto announced_state(const registered_target& target) const -> target_state;
+    auto refresh(registered_target& target, std::vector<target_record>& changed) -> void;
 
     std::string availability_zone_;
     std::string node_address_;
     std::uint64_t incarnation_;
+    std::string node_admin_;
+    bool node_drained_ = false;
     std::uint64_t sequence_ = 0;
     std::map<std::pair<std::string, std::string>, registered_target> targets_;
 };
--- a/libs/membership/target_record.cpp
+++ b/libs/membership/target_record.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr enum_names<target_state, 3> state_names{{"up", "draining", "gone"}};
-constexpr std::size_t record_fields = 9;
+constexpr std::size_t record_fields = 10;
 constexpr std::size_t max_field_bytes = 64;
 
 } // namespace
@@ -29,6 +29,7 @@
 {
     writer.array(record_fields).text(record.service_).text(record.target_);
     writer.text(record.availability_zone_).text(record.node_address_);
+    writer.text(record.node_admin_);
     writer.number(record.incarnation_).number(record.sequence_);
     writer.number(static_cast<std::uint64_t>(record.state_)).number(record.slots_);
     writer.number(static_cast<std::uint64_t>(record.cold_start_.count()));
@@ -42,6 +43,7 @@
     record.target_ = reader.text(max_field_bytes);
     record.availability_zone_ = reader.text(max_field_bytes);
     record.node_address_ = reader.text(max_field_bytes);
+    record.node_admin_ = reader.text(max_field_bytes);
     record.incarnation_ = reader.number();
     record.sequence_ = reader.number();
     const auto state = reader.number();
--- a/libs/membership/target_record.h
+++ b/libs/membership/target_record.h
@@ -31,6 +31,7 @@
     std::string target_; ///< Unique within its service.
     std::string availability_zone_;
     std::string node_address_;      ///< Where the node beside it takes calls from other nodes.
+    std::string node_admin_;        ///< Where that node takes operators' requests.
     std::uint64_t incarnation_ = 0; ///< Rises with every start of that node.
     std::uint64_t sequence_ = 0;    ///< Rises with every change within one incarnation.
     target_state state_ = target_state::up;
