Build the operators' tool whole: working copies, merge, watch, drain, refusals

Cause: the tool could only show, accept and set, lost an edit's id with a lost answer, and took the version current at the moment of accepting as the base, so that a race overwrote the other edit. Change: a working copy keeps the version (number and digest) it starts from and the id of an edit whose answer is missing in FILE.base; accept compares both and a race shows base, theirs and yours cell by cell; merge takes others' cells in. watch names the nodes behind by zone; drain, refusals, history, export, import, check and diff are there; one file for each group of commands. scripts/demo and the coming failure script share scripts/lib/system.sh.

--- a/apps/sycamorewinch/main.cpp
+++ b/apps/sycamorewinch/main.cpp
@@ -39,6 +39,13 @@
         po::value<std::string>()->default_value(
             from_environment("SYCAMOREWINCH_OPERATOR", "operator")),
         "name for the history");
+    add("file", po::value<std::string>()->default_value(""),
+        "table set, add-row, remove-row: edit this working copy and accept nothing");
+    add("edit-id", po::value<std::string>()->default_value(""),
+        "send an edit again by its id; without it the tool makes one");
+    add("timeout", po::value<unsigned>()->default_value(60), "watch: seconds until it gives up");
+    add("version", po::value<std::uint64_t>(), "watch: this version instead of the current one");
+    add("keep-mine", "table merge: where cells conflict, keep the working copy's");
     add("json", "print JSON; the default when the output is no terminal");
     add("human", "print for people, also when the output is no terminal");
     add("help", "show this help");
@@ -56,23 +63,49 @@
     return parts;
 }
 
-auto read_token(const std::string& path) -> std::string
+/** Reads the token file; no file is no token. */
+auto read_token(const std::string& path) -> result<std::string>
 {
+    if (path.empty()) {
+        return std::string();
+    }
     std::ifstream file(path);
     std::string token;
-    std::getline(file, token);
+    if (!std::getline(file, token) || token.empty()) {
+        return failure(error_kind::io, "setting token-file: '" + path +
+                                           "' is not allowed: a readable file with the token");
+    }
     return token;
 }
 
+auto read_options(const po::variables_map& values) -> command_options
+{
+    command_options options;
+    options.file_ = values["file"].as<std::string>();
+    options.edit_id_ = values["edit-id"].as<std::string>();
+    options.watch_timeout_ = std::chrono::seconds(values["timeout"].as<unsigned>());
+    options.keep_mine_ = values.count("keep-mine") > 0;
+    if (values.count("version") > 0) {
+        options.version_ = values["version"].as<std::uint64_t>();
+    }
+    return options;
+}
+
 auto run(const po::variables_map& values) -> exit_status
 {
     control_client_options options;
     options.addresses_ = split_commas(values["control"].as<std::string>());
-    options.token_ = read_token(values["token-file"].as<std::string>());
+    const auto token = read_token(values["token-file"].as<std::string>());
+    if (!token) {
+        std::cerr << "sycamorewinch: " << token.error().message_ << '\n';
+        return exit_status::wrong_arguments;
+    }
+    options.token_ = *token;
     control_client client(options);
-    command_context context{client, std::cout, std::cerr, false,
-                            values["operator"].as<std::string>()};
+    command_context context{
+        client, std::cout, std::cerr, false, values["operator"].as<std::string>(), {}};
     const bool is_terminal = ::isatty(STDOUT_FILENO) != 0;
+    context.options_ = read_options(values);
     context.json_ = values.count("json") > 0 || (!is_terminal && values.count("human") == 0);
     return run_command(context, values["command"].as<std::vector<std::string>>());
 }
@@ -96,7 +129,8 @@
     }
     if (values.count("help") > 0) {
         std::cout << "usage: sycamorewinch [options] COMMAND\n\nCommands:\n"
-                  << command_help() << '\n'
+                  << command_help() << "\nExit statuses:\n"
+                  << exit_status_help() << '\n'
                   << options;
         return 0;
     }
--- /dev/null
+++ b/libs/cli/drain_commands.cpp
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <ostream>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <fmt/core.h>
+
+#include "cli/command_list.h"
+#include "cli/target_list.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr int http_ok = 200;
+
+/** Sends \p order to the node at \p admin and reports which targets changed. */
+auto send_order(command_context& context, const std::string& admin, const QJsonObject& order)
+    -> exit_status
+{
+    const auto body = QJsonDocument(order).toJson(QJsonDocument::Compact).toStdString();
+    const auto answer = context.client_.post_at(admin, "/v1/drain", body);
+    if (!answer) {
+        return fail(context, answer.error().message_);
+    }
+    if (answer->status_ != http_ok) {
+        return fail(context, text_of(answer->body_, "message"));
+    }
+    if (context.json_) {
+        print_json(context, answer->body_);
+        return exit_status::done;
+    }
+    const auto changed = answer->body_.value(QLatin1String("changed")).toArray();
+    if (changed.isEmpty()) {
+        context.out_ << "nothing had to change\n";
+    }
+    for (const auto& value : changed) {
+        const auto target = value.toObject();
+        context.out_ << fmt::format("{}/{}: {}\n", text_of(target, "service"),
+                                    text_of(target, "target"), text_of(target, "state"));
+    }
+    return exit_status::done;
+}
+
+auto order_target(command_context& context, const command_words& arguments, bool draining)
+    -> exit_status
+{
+    const auto targets = fetch_targets(context);
+    if (!targets) {
+        return fail(context, targets.error().message_);
+    }
+    const auto found = std::ranges::find_if(*targets, [&](const known_target& target) {
+        return target.service_ == arguments[0] && target.target_ == arguments[1];
+    });
+    if (found == targets->end()) {
+        return fail(context, fmt::format("no target {}/{} is known; see 'targets'", arguments[0],
+                                         arguments[1]));
+    }
+    return send_order(context, found->admin_,
+                      {{"service", json_text(arguments[0])},
+                       {"target", json_text(arguments[1])},
+                       {"draining", draining}});
+}
+
+auto order_node(command_context& context, const std::string& node, bool draining) -> exit_status
+{
+    const auto targets = fetch_targets(context);
+    if (!targets) {
+        return fail(context, targets.error().message_);
+    }
+    const auto found = std::ranges::find_if(*targets, [&node](const known_target& target) {
+        return target.node_ == node || target.admin_ == node;
+    });
+    if (found == targets->end()) {
+        return fail(context,
+                    fmt::format("no target is known beside a node {}; see 'targets'", node));
+    }
+    return send_order(context, found->admin_, {{"draining", draining}});
+}
+
+} // namespace
+
+auto drain_target(command_context& context, const command_words& arguments) -> exit_status
+{
+    return order_target(context, arguments, true);
+}
+
+auto undrain_target(command_context& context, const command_words& arguments) -> exit_status
+{
+    return order_target(context, arguments, false);
+}
+
+auto drain_node(command_context& context, const command_words& arguments) -> exit_status
+{
+    return order_node(context, arguments[0], true);
+}
+
+auto undrain_node(command_context& context, const command_words& arguments) -> exit_status
+{
+    return order_node(context, arguments[0], false);
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/cli/refusals_command.cpp
@@ -0,0 +1,108 @@
+#include <ostream>
+#include <set>
+#include <tuple>
+
+#include <QJsonArray>
+#include <fmt/core.h>
+
+#include "cli/command_list.h"
+#include "cli/metrics_text.h"
+#include "cli/target_list.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr std::string_view refusals_metric = "sycamorewinch_refusals_total";
+
+/** Refused calls over all the nodes that answered. */
+struct refusal_totals {
+    std::map<std::pair<std::string, std::string>, std::uint64_t> by_service_and_reason_;
+    std::size_t nodes_ = 0;
+    std::vector<std::string> silent_; ///< Why a node's figures are missing, one line each.
+};
+
+void add_samples(refusal_totals& totals, const std::string& text)
+{
+    for (const auto& sample : samples_of(text, refusals_metric)) {
+        const auto label = [&sample](const char* name) {
+            const auto found = sample.labels_.find(name);
+            return found == sample.labels_.end() ? std::string() : found->second;
+        };
+        if (sample.value_ > 0) {
+            totals.by_service_and_reason_[{label("service"), label("reason")}] +=
+                static_cast<std::uint64_t>(sample.value_);
+        }
+    }
+}
+
+auto collect(command_context& context, const std::vector<known_target>& targets) -> refusal_totals
+{
+    std::set<std::string> addresses;
+    for (const auto& target : targets) {
+        if (!target.admin_.empty()) {
+            addresses.insert(target.admin_);
+        }
+    }
+    refusal_totals totals;
+    const std::vector<std::string> nodes(addresses.begin(), addresses.end());
+    for (const auto& answer : context.client_.get_texts(nodes, "/metrics")) {
+        if (answer.text_) {
+            ++totals.nodes_;
+            add_samples(totals, *answer.text_);
+        }
+        else {
+            totals.silent_.push_back(answer.text_.error().message_);
+        }
+    }
+    return totals;
+}
+
+void print_totals(command_context& context, const refusal_totals& totals)
+{
+    context.out_ << fmt::format("{} nodes counted since they started\n", totals.nodes_);
+    for (const auto& [key, count] : totals.by_service_and_reason_) {
+        const auto& service = key.first.empty() ? std::string("(no service)") : key.first;
+        context.out_ << fmt::format("  {}  {}: {}\n", service, key.second, count);
+    }
+    for (const auto& problem : totals.silent_) {
+        context.errors_ << fmt::format("sycamorewinch: not counted: {}\n", problem);
+    }
+}
+
+auto totals_json(const refusal_totals& totals) -> QJsonObject
+{
+    QJsonArray refusals;
+    for (const auto& [key, count] : totals.by_service_and_reason_) {
+        refusals.append(QJsonObject{{"service", json_text(key.first)},
+                                    {"reason", json_text(key.second)},
+                                    {"count", static_cast<qint64>(count)}});
+    }
+    QJsonArray silent;
+    for (const auto& problem : totals.silent_) {
+        silent.append(json_text(problem));
+    }
+    return {{"nodes", static_cast<qint64>(totals.nodes_)},
+            {"refusals", refusals},
+            {"not_counted", silent}};
+}
+
+} // namespace
+
+auto show_refusals(command_context& context, const command_words&) -> exit_status
+{
+    const auto targets = fetch_targets(context);
+    if (!targets) {
+        return fail(context, targets.error().message_);
+    }
+    const auto totals = collect(context, *targets);
+    if (context.json_) {
+        print_json(context, totals_json(totals));
+    }
+    else {
+        print_totals(context, totals);
+    }
+    return totals.silent_.empty() ? exit_status::done : exit_status::failed;
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/cli/table_output.h
@@ -0,0 +1,28 @@
+/** \file
+ * Cells, findings and versions, as JSON and as lines for people.
+ */
+#pragma once
+
+#include <iosfwd>
+#include <vector>
+
+#include <QJsonArray>
+#include <QJsonObject>
+
+#include "table/table_cells.h"
+#include "table/table_check.h"
+
+namespace sycamorewinch {
+
+[[nodiscard]] auto to_json(const table_version& version) -> QJsonObject;
+[[nodiscard]] auto to_json(const std::vector<cell_change>& changes) -> QJsonArray;
+[[nodiscard]] auto to_json(const std::vector<merge_conflict>& conflicts) -> QJsonArray;
+[[nodiscard]] auto to_json(const std::vector<table_finding>& findings) -> QJsonArray;
+
+/** Prints one line a cell: `  dialer, column rate: '20' -> '30'`. */
+void print_changes(std::ostream& out, const std::vector<cell_change>& changes);
+
+/** Prints one line a cell: `  dialer, column rate: base '20', theirs '30', yours '40'`. */
+void print_conflicts(std::ostream& out, const std::vector<merge_conflict>& conflicts);
+
+} // namespace sycamorewinch
