Run unrepeatable requests with a key at most once across crashes and resends

Cause: a caller's resend to another node, or after a crash, ran an unrepeatable request again.

Change: the node beside the target reserves the key in the quorum's log before it sends; the stored answer goes to a resend. Operations travel on the channel /channel/runs, batched at relay and leader. A node announces its incarnation so that what it held before a restart gets a final answer. A caller that leaves does not cancel a keyed run. Shutdown waits up to 5 s for outcomes to be acknowledged. Hooks in others' files: upstream_link::connection(), replica_links' payload runs, target_connections::runs(), channels in control_role and relay_role.

Ruled out: telling a late grant's caller anything but not-run (the attempt is released instead).

--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -9,6 +9,7 @@
 #include "daemon/operator_api.h"
 #include "daemon/peer_listener.h"
 #include "daemon/replica_links.h"
+#include "daemon/run_leader.h"
 #include "observability/log.h"
 #include "storage/replica_store.h"
 
@@ -36,13 +37,21 @@
           links_(settings.name_, settings.control_peers_, secrets.key_,
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
                   [this](const auto& from, const auto& message) { on_peer(from, message); },
-                  [this](const auto& to) {
-                      on_peer_connected(to);
-                  }})
+                  [this](const auto& to) { on_peer_connected(to); },
+                  [this](const auto& from, auto bytes) {
+                      runs_.receive(from, bytes);
+                  }}),
+          runs_(metrics_, {[this]() -> control_replica& { return *replica_; },
+                           [this](const auto& to, auto bytes) {
+                               links_.send_runs(to, bytes);
+                           }})
     {
         listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
             return hub_.accept(connection, stream);
         });
+        listener_.handle(runs_path, [this](const auto& connection, auto stream) {
+            return runs_.accept(connection, stream);
+        });
         listener_.handle(replica_path, [this](const auto& connection, auto stream) {
             return links_.accept(connection, stream);
         });
@@ -220,6 +229,7 @@
     peer_listener listener_;
     hub_server hub_;
     replica_links links_;
+    run_leader runs_;
     std::optional<replica_store> store_;
     std::optional<control_replica> replica_;
     std::map<std::string, std::vector<zone_progress>> others_progress_;
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -4,6 +4,7 @@
 #include <QTimer>
 
 #include "daemon/admin_server.h"
+#include "daemon/run_channels.h"
 #include "daemon/target_registry.h"
 #include "daemon/upstream_link.h"
 #include "membership/target_directory.h"
@@ -16,6 +17,8 @@
 
 constexpr auto lease_check_period = std::chrono::milliseconds(200);
 constexpr auto shutdown_check_period = std::chrono::milliseconds(20);
+constexpr auto run_check_period = std::chrono::milliseconds(50);
+constexpr duration longest_record_wait = std::chrono::seconds(5);
 constexpr int default_lease_ms = 5'000;
 constexpr int max_lease_ms = 600'000;
 constexpr int max_slots = 100'000;
@@ -68,6 +71,17 @@
                  [this] {
                      on_connected();
                  }}),
+          runs_({to_text(settings.listen_peers_),
+                 static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch())}),
+          runs_up_({[this] {
+                        runs_.on_connected(monotonic_now());
+                        send_runs();
+                    },
+                    [this] { runs_.on_disconnected(monotonic_now()); },
+                    [this](const auto& results) {
+                        runs_.on_results(results, monotonic_now());
+                        send_runs();
+                    }}),
           version_(metrics_.gauge("sycamorewinch_table_version",
                                   "Number of the table version in force."))
     {
@@ -75,6 +89,16 @@
                       [this](const auto& request) { return on_announce(request); });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_,
                          [this] { check_leases(); });
+        QObject::connect(&run_timer_, &QTimer::timeout, &run_timer_, [this] {
+            runs_.tick(monotonic_now());
+            send_runs();
+        });
+        state_.set_run_port({[this](auto operation, auto reply) {
+                                 post_reservation(std::move(operation), std::move(reply));
+                             },
+                             [this](auto operation) {
+                                 post_end(std::move(operation));
+                             }});
     }
 
     auto start() -> result<void>
@@ -91,6 +115,7 @@
             return listening;
         }
         lease_timer_.start(lease_check_period);
+        run_timer_.start(run_check_period);
         link_.start();
         return {};
     }
@@ -105,9 +130,12 @@
         for (const auto& worker : workers_) {
             worker->begin_shutdown();
         }
+        const auto record_deadline = monotonic_now() + longest_record_wait;
         QObject::connect(&shutdown_timer_, &QTimer::timeout, &shutdown_timer_,
-                         [this, done = std::move(done)] {
-                             if (state_.calls_in_flight() == 0) {
+                         [this, done = std::move(done), record_deadline] {
+                             const bool is_recorded =
+                                 runs_.unacknowledged() == 0 || monotonic_now() > record_deadline;
+                             if (state_.calls_in_flight() == 0 && is_recorded) {
                                  shutdown_timer_.stop();
                                  done();
                              }
@@ -174,8 +202,35 @@
         state_.publish_routes(route_table::create(link_.logic().enforced(), directory_.records()));
     }
 
+    // Called on worker threads.
+    void post_reservation(run_operation operation, run_callback reply)
+    {
+        QMetaObject::invokeMethod(
+            &run_timer_,
+            [this, operation = std::move(operation), reply = std::move(reply)] {
+                runs_.reserve(operation, reply, monotonic_now());
+                send_runs();
+            },
+            Qt::QueuedConnection);
+    }
+
+    // Called on worker threads.
+    void post_end(run_operation operation)
+    {
+        QMetaObject::invokeMethod(
+            &run_timer_,
+            [this, operation = std::move(operation)] {
+                runs_.end(operation, monotonic_now());
+                send_runs();
+            },
+            Qt::QueuedConnection);
+    }
+
+    void send_runs() { runs_up_.send(runs_.take_output()); }
+
     void on_connected()
     {
+        runs_up_.open(link_.connection());
         link_.logic().report_targets(registry_.records());
         link_.logic().report_progress(own_progress());
     }
@@ -216,8 +271,11 @@
     std::map<std::pair<std::string, std::string>, std::shared_ptr<admission>> admissions_;
     admin_server admin_;
     upstream_link link_;
+    run_client runs_;
+    run_uplink runs_up_;
     counter& version_;
     QTimer lease_timer_;
+    QTimer run_timer_;
     QTimer shutdown_timer_;
     std::vector<std::unique_ptr<node_worker>> workers_;
 };
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -3,6 +3,7 @@
 #include "daemon/admin_server.h"
 #include "daemon/hub_server.h"
 #include "daemon/peer_listener.h"
+#include "daemon/run_channels.h"
 #include "daemon/upstream_link.h"
 
 namespace sycamorewinch {
@@ -25,8 +26,21 @@
                 {[this](const auto& output) { on_output(output); },
                  [this] {
                      on_connected();
-                 }})
+                 }}),
+          runs_(metrics_, [this] { pass_runs_on(); }),
+          runs_up_({[] {},
+                    [this] {
+                        runs_.logic().on_upstream_lost();
+                        runs_.answer();
+                    },
+                    [this](const auto& results) {
+                        runs_.logic().on_results(results);
+                        runs_.answer();
+                    }})
     {
+        listener_.handle(runs_path, [this](const auto& connection, auto stream) {
+            return runs_.accept(connection, stream);
+        });
         listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
             return hub_.accept(connection, stream);
         });
@@ -47,10 +61,21 @@
   private:
     void on_connected()
     {
+        runs_up_.open(link_.connection());
         link_.logic().report_targets(hub_.logic().targets().records());
         link_.logic().report_progress(hub_.logic().progress());
     }
 
+    void pass_runs_on()
+    {
+        if (runs_up_.is_open()) {
+            runs_up_.send(runs_.logic().take_upward());
+            return;
+        }
+        runs_.logic().on_upstream_lost();
+        runs_.answer();
+    }
+
     void ask_for_proof()
     {
         link_.logic().request_proof();
@@ -91,6 +116,8 @@
     peer_listener listener_;
     hub_server hub_;
     upstream_link link_;
+    run_server runs_;
+    run_uplink runs_up_;
 };
 
 } // namespace
--- a/libs/daemon/replica_links.cpp
+++ b/libs/daemon/replica_links.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t max_queued_bytes = 16U * 1024 * 1024;
 
 /** What a replica's message carries. */
-enum class replica_payload : std::uint8_t { raft, distribution };
+enum class replica_payload : std::uint8_t { raft, distribution, runs };
 
 auto wrap(replica_payload kind, const std::string& from, std::string_view body) -> std::string
 {
@@ -115,6 +115,10 @@
         }
         return;
     }
+    if (kind == replica_payload::runs) {
+        hooks_.on_runs_(from, body);
+        return;
+    }
     if (const auto message = decode_distribution_message(body)) {
         hooks_.on_distribution_(from, *message);
     }
@@ -130,6 +134,11 @@
     send_bytes(to, wrap(replica_payload::distribution, self_, encode_message(message)));
 }
 
+void replica_links::send_runs(const std::string& to, std::string_view bytes)
+{
+    send_bytes(to, wrap(replica_payload::runs, self_, bytes));
+}
+
 void replica_links::send_bytes(const std::string& to, std::string_view bytes)
 {
     const auto found = links_.find(to);
--- a/libs/daemon/replica_links.h
+++ b/libs/daemon/replica_links.h
@@ -25,6 +25,8 @@
     std::function<void(const std::string& from, const distribution_message& message)>
         on_distribution_;
     std::function<void(const std::string& to)> on_connected_;
+    /** Operations on the record of unrepeatable requests, or their results. */
+    std::function<void(const std::string& from, std::string_view bytes)> on_runs_;
 };
 
 /** The path of the channel between replicas. */
@@ -46,6 +48,8 @@
     void send(const raft_message& message);
     void send(const std::string& to, const distribution_message& message);
 
+    void send_runs(const std::string& to, std::string_view bytes);
+
     /** Returns the names of all other replicas. */
     [[nodiscard]] auto others() const -> std::vector<std::string>;
 
--- /dev/null
+++ b/libs/daemon/run_channels.cpp
@@ -0,0 +1,129 @@
+#include "daemon/run_channels.h"
+
+#include "observability/log.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr auto tick_period = std::chrono::milliseconds(100);
+
+} // namespace
+
+run_uplink::~run_uplink()
+{
+    ++number_; // the end of the channel is no longer of interest
+    if (channel_) {
+        channel_->close();
+    }
+}
+
+void run_uplink::open(h2_connection& connection)
+{
+    const auto number = ++number_;
+    if (const auto before = std::exchange(channel_, nullptr)) {
+        before->close();
+        hooks_.on_lost_();
+    }
+    channel_hooks hooks;
+    hooks.on_message_ = [this](std::string_view bytes) {
+        if (const auto results = decode_run_results(bytes)) {
+            hooks_.on_results_(*results);
+        }
+    };
+    hooks.on_closed_ = [this, number] {
+        on_closed(number);
+    };
+    auto channel = message_channel::open(connection, runs_path, {}, std::move(hooks));
+    if (channel) {
+        channel_ = std::move(*channel);
+        hooks_.on_connected_();
+    }
+}
+
+void run_uplink::on_closed(std::uint64_t number)
+{
+    if (number == number_ && channel_) {
+        channel_.reset();
+        hooks_.on_lost_();
+    }
+}
+
+void run_uplink::send(const std::vector<run_operation>& operations)
+{
+    if (channel_ && !operations.empty()) {
+        channel_->send(encode_run_batch({0, operations}));
+    }
+}
+
+run_server::run_server(metrics_registry& metrics, std::function<void()> pass_on)
+    : pass_on_(std::move(pass_on)),
+      operations_(metrics.count("sycamorewinch_run_operations_total",
+                                "Operations on the record of unrepeatable requests received."))
+{
+    flush_.setSingleShot(true);
+    QObject::connect(&flush_, &QTimer::timeout, &flush_, [this] { pass_on_(); });
+    QObject::connect(&ticker_, &QTimer::timeout, &ticker_, [this] {
+        forwarder_.tick(monotonic_now());
+        answer();
+    });
+    ticker_.start(tick_period);
+}
+
+auto run_server::accept(const std::shared_ptr<h2_connection>& connection, stream_id stream)
+    -> stream_hooks
+{
+    const auto holder = std::make_shared<std::shared_ptr<message_channel>>();
+    const auto from = add_sender([holder](const std::vector<run_result>& results) {
+        if (*holder) {
+            (*holder)->send(encode_run_results(results));
+        }
+    });
+    channel_hooks hooks;
+    hooks.on_message_ = [this, from](std::string_view bytes) {
+        if (auto batch = decode_run_batch(bytes)) {
+            receive(from, std::move(batch->operations_));
+        }
+        else {
+            log_event(log_level::warning, "bad_run_message", {{"reason", batch.error().message_}});
+        }
+    };
+    hooks.on_closed_ = [this, from, holder] {
+        holder->reset();
+        senders_.erase(from);
+        forwarder_.on_gone(from);
+    };
+    stream_hooks stream_hooks;
+    *holder = message_channel::accept(connection, stream, std::move(hooks), stream_hooks);
+    return stream_hooks;
+}
+
+auto run_server::add_sender(answer_hook answer) -> run_sender
+{
+    const auto id = next_sender_++;
+    senders_[id] = std::move(answer);
+    return id;
+}
+
+void run_server::receive(run_sender from, std::vector<run_operation> operations)
+{
+    operations_.add(operations.size());
+    forwarder_.on_operations(from, std::move(operations), monotonic_now());
+    if (!flush_.isActive()) {
+        flush_.start(0);
+    }
+    answer();
+}
+
+void run_server::answer()
+{
+    for (const auto& [to, results] : forwarder_.take_downward()) {
+        const auto found = senders_.find(to);
+        if (found != senders_.end()) {
+            const auto send = found->second;
+            send(results);
+        }
+    }
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/daemon/run_leader.cpp
@@ -0,0 +1,113 @@
+#include "daemon/run_leader.h"
+
+#include <QDateTime>
+
+#include "codec/cbor_reader.h"
+#include "codec/cbor_writer.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr std::size_t max_message_bytes = 64U * 1024 * 1024;
+
+/** Which way a message between two replicas goes. */
+enum class run_direction : std::uint8_t { operations, results };
+
+auto wrap(run_direction direction, const std::string& body) -> std::string
+{
+    cbor_writer writer;
+    writer.array(2).number(static_cast<std::uint64_t>(direction)).bytes(body);
+    return writer.take();
+}
+
+} // namespace
+
+run_leader::run_leader(metrics_registry& metrics, run_leader_hooks hooks)
+    : hooks_(std::move(hooks)), server_(metrics, [this] { pass_on(); })
+{
+}
+
+void run_leader::pass_on()
+{
+    const auto& raft = hooks_.replica_().raft_state();
+    if (raft.role() == raft_role::leader) {
+        propose();
+    }
+    else if (!raft.leader().empty()) {
+        forward(raft.leader());
+    }
+    else {
+        server_.logic().on_upstream_lost();
+        server_.answer();
+    }
+}
+
+void run_leader::propose()
+{
+    if (batch_in_flight_ || !server_.logic().has_upward()) {
+        return;
+    }
+    batch_in_flight_ = true;
+    const auto time = static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch());
+    hooks_.replica_().apply_runs(
+        {time, server_.logic().take_upward()},
+        [this](const auto& results) { on_committed(results); }, monotonic_now());
+}
+
+void run_leader::on_committed(const result<std::vector<run_result>>& results)
+{
+    batch_in_flight_ = false;
+    if (results) {
+        server_.logic().on_results(*results);
+    }
+    else {
+        server_.logic().on_upstream_lost();
+    }
+    server_.answer();
+    if (results) {
+        propose(); // what gathered meanwhile
+    }
+}
+
+void run_leader::forward(const std::string& leader)
+{
+    hooks_.send_(leader, wrap(run_direction::operations,
+                              encode_run_batch({0, server_.logic().take_upward()})));
+}
+
+void run_leader::receive(const std::string& from, std::string_view bytes)
+{
+    cbor_reader reader(bytes);
+    reader.array(2);
+    const auto direction = static_cast<run_direction>(reader.number());
+    const auto body = reader.bytes(max_message_bytes);
+    if (!reader.finish()) {
+        return;
+    }
+    if (direction == run_direction::results) {
+        if (const auto results = decode_run_results(body)) {
+            server_.logic().on_results(*results);
+            server_.answer();
+        }
+        return;
+    }
+    if (auto batch = decode_run_batch(body)) {
+        server_.receive(sender_of(from), std::move(batch->operations_));
+    }
+}
+
+auto run_leader::sender_of(const std::string& follower) -> run_sender
+{
+    const auto found = followers_.find(follower);
+    if (found != followers_.end()) {
+        return found->second;
+    }
+    const auto id = server_.add_sender([this, follower](const auto& results) {
+        hooks_.send_(follower, wrap(run_direction::results, encode_run_results(results)));
+    });
+    followers_[follower] = id;
+    return id;
+}
+
+} // namespace sycamorewinch
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -37,6 +37,9 @@
     /** Carries out what the subscriber wants. */
     void run();
 
+    /** Returns the connection to the upstream, for further channels; ask in on_connected_. */
+    [[nodiscard]] auto connection() const -> h2_connection& { return client_->connection(); }
+
     [[nodiscard]] auto is_connected() const -> bool { return channel_ && channel_->is_open(); }
 
   private:
--- a/libs/policy/refusal.cpp
+++ b/libs/policy/refusal.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "base/enum_names.h"
+
 namespace sycamorewinch {
 
 namespace {
@@ -25,8 +27,16 @@
     {"body_too_large", 413, 0, unknown},
     {"shutting_down", 503, 1, not_run},
     {"overloaded", 503, 2, not_run},
+    {"record_unreachable", 503, 1, not_run},
+    {"record_full", 503, 60, not_run},
+    {"run_in_progress", 409, 1, unknown},
+    {"run_outcome_unknown", 409, 0, unknown},
+    {"run_outcome_dropped", 409, 0, ran},
+    {"key_reused", 422, 0, not_run},
 }};
 
+constexpr enum_names<request_outcome, 3> outcome_names{{"not-run", "unknown", "ran"}};
+
 } // namespace
 
 auto describe(refusal_reason reason) -> const refusal_description&
@@ -50,7 +60,12 @@
 
 auto name_of(request_outcome outcome) -> std::string_view
 {
-    return outcome == not_run ? "not-run" : "unknown";
+    return outcome_names.name(outcome);
+}
+
+auto parse_request_outcome(std::string_view name) -> request_outcome
+{
+    return outcome_names.parse(name).value_or(unknown);
 }
 
 } // namespace sycamorewinch
--- a/libs/policy/refusal.h
+++ b/libs/policy/refusal.h
@@ -27,14 +27,21 @@
     body_too_large,      ///< The request's body passes the limit.
     shutting_down,       ///< This node is leaving.
     overloaded,          ///< This node sheds load.
+    record_unreachable,  ///< No quorum could say whether the request may run.
+    record_full,         ///< There is no room to record another unrepeatable request.
+    run_in_progress,     ///< The same idempotency key is being run.
+    run_outcome_unknown, ///< The key may have run; its outcome will never be known.
+    run_outcome_dropped, ///< The key has run; its answer is no longer kept.
+    key_reused,          ///< The idempotency key belongs to another request.
 };
 
-constexpr std::size_t refusal_reason_count = 15;
+constexpr std::size_t refusal_reason_count = 21;
 
 /** What is known of a refused request. */
 enum class request_outcome : std::uint8_t {
     not_run, ///< No target has run it or will.
     unknown, ///< A target may have run it.
+    ran,     ///< A target has run it, whether or not its answer is still kept.
 };
 
 /** What a caller is told for one reason. */
@@ -54,7 +61,10 @@
 /** Returns the reason called \p name. */
 [[nodiscard]] auto parse_refusal_reason(std::string_view name) -> std::optional<refusal_reason>;
 
-/** Returns `not-run` or `unknown`. */
+/** Returns `not-run`, `unknown` or `ran`. */
 [[nodiscard]] auto name_of(request_outcome outcome) -> std::string_view;
 
+/** Returns the outcome called \p name; anything else is unknown. */
+[[nodiscard]] auto parse_request_outcome(std::string_view name) -> request_outcome;
+
 } // namespace sycamorewinch
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -162,14 +162,15 @@
         if (ended_ || number != attempts_) {
             return;
         }
-        ran_ = ran_ || refusal.outcome_ == request_outcome::unknown;
+        ran_ = ran_ || refusal.outcome_ != request_outcome::not_run;
         if (may_retry(refusal)) {
             environment_.node_.metrics().count_retry(refusal.reason_, request_.service_);
             attempt();
             return;
         }
         // An earlier attempt may have run, whatever is known of the last one.
-        refuse({refusal.reason_, ran_ ? request_outcome::unknown : refusal.outcome_});
+        const bool is_in_doubt = ran_ && refusal.outcome_ == request_outcome::not_run;
+        refuse({refusal.reason_, is_in_doubt ? request_outcome::unknown : refusal.outcome_});
     }
 
     auto may_retry(const refusal& refusal) const -> bool
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -2,10 +2,17 @@
 
 #include <algorithm>
 
+#include <QTimer>
+
+#include "request_path/unrepeatable_run.h"
+
 namespace sycamorewinch {
 
 namespace {
 
+/** A target may take at least this long after its caller has gone. */
+constexpr std::chrono::milliseconds detached_time{10'000};
+
 /** The part of a service's load that falls to one target, from the weights in force. */
 auto share_of(const service_route& route, const std::string& target) -> double
 {
@@ -51,49 +58,130 @@
         admission_ = target->admission_;
         ticket_ = std::move(decision.ticket_);
         address_ = target->address_;
-        connection_ = connections_.take(address_, !route->row_->repeatable_);
-        connection_->start(request.head_, make_hooks());
+        is_repeatable_ = route->row_->repeatable_;
+        head_ = request.head_;
+        time_left_ = request.time_left_;
+        const auto key = find_header(head_.headers_, idempotency_key_header);
+        if (is_repeatable_ || key.empty()) {
+            send();
+        }
+        else {
+            reserve(node, request);
+        }
     }
 
     auto controls() -> exchange_controls
     {
         const auto self = shared_from_this();
         return {
-            [self](std::string_view bytes) {
-                if (self->connection_) {
-                    self->connection_->write(bytes);
-                }
-            },
-            [self] {
-                if (self->connection_) {
-                    self->connection_->finish();
-                }
-            },
+            [self](std::string_view bytes) { self->write(bytes); },
+            [self] { self->finish(); },
             [self] { self->cancel(); },
             [self](bool paused) {
                 if (self->connection_) {
                     self->connection_->pause_reading(paused);
                 }
             },
-            [self] { return self->connection_ ? self->connection_->queued_bytes() : 0; },
+            [self] { return self->queued_bytes(); },
         };
     }
 
   private:
+    void reserve(node_state& node, const exchange_request& request)
+    {
+        run_ = std::make_unique<unrepeatable_run>(node.runs(), connections_.runs(), request);
+        const auto self = shared_from_this();
+        run_->reserve([self](const run_result& result) { self->on_reserved(result); });
+    }
+
+    void on_reserved(const run_result& result)
+    {
+        if (result.verdict_ == run_verdict::granted) {
+            send();
+            return;
+        }
+        ticket_ = admission_ticket();
+        const auto answer = decode_answer(result.outcome_);
+        if (const auto reason = refusal_of(result.verdict_)) {
+            refuse(make_refusal(*reason));
+        }
+        else if (answer) {
+            replay(*answer);
+        }
+        else {
+            refuse(make_refusal(refusal_reason::run_outcome_dropped));
+        }
+    }
+
+    void replay(stored_answer answer)
+    {
+        answer.head_.headers_.push_back({std::string(replayed_header), "yes"});
+        hooks_.on_response_(std::move(answer.head_));
+        if (!answer.body_.empty()) {
+            hooks_.on_body_(answer.body_);
+        }
+        hooks_.on_end_();
+    }
+
+    void send()
+    {
+        connection_ = connections_.take(address_, !is_repeatable_);
+        const auto connection = connection_; // a failure at once resets the member
+        connection->start(head_, make_hooks());
+        if (connection_ && !early_body_.empty()) {
+            connection_->write(std::exchange(early_body_, {}));
+        }
+        if (connection_ && body_ended_ && head_.has_body_) {
+            connection_->finish();
+        }
+    }
+
+    void write(std::string_view bytes)
+    {
+        if (connection_) {
+            connection_->write(bytes);
+        }
+        else if (run_) {
+            early_body_ += bytes; // until the reservation is granted
+        }
+    }
+
+    void finish()
+    {
+        body_ended_ = true;
+        if (connection_) {
+            connection_->finish();
+        }
+    }
+
+    [[nodiscard]] auto queued_bytes() const -> std::size_t
+    {
+        return connection_ ? connection_->queued_bytes() : early_body_.size();
+    }
+
     auto make_hooks() -> client_exchange_hooks
     {
         const auto self = shared_from_this();
         client_exchange_hooks hooks;
         hooks.on_response_ = [self](message_head head) {
             self->responded_ = true;
+            if (self->run_) {
+                self->run_->on_response(head);
+            }
             self->hooks_.on_response_(std::move(head));
         };
         hooks.on_body_ = [self](std::string_view bytes) {
+            if (self->run_) {
+                self->run_->on_body(bytes);
+            }
             self->hooks_.on_body_(bytes);
         };
         hooks.on_end_ = [self] {
             auto connection = std::move(self->connection_);
             self->ticket_ = admission_ticket();
+            if (self->run_) {
+                self->run_->finish();
+            }
             self->connections_.give_back(self->address_, std::move(connection));
             self->hooks_.on_end_();
         };
@@ -112,13 +200,19 @@
     {
         connection_.reset();
         ticket_ = admission_ticket();
+        const bool was_sent = failure != exchange_failure::not_sent;
+        if (run_ && was_sent) {
+            run_->lose();
+        }
+        else if (run_) {
+            run_->release();
+        }
         if (responded_) {
             hooks_.on_broken_();
         }
         else {
-            refuse(make_refusal(failure == exchange_failure::not_sent
-                                    ? refusal_reason::target_unreachable
-                                    : refusal_reason::target_failed));
+            refuse(make_refusal(was_sent ? refusal_reason::target_failed
+                                         : refusal_reason::target_unreachable));
         }
     }
 
@@ -126,6 +220,11 @@
 
     void cancel()
     {
+        if (run_ && connection_ && (body_ended_ || !head_.has_body_)) {
+            detach();
+            return;
+        }
+        run_.reset();
         if (connection_) {
             connection_->cancel();
             connection_.reset();
@@ -133,12 +232,47 @@
         ticket_ = admission_ticket();
     }
 
+    // The caller has gone, but the target has the whole request: its outcome is kept for the
+    // caller's next try.
+    void detach()
+    {
+        hooks_.on_response_ = [](const message_head&) {
+        };
+        hooks_.on_body_ = [](std::string_view) {
+        };
+        hooks_.on_end_ = [] {
+        };
+        hooks_.on_refused_ = [](const refusal&) {
+        };
+        hooks_.on_broken_ = [] {
+        };
+        hooks_.on_writable_ = nullptr;
+        connection_->pause_reading(false);
+        const auto self = shared_from_this();
+        QTimer::singleShot(std::max(time_left_, detached_time), [self] { self->abandon(); });
+    }
+
+    void abandon()
+    {
+        run_.reset();
+        if (const auto connection = std::exchange(connection_, nullptr)) {
+            connection->cancel();
+        }
+        ticket_ = admission_ticket();
+    }
+
     target_connections& connections_;
     exchange_hooks hooks_;
     std::shared_ptr<admission> admission_; ///< Outlives the ticket.
     admission_ticket ticket_;
     peer_address address_;
     std::shared_ptr<http1_client_connection> connection_;
+    message_head head_;
+    std::chrono::milliseconds time_left_{0};
+    std::unique_ptr<unrepeatable_run> run_; ///< Unrepeatable requests with an idempotency key.
+    std::string early_body_;                ///< Arrived before the reservation was granted.
+    bool is_repeatable_ = false;
+    bool body_ended_ = false;
     bool responded_ = false;
 };
 
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -16,6 +16,7 @@
 #include "observability/metrics.h"
 #include "policy/admission.h"
 #include "policy/route_table.h"
+#include "request_path/run_gateway.h"
 #include "transport/peer_connection.h"
 
 namespace sycamorewinch {
@@ -72,6 +73,10 @@
     [[nodiscard]] auto own_address() const -> const std::string& { return own_address_; }
     [[nodiscard]] auto metrics() -> call_metrics& { return metrics_; }
 
+    /** The way to the record of unrepeatable requests; set before the workers start. */
+    void set_run_port(run_port port) { run_port_ = std::move(port); }
+    [[nodiscard]] auto runs() const -> const run_port& { return run_port_; }
+
     /** From now on callers are refused; requests in flight go on. */
     void begin_shutdown() { shutting_down_ = true; }
     [[nodiscard]] auto is_shutting_down() const -> bool { return shutting_down_; }
@@ -84,6 +89,7 @@
     rcu_cell<route_table> routes_;
     rcu_cell<local_targets> targets_;
     call_metrics metrics_;
+    run_port run_port_;
     std::atomic<bool> shutting_down_{false};
     std::atomic<std::int64_t> in_flight_{0};
 };
--- a/libs/request_path/peer_exchange.cpp
+++ b/libs/request_path/peer_exchange.cpp
@@ -131,9 +131,7 @@
         }
         const auto reason = parse_refusal_reason(find_header(headers, refusal_header));
         if (reason) {
-            const auto not_run =
-                find_header(headers, outcome_header) == name_of(request_outcome::not_run);
-            end_with({*reason, not_run ? request_outcome::not_run : request_outcome::unknown});
+            end_with({*reason, parse_request_outcome(find_header(headers, outcome_header))});
             return;
         }
         responded_ = true;
--- a/libs/request_path/target_connections.h
+++ b/libs/request_path/target_connections.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "http1/http1_client_connection.h"
+#include "request_path/run_gateway.h"
 #include "transport/peer_connection.h"
 
 namespace sycamorewinch {
@@ -24,7 +25,11 @@
     void give_back(const peer_address& address,
                    std::shared_ptr<http1_client_connection> connection);
 
+    /** Returns this thread's way to the record of unrepeatable requests. */
+    [[nodiscard]] auto runs() -> run_gateway& { return runs_; }
+
   private:
+    run_gateway runs_;
     std::map<peer_address, std::vector<std::shared_ptr<http1_client_connection>>> idle_;
 };
 
--- /dev/null
+++ b/libs/request_path/unrepeatable_run.cpp
@@ -0,0 +1,125 @@
+#include "request_path/unrepeatable_run.h"
+
+#include <utility>
+
+#include "codec/cbor_reader.h"
+#include "codec/cbor_writer.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr std::size_t max_fields = 256;
+
+} // namespace
+
+auto encode_answer(const stored_answer& answer) -> std::string
+{
+    cbor_writer writer;
+    writer.array(3).number(answer.head_.status_).bytes(answer.body_);
+    writer.array(answer.head_.headers_.size());
+    for (const auto& field : answer.head_.headers_) {
+        writer.array(2).bytes(field.name_).bytes(field.value_);
+    }
+    auto bytes = writer.take();
+    return bytes.size() <= max_outcome_bytes ? bytes : std::string();
+}
+
+auto decode_answer(std::string_view bytes) -> result<stored_answer>
+{
+    stored_answer answer;
+    cbor_reader reader(bytes);
+    reader.array(3);
+    answer.head_.status_ = static_cast<unsigned>(reader.number());
+    answer.body_ = reader.bytes(max_outcome_bytes);
+    for (auto left = reader.list(max_fields); left > 0 && reader.good(); --left) {
+        reader.array(2);
+        auto name = reader.bytes(max_outcome_bytes);
+        auto value = reader.bytes(max_outcome_bytes);
+        answer.head_.headers_.push_back({std::move(name), std::move(value)});
+    }
+    if (auto done = reader.finish(); !done) {
+        return tl::unexpected(done.error());
+    }
+    answer.head_.has_body_ = !answer.body_.empty();
+    answer.head_.content_length_ = answer.body_.size();
+    return answer;
+}
+
+auto refusal_of(run_verdict verdict) -> std::optional<refusal_reason>
+{
+    switch (verdict) {
+    case run_verdict::granted:
+    case run_verdict::finished:
+        return std::nullopt;
+    case run_verdict::running:
+        return refusal_reason::run_in_progress;
+    case run_verdict::not_kept:
+        return refusal_reason::run_outcome_dropped;
+    case run_verdict::lost:
+        return refusal_reason::run_outcome_unknown;
+    case run_verdict::key_reused:
+        return refusal_reason::key_reused;
+    case run_verdict::record_full:
+        return refusal_reason::record_full;
+    default:
+        return refusal_reason::record_unreachable;
+    }
+}
+
+unrepeatable_run::unrepeatable_run(const run_port& port, run_gateway& gateway,
+                                   const exchange_request& request)
+    : port_(port), gateway_(gateway)
+{
+    const auto& head = request.head_;
+    const auto key = find_header(head.headers_, idempotency_key_header);
+    operation_.key_ = make_run_key(request.service_, request.caller_, key);
+    operation_.attempt_ = gateway.next_attempt();
+    operation_.request_hash_ = hash_of(head.method_ + " " + head.path_);
+}
+
+unrepeatable_run::~unrepeatable_run()
+{
+    gateway_.forget(operation_.attempt_);
+    lose();
+}
+
+void unrepeatable_run::reserve(const std::function<void(const run_result& result)>& callback)
+{
+    gateway_.reserve(port_, operation_, [this, callback](const run_result& result) {
+        granted_ = result.verdict_ == run_verdict::granted;
+        callback(result);
+    });
+}
+
+void unrepeatable_run::on_response(const message_head& head)
+{
+    answer_.head_.status_ = head.status_;
+    answer_.head_.headers_ = head.headers_;
+    remove_hop_headers(answer_.head_.headers_);
+    remove_header(answer_.head_.headers_, "content-length");
+}
+
+void unrepeatable_run::on_body(std::string_view bytes)
+{
+    too_large_ = too_large_ || answer_.body_.size() + bytes.size() > max_outcome_bytes;
+    if (!too_large_) {
+        answer_.body_ += bytes;
+    }
+}
+
+void unrepeatable_run::finish()
+{
+    operation_.outcome_ = too_large_ ? std::string() : encode_answer(answer_);
+    end(run_operation_kind::finish);
+}
+
+void unrepeatable_run::end(run_operation_kind kind)
+{
+    if (std::exchange(granted_, false)) {
+        operation_.kind_ = kind;
+        port_.end_(operation_);
+    }
+}
+
+} // namespace sycamorewinch
--- a/libs/run_record/run_client.cpp
+++ b/libs/run_record/run_client.cpp
@@ -31,7 +31,7 @@
     }
 }
 
-void run_client::abandon(waiting_reservation waiting, instant now)
+void run_client::abandon(const waiting_reservation& waiting, instant now)
 {
     auto release = waiting.operation_;
     release.kind_ = run_operation_kind::release;
@@ -39,6 +39,14 @@
     waiting.callback_({waiting.operation_.attempt_, run_verdict::unreachable, {}});
 }
 
+// A restarted node says so at once: callers whose requests it held get their final answer.
+void run_client::announce(instant now)
+{
+    run_operation operation{.kind_ = run_operation_kind::announce};
+    operation.attempt_ = {hash_of(options_.node_), options_.incarnation_};
+    end(std::move(operation), now);
+}
+
 void run_client::on_connected(instant now)
 {
     connected_ = true;
@@ -46,15 +54,18 @@
         output_.push_back(waiting.operation_);
         waiting.resend_ = now + options_.resend_after_;
     }
+    if (!std::exchange(announced_, true)) {
+        announce(now);
+    }
 }
 
 void run_client::on_disconnected(instant now)
 {
     connected_ = false;
     output_.clear();
-    auto lost = std::exchange(reservations_, {});
-    for (auto& [attempt, waiting] : lost) {
-        abandon(std::move(waiting), now);
+    const auto lost = std::exchange(reservations_, {});
+    for (const auto& [attempt, waiting] : lost) {
+        abandon(waiting, now);
     }
 }
 
@@ -63,10 +74,10 @@
     for (const auto& result : results) {
         const auto found = reservations_.find(result.attempt_);
         if (found != reservations_.end()) {
-            auto waiting = std::move(found->second);
+            const auto waiting = std::move(found->second);
             reservations_.erase(found);
             if (result.verdict_ == run_verdict::unreachable) {
-                abandon(std::move(waiting), now); // it may yet be granted
+                abandon(waiting, now); // it may yet be granted
             }
             else {
                 waiting.callback_(result);
@@ -82,9 +93,9 @@
 {
     for (auto each = reservations_.begin(); each != reservations_.end();) {
         if (each->second.give_up_ <= now) {
-            auto waiting = std::move(each->second);
+            const auto waiting = std::move(each->second);
             each = reservations_.erase(each);
-            abandon(std::move(waiting), now);
+            abandon(waiting, now);
         }
         else {
             ++each;
--- a/libs/run_record/run_client.h
+++ b/libs/run_record/run_client.h
@@ -64,13 +64,15 @@
         instant resend_;
     };
 
-    void abandon(waiting_reservation waiting, instant now);
+    void announce(instant now);
+    void abandon(const waiting_reservation& waiting, instant now);
 
     run_client_options options_;
     std::map<digest, waiting_reservation> reservations_; ///< By attempt.
     std::map<digest, waiting_end> ends_;                 ///< By attempt.
     std::vector<run_operation> output_;
     bool connected_ = false;
+    bool announced_ = false;
 };
 
 } // namespace sycamorewinch
--- a/libs/run_record/run_operation.cpp
+++ b/libs/run_record/run_operation.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr enum_names<run_operation_kind, run_operation_kind_count> kind_names{
-    {"reserve", "release", "finish", "lose"}};
+    {"reserve", "release", "finish", "lose", "announce"}};
 constexpr enum_names<run_verdict, run_verdict_count> verdict_names{
     {"granted", "running", "finished", "not_kept", "lost", "key_reused", "record_full",
      "unreachable", "acknowledged"}};
--- a/libs/run_record/run_operation.h
+++ b/libs/run_record/run_operation.h
@@ -41,12 +41,13 @@
 
 /** What is asked. Values are stored: add at the end, never change one. */
 enum class run_operation_kind : std::uint8_t {
-    reserve, ///< May this attempt run the request?
-    release, ///< This attempt was granted and has not run and never will.
-    finish,  ///< This attempt ran; store its outcome.
-    lose,    ///< This attempt may have run; its outcome will never be known.
+    reserve,  ///< May this attempt run the request?
+    release,  ///< This attempt was granted and has not run and never will.
+    finish,   ///< This attempt ran; store its outcome.
+    lose,     ///< This attempt may have run; its outcome will never be known.
+    announce, ///< A node has started; what its earlier incarnations held is lost. No key.
 };
-constexpr std::size_t run_operation_kind_count = 4;
+constexpr std::size_t run_operation_kind_count = 5;
 
 /** Returns the name of \p kind. */
 [[nodiscard]] auto name_of(run_operation_kind kind) -> std::string_view;
--- a/libs/run_record/run_records.cpp
+++ b/libs/run_record/run_records.cpp
@@ -67,7 +67,9 @@
     if (operation.kind_ == run_operation_kind::reserve) {
         return reserve(operation);
     }
-    end_attempt(operation);
+    if (operation.kind_ != run_operation_kind::announce) {
+        end_attempt(operation);
+    }
     return {operation.attempt_, run_verdict::acknowledged, {}};
 }
 
