--- a/apps/sycamorewinchd/main.cpp
+++ b/apps/sycamorewinchd/main.cpp
@@ -11,6 +11,7 @@
 #include <QSocketNotifier>
 
 #include "daemon/daemon_role.h"
+#include "settings/settings_files.h"
 
 namespace {
 
@@ -88,6 +89,15 @@
         std::cerr << parsed.error().message_ << '\n';
         return exit_wrong_settings;
     }
+    if (parsed->action_ == settings_action::run || parsed->action_ == settings_action::check_only) {
+        for (const auto& name : unknown_variables(process_variables())) {
+            log_event(log_level::warning, "unknown_variable", {{"name", name}});
+        }
+        if (const auto checked = check_setting_files(parsed->settings_); !checked) {
+            std::cerr << checked.error().message_ << '\n';
+            return exit_wrong_settings;
+        }
+    }
     switch (parsed->action_) {
     case settings_action::show_help:
         std::cout << "sycamorewinchd: one process of the system\n\n" << parsed->help_;
--- a/libs/daemon/admin_server.cpp
+++ b/libs/daemon/admin_server.cpp
@@ -1,5 +1,6 @@
 #include "daemon/admin_server.h"
 
+#include <QCryptographicHash>
 #include <QHostAddress>
 #include <QHttpServer>
 #include <QJsonDocument>
@@ -9,6 +10,8 @@
 
 namespace {
 
+constexpr std::string_view release_version = "0.1.0";
+
 auto status_of(error_kind kind) -> int
 {
     switch (kind) {
@@ -38,16 +41,34 @@
     return {type, QByteArray::fromStdString(text), status};
 }
 
+/** Compares in a time that tells nothing of where they differ: the digests are compared whole. */
+auto are_equal(const QByteArray& left, const QByteArray& right) -> bool
+{
+    const auto one = QCryptographicHash::hash(left, QCryptographicHash::Sha256);
+    const auto other = QCryptographicHash::hash(right, QCryptographicHash::Sha256);
+    int difference = 0;
+    for (qsizetype index = 0; index < one.size(); ++index) {
+        difference |= one[index] ^ other[index];
+    }
+    return difference == 0;
+}
+
 } // namespace
 
 admin_server::admin_server(metrics_registry& metrics, std::string token,
-                           const std::function<bool()>& is_ready)
-    : server_(std::make_unique<QHttpServer>()), token_(std::move(token)),
+                           const std::function<bool()>& is_ready, admin_limits limits)
+    : listener_(std::make_unique<guarded_tcp_server>(metrics, limits)),
+      server_(std::make_unique<QHttpServer>()), token_(std::move(token)),
       unauthorized_(metrics.count("sycamorewinch_admin_unauthorized_total",
                                   "Operator requests without the right token."))
 {
+    metrics
+        .gauge("sycamorewinch_build_info", "Always 1; the release is in the label.",
+               {{"version", release_version}})
+        .set(1);
     const auto get = QHttpServerRequest::Method::Get;
-    handle(get, "/metrics", admin_access::anybody, [&metrics](const auto&) {
+    handle(get, "/metrics", admin_access::anybody, [this, &metrics](const auto&) {
+        refresh_();
         return text_answer("text/plain; version=0.0.4", metrics.prometheus_text());
     });
     handle(get, "/healthz", admin_access::anybody,
@@ -77,19 +98,27 @@
 
 auto admin_server::is_operator(const QHttpServerRequest& request) const -> bool
 {
-    const auto given = request.value("authorization").toStdString();
-    return token_.empty() || given == "Bearer " + token_;
+    return token_.empty() ||
+           are_equal(request.value("authorization"), QByteArray::fromStdString("Bearer " + token_));
 }
 
 auto admin_server::listen(const peer_address& address) -> result<void>
 {
     const QHostAddress host(QString::fromStdString(address.host_));
-    if (server_->listen(host, address.port_) == 0) {
-        return failure(error_kind::io, fmt::format("cannot listen on {}", to_text(address)));
+    if (!listener_->listen(host, address.port_)) {
+        return failure(error_kind::io, fmt::format("cannot listen on {}: {}", to_text(address),
+                                                   listener_->errorString().toStdString()));
     }
+    server_->bind(listener_.get());
+    listener_->setParent(nullptr); // Qt's server takes it as a child; it is owned here
     return {};
 }
 
+auto admin_server::port() const -> std::uint16_t
+{
+    return listener_->serverPort();
+}
+
 auto json_answer(const QJsonObject& body, int status) -> QHttpServerResponse
 {
     return {"application/json", QJsonDocument(body).toJson(QJsonDocument::Compact),
--- a/libs/daemon/admin_server.h
+++ b/libs/daemon/admin_server.h
@@ -12,6 +12,7 @@
 #include <QHttpServerResponse>
 #include <QJsonObject>
 
+#include "daemon/guarded_tcp_server.h"
 #include "observability/metrics.h"
 #include "transport/peer_connection.h"
 
@@ -35,7 +36,7 @@
   public:
     /** \p is_ready answers /readyz. An empty \p token opens the operators' paths. */
     admin_server(metrics_registry& metrics, std::string token,
-                 const std::function<bool()>& is_ready);
+                 const std::function<bool()>& is_ready, admin_limits limits = {});
     admin_server(const admin_server&) = delete;
     auto operator=(const admin_server&) -> admin_server& = delete;
     admin_server(admin_server&&) = delete;
@@ -46,14 +47,22 @@
     void handle(QHttpServerRequest::Method method, const std::string& path, admin_access access,
                 admin_handler handler);
 
+    /** Calls \p refresh before each answer of /metrics, for gauges that are read off elsewhere. */
+    void refresh_metrics_by(std::function<void()> refresh) { refresh_ = std::move(refresh); }
+
     /** Starts listening. */
     [[nodiscard]] auto listen(const peer_address& address) -> result<void>;
+    /** Returns the port it listens on; of use when it was asked for port 0. */
+    [[nodiscard]] auto port() const -> std::uint16_t;
 
   private:
     [[nodiscard]] auto is_operator(const QHttpServerRequest& request) const -> bool;
 
+    std::unique_ptr<guarded_tcp_server> listener_;
     std::unique_ptr<QHttpServer> server_;
     std::string token_;
+    std::function<void()> refresh_ = [] {
+    };
     counter& unauthorized_;
 };
 
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr auto tick_period = std::chrono::milliseconds(10);
+/** Operators send whole tables. */
+constexpr admin_limits operator_limits{.request_bytes_ = 8 * 1024 * 1024};
 constexpr auto proof_timeout = std::chrono::milliseconds(500);
 constexpr auto proof_retry_after = std::chrono::milliseconds(100);
 
@@ -25,8 +27,9 @@
   public:
     control_role(const daemon_settings& settings, const daemon_secrets& secrets)
         : settings_(settings), random_(system_random()),
-          admin_(metrics_, secrets.operator_token_,
-                 [this] { return !replica_->raft_state().leader().empty(); }),
+          admin_(
+              metrics_, secrets.operator_token_,
+              [this] { return !replica_->raft_state().leader().empty(); }, operator_limits),
           listener_(secrets.key_, metrics_),
           hub_(metrics_, {[this] { ask_for_proof(); },
                           [this](const auto& news) { tell_others(target_report{news}); },
@@ -112,6 +115,8 @@
         };
         hooks.on_table_ = [this](const table_pointer& table) {
             log_event(log_level::info, "table_accepted", {{"version", table->version_.number_}});
+            metrics_.gauge("sycamorewinch_table_version", "Number of the table version accepted.")
+                .set(table->version_.number_);
             hub_.logic().set_table(table);
             hub_.run();
         };
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -71,7 +71,10 @@
                      on_connected();
                  }}),
           version_(metrics_.gauge("sycamorewinch_table_version",
-                                  "Number of the table version in force."))
+                                  "Number of the table version in force.")),
+          last_proof_(metrics_.gauge("sycamorewinch_last_proof_timestamp_seconds",
+                                     "Unix time of the last proof of the current version; 0 before "
+                                     "the first."))
     {
         admin_.handle(QHttpServerRequest::Method::Post, "/v1/targets", admin_access::anybody,
                       [this](const auto& request) { return on_announce(request); });
@@ -79,6 +82,11 @@
             publish_local_targets();
             tell(changed);
         });
+        auto& in_flight = metrics_.gauge("sycamorewinch_calls_in_flight",
+                                         "Calls of callers and of other nodes being carried.");
+        admin_.refresh_metrics_by([this, &in_flight] {
+            in_flight.set(static_cast<std::uint64_t>(state_.calls_in_flight().load()));
+        });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_,
                          [this] { check_leases(); });
     }
@@ -188,6 +196,9 @@
 
     void on_output(const subscriber_output& output)
     {
+        if (output.proof_) {
+            last_proof_.set(static_cast<std::uint64_t>(QDateTime::currentSecsSinceEpoch()));
+        }
         for (const auto& record : output.targets_) {
             directory_.merge(record);
         }
@@ -223,6 +234,7 @@
     admin_server admin_;
     upstream_link link_;
     counter& version_;
+    counter& last_proof_;
     QTimer lease_timer_;
     QTimer shutdown_timer_;
     std::vector<std::unique_ptr<node_worker>> workers_;
--- /dev/null
+++ b/libs/daemon/test/correctness/operator_api.cpp
@@ -0,0 +1,124 @@
+#include <boost/test/unit_test.hpp>
+
+#include <QJsonDocument>
+
+#include "../test_http.h"
+#include "daemon/operator_api.h"
+#include "daemon/operator_json.h"
+#include "table/table_csv.h"
+
+using namespace sycamorewinch;
+using namespace sycamorewinch::testing;
+
+namespace {
+
+/** A lone replica that leads, behind its interface. The disk is memory. */
+class lone_replica {
+  public:
+    lone_replica()
+    {
+        need_event_loop();
+        raft_options options{.self_ = "a", .voters_ = {"a"}};
+        options.random_ = seeded_random(1);
+        control_hooks hooks;
+        hooks.save_vote_ = [](const auto&) {
+            return result<void>();
+        };
+        hooks.truncate_after_ = [](auto) {
+            return result<void>();
+        };
+        hooks.append_ = [](const auto&) {
+            return result<void>();
+        };
+        hooks.send_ = [](const auto&) {
+        };
+        hooks.on_table_ = [](const auto&) {
+        };
+        hooks.on_disk_failure_ = [](const auto&) {
+        };
+        replica_ = std::make_unique<control_replica>(
+            control_replica::create(options, {}, hooks, instant{}).value());
+        replica_->tick(instant{} + std::chrono::seconds(1));
+        server_ = std::make_unique<admin_server>(metrics_, "", [] { return true; });
+        add_operator_api(*server_, {[this]() -> control_replica& { return *replica_; },
+                                    [] { return std::vector<zone_progress>{}; },
+                                    [] {
+                                        return std::vector<target_record>{};
+                                    }});
+        BOOST_REQUIRE(server_->listen({"127.0.0.1", 0}).has_value());
+    }
+
+    /** Sends one request; returns the answer's status line and body. */
+    auto ask(const std::string& method_and_path, const std::string& body = {}) -> std::string
+    {
+        raw_caller caller(server_->port());
+        return caller.ask(method_and_path + " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+
+    auto accept(const std::string& edit_id, const table_version& base, const std::string& rows)
+        -> std::string
+    {
+        const std::string heading = "service,path_prefix,weights,rate,burst,concurrency,callers,"
+                                    "timeout_ms,retries,repeatable,depends_on\n";
+        const QJsonObject body{{"edit_id", to_json(edit_id)},
+                               {"operator", "ann"},
+                               {"base", to_json(base)},
+                               {"csv", to_json(heading + rows)}};
+        return ask("POST /v1/table/accept",
+                   QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString());
+    }
+
+    auto current() -> table_version { return replica_->state().current()->version_; }
+
+  private:
+    metrics_registry metrics_;
+    std::unique_ptr<control_replica> replica_;
+    std::unique_ptr<admin_server> server_;
+};
+
+auto has(const std::string& text, const std::string& part) -> bool
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_edit_is_accepted_once_however_often_it_is_sent)
+{
+    lone_replica system;
+    const auto base = system.current();
+    BOOST_TEST(has(system.accept("e1", base, "a,/a,,0,0,0,,1,0,no,\n"), " 200 "));
+    BOOST_TEST(has(system.accept("e1", base, "a,/a,,0,0,0,,1,0,no,\n"), " 200 "));
+    BOOST_TEST(system.current().number_ == 1);
+    BOOST_TEST(has(system.ask("GET /v1/table/history"), "\"edit_id\":\"e1\""));
+}
+
+BOOST_AUTO_TEST_CASE(the_same_number_with_another_digest_is_a_conflict)
+{
+    lone_replica system;
+    auto base = system.current();
+    base.digest_.low_ ^= 1U;
+    const auto answer = system.accept("e1", base, "a,/a,,0,0,0,,1,0,no,\n");
+    BOOST_TEST(has(answer, " 409 "));
+    BOOST_TEST(has(answer, "\"status\":\"conflict\""));
+    BOOST_TEST(system.current().number_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_bad_table_is_refused_with_row_and_column)
+{
+    lone_replica system;
+    BOOST_TEST(has(system.accept("e1", system.current(), "a,/a,,0,0,0,,1,0,no,b\n"),
+                   "a, column depends_on: 'b' is no service"));
+    BOOST_TEST(has(system.accept("e2", system.current(), "a,/a,,x,0,0,,1,0,no,\n"),
+                   "line 2, column rate"));
+    BOOST_TEST(system.current().number_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_are_no_edits_are_refused)
+{
+    lone_replica system;
+    BOOST_TEST(has(system.ask("POST /v1/table/accept", "[]"), " 400 "));
+    BOOST_TEST(has(system.ask("POST /v1/table/accept", "{\"edit_id\":\"\"}"), " 400 "));
+    BOOST_TEST(has(system.ask("GET /v1/nothing"), " 404 "));
+}
--- a/libs/request_path/node_state.cpp
+++ b/libs/request_path/node_state.cpp
@@ -2,20 +2,37 @@
 
 namespace sycamorewinch {
 
+call_metrics::call_metrics(metrics_registry& registry) : registry_(registry)
+{
+    // Every reason shows from the start, so that a rate over the counters has its zero.
+    for (std::size_t index = 0; index < refusal_reason_count; ++index) {
+        const auto reason = static_cast<refusal_reason>(index);
+        refusal_counter(reason, {});
+        retry_counter(reason, {});
+    }
+}
+
+auto call_metrics::refusal_counter(refusal_reason reason, std::string_view service) -> counter&
+{
+    return registry_.count("sycamorewinch_refusals_total", "Calls refused, by reason and service.",
+                           {{"reason", name_of(reason)}, {"service", service}});
+}
+
+auto call_metrics::retry_counter(refusal_reason reason, std::string_view service) -> counter&
+{
+    return registry_.count("sycamorewinch_retries_total",
+                           "Further attempts, by what ended the one before.",
+                           {{"reason", name_of(reason)}, {"service", service}});
+}
+
 void call_metrics::count_refusal(refusal_reason reason, std::string_view service)
 {
-    registry_
-        .count("sycamorewinch_refusals_total", "Calls refused, by reason and service.",
-               {{"reason", name_of(reason)}, {"service", service}})
-        .add();
+    refusal_counter(reason, service).add();
 }
 
 void call_metrics::count_retry(refusal_reason reason, std::string_view service)
 {
-    registry_
-        .count("sycamorewinch_retries_total", "Further attempts, by what ended the one before.",
-               {{"reason", name_of(reason)}, {"service", service}})
-        .add();
+    retry_counter(reason, service).add();
 }
 
 void call_metrics::record_call(std::string_view service, duration taken)
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -34,13 +34,16 @@
 /** Counts refusals by reason and service, and retries by reason. */
 class call_metrics {
   public:
-    explicit call_metrics(metrics_registry& registry) : registry_(registry) {}
+    explicit call_metrics(metrics_registry& registry);
 
     void count_refusal(refusal_reason reason, std::string_view service);
     void count_retry(refusal_reason reason, std::string_view service);
     void record_call(std::string_view service, duration taken);
 
   private:
+    auto refusal_counter(refusal_reason reason, std::string_view service) -> counter&;
+    auto retry_counter(refusal_reason reason, std::string_view service) -> counter&;
+
     metrics_registry& registry_;
 };
 
--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdlib>
+#include <set>
 #include <sstream>
 
 #include <QHostAddress>
@@ -80,9 +81,41 @@
     }
 }
 
+/** No two listening addresses may be one. */
+void check_listening(settings_reader& reader, const daemon_settings& settings)
+{
+    const auto peers = to_text(settings.listen_peers_);
+    const auto admin = to_text(settings.listen_admin_);
+    if (admin == peers) {
+        reader.refuse("listen-admin", admin, "listen-peers has the same address");
+    }
+    if (!settings.listen_callers_) {
+        return;
+    }
+    const auto callers = to_text(*settings.listen_callers_);
+    if (callers == peers || callers == admin) {
+        reader.refuse("listen-callers", callers,
+                      "listen-peers or listen-admin has the same address");
+    }
+}
+
+/** Each replica stands once in the list. */
+void check_peers(settings_reader& reader, const std::vector<control_peer>& peers)
+{
+    std::set<std::string> names;
+    std::set<std::string> addresses;
+    for (const auto& peer : peers) {
+        if (!names.insert(peer.name_).second || !addresses.insert(to_text(peer.address_)).second) {
+            reader.refuse("control-peers", fmt::format("{}={}", peer.name_, to_text(peer.address_)),
+                          "each name and each address stands once");
+        }
+    }
+}
+
 void read_control_settings(settings_reader& reader, daemon_settings& settings)
 {
     settings.control_peers_ = reader.peers("control-peers");
+    check_peers(reader, settings.control_peers_);
     settings.data_dir_ = reader.text("data-dir");
     if (std::ranges::find(settings.control_peers_, settings.name_, &control_peer::name_) ==
         settings.control_peers_.end()) {
@@ -132,6 +165,7 @@
         read_subscriber_settings(reader, settings);
     }
     check_loopback(reader, settings);
+    check_listening(reader, settings);
     if (reader.problem()) {
         return tl::unexpected(*reader.problem());
     }
@@ -178,6 +212,18 @@
     };
 }
 
+auto setting_variables() -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    const auto options = make_options();
+    for (const auto& option : options.options()) {
+        if (option->semantic()->max_tokens() > 0) {
+            names.push_back(variable_of(option->long_name()));
+        }
+    }
+    return names;
+}
+
 auto parse_daemon_settings(const std::vector<std::string>& arguments,
                            const environment_hook& environment) -> result<parsed_settings>
 {
@@ -185,7 +231,13 @@
     po::variables_map values;
     try {
         const po::positional_options_description none;
-        po::store(po::command_line_parser(arguments).options(options).positional(none).run(),
+        constexpr int whole_names_only = static_cast<int>(po::command_line_style::unix_style) &
+                                         ~static_cast<int>(po::command_line_style::allow_guessing);
+        po::store(po::command_line_parser(arguments)
+                      .options(options)
+                      .positional(none)
+                      .style(whole_names_only)
+                      .run(),
                   values);
         store_environment(options, environment, values); // what is stored first wins
     }
--- a/libs/settings/daemon_settings.h
+++ b/libs/settings/daemon_settings.h
@@ -61,6 +61,9 @@
 /** Reads the process's environment. */
 [[nodiscard]] auto process_environment() -> environment_hook;
 
+/** Returns the names of the environment variables that are settings of the daemon. */
+[[nodiscard]] auto setting_variables() -> std::vector<std::string>;
+
 /** Reads and checks the settings. */
 [[nodiscard]] auto parse_daemon_settings(const std::vector<std::string>& arguments,
                                          const environment_hook& environment)
--- a/libs/settings/settings_reader.cpp
+++ b/libs/settings/settings_reader.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings_reader.h"
 
+#include <algorithm>
 #include <charconv>
 #include <sstream>
 
@@ -48,6 +49,13 @@
     if (value.size() > max_name_length) {
         refuse(setting, value, fmt::format("a name has {} bytes at most", max_name_length));
     }
+    const auto fits = [](char letter) {
+        return letter > ' ' && letter <= '~' && letter != ';' && letter != '=' && letter != ',' &&
+               letter != '"';
+    };
+    if (!std::ranges::all_of(value, fits)) {
+        refuse(setting, value, "ASCII letters, digits and signs other than ; = , \"");
+    }
     return value;
 }
 
--- a/libs/settings/test/error/wrong_settings.cpp
+++ b/libs/settings/test/error/wrong_settings.cpp
@@ -55,6 +55,10 @@
                "loopback address");
     BOOST_TEST(message_with("--frobnicate=1").find("frobnicate") != std::string::npos);
     BOOST_TEST(message_with("--upstreams=").find("upstreams") != std::string::npos);
+    BOOST_TEST(message_with("--zone=a;b").find("setting zone: 'a;b'") == 0);
+    BOOST_TEST(message_with("--listen-admin=127.0.0.1:7001").find("setting listen-admin") == 0);
+    BOOST_TEST(message_with("--listen-callers=127.0.0.1:7003").find("setting listen-callers") == 0);
+    BOOST_TEST(message_with("--work=2").find("--work") != std::string::npos); // no abbreviations
 }
 
 BOOST_AUTO_TEST_CASE(a_flag_wins_over_the_environment)
--- a/libs/table/table_check.cpp
+++ b/libs/table/table_check.cpp
@@ -1,9 +1,9 @@
 #include "table/table_check.h"
 
 #include <algorithm>
-#include <functional>
 #include <map>
 #include <set>
+#include <utility>
 
 #include <fmt/core.h>
 
@@ -18,6 +18,78 @@
 constexpr std::uint32_t max_retries = 10;
 constexpr std::chrono::milliseconds max_timeout{600'000};
 
+constexpr std::size_t max_findings = 256;
+
+auto is_printable_ascii(char letter) -> bool
+{
+    return letter >= ' ' && letter <= '~';
+}
+
+/** Returns \p text with what cannot be shown on one line as '?'. */
+auto printable(std::string_view text) -> std::string
+{
+    std::string shown(text.substr(0, max_name_bytes));
+    std::ranges::replace_if(
+        shown, [](char letter) { return !is_printable_ascii(letter); }, '?');
+    return shown;
+}
+
+/** Returns what is wrong with the name of a service, target, zone or caller; empty: nothing. */
+auto name_problem(std::string_view name) -> std::string_view
+{
+    if (name.empty()) {
+        return "is empty; a name is needed";
+    }
+    if (name.size() > max_name_bytes) {
+        return "is longer than 64 bytes";
+    }
+    if (!std::ranges::all_of(name, is_printable_ascii)) {
+        return "holds a control character or a letter outside ASCII";
+    }
+    if (name.front() == ' ' || name.back() == ' ') {
+        return "starts or ends with a space";
+    }
+    if (name.find_first_of(";=,\"") != std::string_view::npos) {
+        return "holds one of ; = , \" that separate the items of a list";
+    }
+    return {};
+}
+
+auto has_dot_segment(std::string_view path) -> bool
+{
+    while (!path.empty()) {
+        const auto end = path.find('/');
+        const auto segment = path.substr(0, end);
+        if (segment == "." || segment == "..") {
+            return true;
+        }
+        path = end == std::string_view::npos ? std::string_view() : path.substr(end + 1);
+    }
+    return false;
+}
+
+/** Returns what is wrong with a path prefix; empty: nothing. */
+auto path_problem(std::string_view path) -> std::string_view
+{
+    if (!path.starts_with('/')) {
+        return "is no path prefix: one starts with '/'";
+    }
+    if (path.size() > max_path_bytes) {
+        return "is longer than 256 bytes";
+    }
+    if (!std::ranges::all_of(path, is_printable_ascii) ||
+        path.find_first_of(" ?#\"") != std::string_view::npos) {
+        return "holds a space, '?', '#', a quote, a control character or a letter outside ASCII";
+    }
+    if (path.size() > 1 && path.ends_with('/')) {
+        return "ends with '/'; leave that out";
+    }
+    if (path.find("//") != std::string_view::npos || has_dot_segment(path)) {
+        return "holds '//', '.' or '..', which no call's path has";
+    }
+    return {};
+}
+
 /** Walks one table and notes what is wrong. */
 class checker {
   public:
@@ -42,19 +114,27 @@
   private:
     void note(const std::string& service, table_column column, std::string message)
     {
-        findings_.push_back({service, column, std::move(message)});
+        if (findings_.size() < max_findings) {
+            findings_.push_back({service, column, std::move(message)});
+        }
     }
 
-    void check_names(const row& value)
+    void check_name(const row& value, table_column column, std::string_view name)
     {
-        if (value.service_.empty()) {
-            note(value.service_, table_column::service, "a service needs a name");
+        if (const auto problem = name_problem(name); !problem.empty()) {
+            note(value.service_, column, fmt::format("'{}' {}", printable(name), problem));
         }
+    }
+
+    void check_names(const row& value)
+    {
+        check_name(value, table_column::service, value.service_);
         if (!services_.insert(value.service_).second) {
             note(value.service_, table_column::service, "the service has two rows; keep one");
         }
-        if (!value.path_prefix_.starts_with('/')) {
-            note(value.service_, table_column::path_prefix, "a path prefix starts with '/'");
+        if (const auto problem = path_problem(value.path_prefix_); !problem.empty()) {
+            note(value.service_, table_column::path_prefix,
+                 fmt::format("'{}' {}", printable(value.path_prefix_), problem));
         }
         if (!prefixes_.insert(value.path_prefix_).second) {
             note(value.service_, table_column::path_prefix, "another service has this path prefix");
@@ -64,16 +144,17 @@
     void check_weights(const row& value)
     {
         std::uint64_t sum = 0;
-        std::set<std::string> names;
+        std::set<std::pair<weight_scope, std::string>> names;
         for (const auto& weight : value.weights_) {
+            check_name(value, table_column::weights, weight.name_);
             sum += weight.weight_;
             if (weight.weight_ > max_weight) {
                 note(value.service_, table_column::weights,
                      fmt::format("a weight is {} at most", max_weight));
             }
-            if (weight.name_.empty() || !names.insert(weight.name_).second) {
+            if (!names.emplace(weight.scope_, weight.name_).second) {
                 note(value.service_, table_column::weights,
-                     fmt::format("'{}' is empty or stands twice", weight.name_));
+                     fmt::format("'{}' stands twice", printable(weight.name_)));
             }
         }
         if (!value.weights_.empty() && sum == 0) {
@@ -98,10 +179,11 @@
         check_limit(value, value.default_limit_, table_column::rate);
         std::set<std::string> callers;
         for (const auto& named : value.named_limits_) {
+            check_name(value, table_column::callers, named.caller_);
             check_limit(value, named.limit_, table_column::callers);
             if (!callers.insert(named.caller_).second) {
                 note(value.service_, table_column::callers,
-                     fmt::format("caller '{}' stands twice", named.caller_));
+                     fmt::format("caller '{}' stands twice", printable(named.caller_)));
             }
         }
     }
@@ -125,42 +207,66 @@
             by_service[row.service_] = &row;
         }
         for (const auto& row : rows_) {
+            std::set<std::string> seen;
             for (const auto& needed : row.depends_on_) {
                 if (!by_service.contains(needed)) {
                     note(row.service_, table_column::depends_on,
-                         fmt::format("'{}' is no service of this table", needed));
+                         fmt::format("'{}' is no service of this table", printable(needed)));
+                }
+                if (!seen.insert(needed).second) {
+                    note(row.service_, table_column::depends_on,
+                         fmt::format("'{}' stands twice", printable(needed)));
                 }
             }
         }
         find_cycles(by_service);
     }
 
-    // Depth-first search: a service met again while it is still being visited closes a cycle.
+    enum class mark : std::uint8_t { unseen, open, done };
+
+    /** A row on the path of the search, and how many of its dependencies are looked at. */
+    struct step {
+        const row* row_ = nullptr;
+        std::size_t next_ = 0;
+    };
+
+    // Depth-first search: a service met again while it is still open closes a cycle. The path is
+    // kept here and not on the call stack, since a table's chain may be as long as the table.
     void find_cycles(const std::map<std::string, const row*>& by_service)
     {
-        enum class mark : std::uint8_t { unseen, open, done };
         std::map<std::string, mark> marks;
-        const std::function<void(const row&)> visit = [&](const row& value) {
-            marks[value.service_] = mark::open;
-            for (const auto& needed : value.depends_on_) {
-                const auto next = by_service.find(needed);
-                if (next == by_service.end()) {
-                    continue;
-                }
-                if (marks[needed] == mark::open) {
-                    note(value.service_, table_column::depends_on,
-                         fmt::format("depending on '{}' closes a cycle", needed));
-                }
-                else if (marks[needed] == mark::unseen) {
-                    visit(*next->second);
-                }
-            }
-            marks[value.service_] = mark::done;
-        };
         for (const auto& row : rows_) {
             if (marks[row.service_] == mark::unseen) {
-                visit(row);
+                search_from(row, by_service, marks);
+            }
+        }
+    }
+
+    void search_from(const row& start, const std::map<std::string, const row*>& by_service,
+                     std::map<std::string, mark>& marks)
+    {
+        std::vector<step> path{{&start}};
+        marks[start.service_] = mark::open;
+        while (!path.empty()) {
+            auto& here = path.back();
+            const auto& value = *here.row_;
+            if (here.next_ == value.depends_on_.size()) {
+                marks[value.service_] = mark::done;
+                path.pop_back();
+                continue;
+            }
+            const auto& needed = value.depends_on_[here.next_++];
+            const auto next = by_service.find(needed);
+            if (next == by_service.end() || marks[needed] == mark::done) {
+                continue;
+            }
+            if (marks[needed] == mark::open) {
+                note(value.service_, table_column::depends_on,
+                     fmt::format("depending on '{}' closes a cycle", printable(needed)));
+                continue;
             }
+            marks[needed] = mark::open;
+            path.push_back({next->second});
         }
     }
 
--- a/libs/table/table_csv.cpp
+++ b/libs/table/table_csv.cpp
@@ -20,6 +20,7 @@
     {"service", "path_prefix", "weights", "rate", "burst", "concurrency", "callers", "timeout_ms",
      "retries", "repeatable", "depends_on"}};
 
+constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
 constexpr std::size_t max_csv_bytes = 16U * 1024 * 1024;
 
 auto split(std::string_view text, char separator) -> std::vector<std::string_view>
@@ -207,6 +208,11 @@
 
     void end_heading()
     {
+        if (cells_.size() == 1 && cells_.front().find_first_of(";\t") != std::string::npos) {
+            refuse("heading", "the cells are separated by semicolons or tabs; save the file as CSV "
+                              "with commas");
+            return;
+        }
         for (const auto& cell : cells_) {
             const auto column = parse_table_column(cell);
             if (!column) {
@@ -226,6 +232,9 @@
 
     void end_row()
     {
+        if (std::ranges::all_of(cells_, &std::string::empty)) {
+            return; // spreadsheets leave such rows at the end
+        }
         if (cells_.size() != columns_.size()) {
             refuse("row", fmt::format("has {} cells and needs {}", cells_.size(), columns_.size()));
             return;
@@ -357,6 +366,9 @@
         return failure(error_kind::too_large,
                        fmt::format("the table may have {} bytes at most", max_csv_bytes));
     }
+    if (text.starts_with(byte_order_mark)) {
+        text.remove_prefix(byte_order_mark.size()); // spreadsheets put it first
+    }
     csv_parser parser{};
     csv_init(&parser, CSV_STRICT | CSV_STRICT_FINI);
     csv_collector collector;
--- /dev/null
+++ b/libs/table/test/correctness/table_cells.cpp
@@ -0,0 +1,57 @@
+#include <boost/test/unit_test.hpp>
+
+#include "table/table_cells.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+auto row_of(const std::string& service, std::uint32_t rate, std::uint32_t retries) -> row
+{
+    row one{.service_ = service, .path_prefix_ = "/" + service};
+    one.default_limit_.requests_per_second_ = rate;
+    one.retries_ = retries;
+    return one;
+}
+
+const auto base = make_table(1, {row_of("a", 1, 1), row_of("b", 1, 1)});
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_difference_is_shown_cell_by_cell)
+{
+    const auto changed = changed_cells(base, make_table(2, {row_of("a", 5, 1)}));
+    BOOST_REQUIRE(changed.size() == 2);
+    BOOST_TEST((changed[0] == cell_change{"a", table_column::rate, "1", "5"}));
+    BOOST_TEST((changed[1] == cell_change{"b", table_column::service, "b", ""}));
+}
+
+BOOST_AUTO_TEST_CASE(edits_of_different_cells_merge)
+{
+    const auto theirs = make_table(2, {row_of("a", 5, 1), row_of("b", 1, 1), row_of("c", 1, 1)});
+    const auto mine = make_table(0, {row_of("a", 1, 3)});
+    const auto merged = merge_tables(base, theirs, mine);
+    BOOST_TEST(merged.conflicts_.empty());
+    BOOST_TEST((merged.rows_ == std::vector{row_of("a", 5, 3), row_of("c", 1, 1)}));
+}
+
+BOOST_AUTO_TEST_CASE(edits_of_one_cell_conflict_and_mine_is_kept)
+{
+    const auto theirs = make_table(2, {row_of("a", 5, 1), row_of("b", 1, 1)});
+    const auto mine = make_table(0, {row_of("a", 7, 1), row_of("b", 1, 1)});
+    const auto merged = merge_tables(base, theirs, mine);
+    BOOST_REQUIRE(merged.conflicts_.size() == 1);
+    BOOST_TEST(
+        (merged.conflicts_.front() == merge_conflict{"a", table_column::rate, "1", "5", "7"}));
+    BOOST_TEST((merged.rows_.front() == row_of("a", 7, 1)));
+}
+
+BOOST_AUTO_TEST_CASE(a_removed_row_conflicts_with_a_changed_one)
+{
+    const auto theirs = make_table(2, {row_of("a", 5, 1), row_of("b", 1, 1)});
+    const auto mine = make_table(0, {row_of("b", 1, 1)});
+    const auto merged = merge_tables(base, theirs, mine);
+    BOOST_REQUIRE(merged.conflicts_.size() == 1);
+    BOOST_TEST((merged.conflicts_.front().column_ == table_column::service));
+    BOOST_TEST(merged.conflicts_.front().mine_.empty());
+}
--- a/libs/table/test/error/table_errors.cpp
+++ b/libs/table/test/error/table_errors.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "table/table_check.h"
@@ -56,3 +58,70 @@
     BOOST_TEST(has(first_finding("a,/a,,0,0,0,,0,0,no,\n"), "a timeout is from"));
     BOOST_TEST(has(first_finding("a,/a,,0,0,0,,1,0,no,\na,/b,,0,0,0,,1,0,no,\n"), "two rows"));
 }
+
+BOOST_AUTO_TEST_CASE(names_hold_no_separators_and_no_control_characters)
+{
+    BOOST_TEST(has(first_finding("\"a=b\",/a,,0,0,0,,1,0,no,\n"), "that separate"));
+    BOOST_TEST(has(first_finding("a\x01,/a,,0,0,0,,1,0,no,\n"), "'a?' holds a control"));
+    BOOST_TEST(has(first_finding("\xc3\xa4,/a,,0,0,0,,1,0,no,\n"), "outside ASCII"));
+    BOOST_TEST(has(first_finding("a,/a,zone:=1,0,0,0,,1,0,no,\n"), "a name is needed"));
+    BOOST_TEST(has(first_finding("a,/a,,0,0,0,\" x=1/1/1\",1,0,no,\n"), "with a space"));
+    BOOST_TEST(has(first_finding("a,/a,,0,0,0,x=1/1/1;x=2/2/2,1,0,no,\n"), "stands twice"));
+}
+
+BOOST_AUTO_TEST_CASE(a_zone_and_a_target_may_share_a_name)
+{
+    BOOST_TEST(first_finding("a,/a,zone:x=1;target:x=1,0,0,0,,1,0,no,\n") == "accepted");
+    BOOST_TEST(has(first_finding("a,/a,zone:x=1;zone:x=1,0,0,0,,1,0,no,\n"), "stands twice"));
+}
+
+BOOST_AUTO_TEST_CASE(path_prefixes_have_one_form)
+{
+    for (const std::string path : {"a", "/a/", "//a", "/a/../b", "/.", "/a?b", "/a#b", "/a b"}) {
+        BOOST_TEST(first_finding("a," + path + ",,0,0,0,,1,0,no,\n") != "accepted");
+    }
+    for (const std::string path : {"/", "/a", "/a/b.c", "/a..b", "/a%20b"}) {
+        BOOST_TEST(first_finding("a," + path + ",,0,0,0,,1,0,no,\n") == "accepted");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(absurd_numbers_are_refused)
+{
+    BOOST_TEST(has(first_finding("a,/a,,10000001,1,0,,1,0,no,\n"), "at most"));
+    BOOST_TEST(has(first_finding("a,/a,zone:x=1000001,0,0,0,,1,0,no,\n"), "at most"));
+    BOOST_TEST(has(first_finding("a,/a,,0,0,0,,600001,0,no,\n"), "a timeout is from"));
+    BOOST_TEST(has(first_finding("a,/a,,0,0,0,,1,11,no,\n"), "10 retries at most"));
+    BOOST_TEST(has(message_of("a,/a,,99999999999,0,0,,1,0,no,\n"), "no whole number"));
+}
+
+BOOST_AUTO_TEST_CASE(what_spreadsheets_do_to_a_file)
+{
+    const auto lines = heading + "a,/a,,0,0,0,,1,0,no,\n";
+    BOOST_TEST(read_csv("\xEF\xBB\xBF" + lines)->size() == 1);
+    BOOST_TEST(read_csv(lines + ",,,,,,,,,,\n")->size() == 1);
+    auto windows = lines;
+    for (std::size_t at = 0; (at = windows.find('\n', at)) != std::string::npos; at += 2) {
+        windows.insert(at, "\r");
+    }
+    BOOST_TEST(read_csv(windows)->size() == 1);
+    auto semicolons = lines;
+    std::ranges::replace(semicolons, ',', ';');
+    BOOST_TEST(has(read_csv(semicolons).error().message_, "separated by semicolons"));
+    BOOST_TEST(read_csv(heading + "a,/a,\"zone:x=1;zone:y=2\",0,0,0,,1,0,no,\n")
+                   ->front()
+                   .weights_.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_chain_as_long_as_the_table_is_checked)
+{
+    constexpr int services = 20'000;
+    std::string rows;
+    for (int index = 0; index < services; ++index) {
+        const auto name = std::to_string(index);
+        const auto next = index + 1 < services ? "s" + std::to_string(index + 1) : std::string();
+        rows += "s" + name + ",/" + name + ",,0,0,0,,1,0,no," + next + "\n";
+    }
+    BOOST_TEST(first_finding(rows) == "accepted");
+    rows.insert(rows.size() - 1, "s0");
+    BOOST_TEST(has(first_finding(rows), "closes a cycle"));
+}
