--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -9,6 +9,7 @@
 #include "daemon/operator_api.h"
 #include "daemon/peer_listener.h"
 #include "daemon/replica_links.h"
+#include "daemon/run_leader.h"
 #include "observability/log.h"
 #include "storage/replica_store.h"
 
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr auto tick_period = std::chrono::milliseconds(10);
+/** Operators send whole tables. */
+constexpr admin_limits operator_limits{.request_bytes_ = 8 * 1024 * 1024};
 constexpr auto proof_timeout = std::chrono::milliseconds(500);
 constexpr auto proof_retry_after = std::chrono::milliseconds(100);
 
@@ -25,8 +28,9 @@
   public:
     control_role(const daemon_settings& settings, const daemon_secrets& secrets)
         : settings_(settings), random_(system_random()),
-          admin_(metrics_, secrets.operator_token_,
-                 [this] { return !replica_->raft_state().leader().empty(); }),
+          admin_(
+              metrics_, secrets.operator_token_,
+              [this] { return !replica_->raft_state().leader().empty(); }, operator_limits),
           listener_(secrets.key_, metrics_),
           hub_(metrics_, {[this] { ask_for_proof(); },
                           [this](const auto& news) { tell_others(target_report{news}); },
@@ -36,13 +40,21 @@
           links_(settings.name_, settings.control_peers_, secrets.key_,
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
                   [this](const auto& from, const auto& message) { on_peer(from, message); },
-                  [this](const auto& to) {
-                      on_peer_connected(to);
-                  }})
+                  [this](const auto& to) { on_peer_connected(to); },
+                  [this](const auto& from, auto bytes) {
+                      runs_.receive(from, bytes);
+                  }}),
+          runs_(metrics_, {[this]() -> control_replica& { return *replica_; },
+                           [this](const auto& to, auto bytes) {
+                               links_.send_runs(to, bytes);
+                           }})
     {
         listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
             return hub_.accept(connection, stream);
         });
+        listener_.handle(runs_path, [this](const auto& connection, auto stream) {
+            return runs_.accept(connection, stream);
+        });
         listener_.handle(replica_path, [this](const auto& connection, auto stream) {
             return links_.accept(connection, stream);
         });
@@ -112,6 +124,8 @@
         };
         hooks.on_table_ = [this](const table_pointer& table) {
             log_event(log_level::info, "table_accepted", {{"version", table->version_.number_}});
+            metrics_.gauge("sycamorewinch_table_version", "Number of the table version accepted.")
+                .set(table->version_.number_);
             hub_.logic().set_table(table);
             hub_.run();
         };
@@ -223,6 +237,7 @@
     peer_listener listener_;
     hub_server hub_;
     replica_links links_;
+    run_leader runs_;
     std::optional<replica_store> store_;
     std::optional<control_replica> replica_;
     std::map<std::string, std::vector<zone_progress>> others_progress_;
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -1,14 +1,23 @@
 #include "daemon/daemon_role.h"
 
+#include <QTimer>
+
 #include "daemon/admin_server.h"
 #include "daemon/hub_server.h"
 #include "daemon/peer_listener.h"
+#include "daemon/run_channels.h"
 #include "daemon/upstream_link.h"
 
 namespace sycamorewinch {
 
 namespace {
 
+/** Shorter than a node's, so that a relay has changed upstream before its nodes leave it. */
+constexpr duration relay_proof_timeout = std::chrono::seconds(4);
+
+/** At most one report of progress goes upwards in this time. */
+constexpr auto progress_period = std::chrono::milliseconds(50);
+
 /** A relay: a subscriber upwards, a hub downwards. */
 class relay_role {
   public:
@@ -18,18 +27,36 @@
           hub_(metrics_,
                {[this] { ask_for_proof(); }, [this](const auto& news) { report_targets(news); },
                 [this] {
-                    report_progress();
+                    report_progress_soon();
                 }}),
           link_(settings.upstreams_, secrets.key_,
-                {settings.name_, settings.availability_zone_, true, system_random()}, metrics_,
+                {settings.name_, settings.availability_zone_, true, system_random(),
+                 std::chrono::seconds(1), relay_proof_timeout},
+                metrics_,
                 {[this](const auto& output) { on_output(output); },
                  [this] {
                      on_connected();
-                 }})
+                 }}),
+          runs_(metrics_, [this] { pass_runs_on(); }),
+          runs_up_({[] {},
+                    [this] {
+                        runs_.logic().on_upstream_lost();
+                        runs_.answer();
+                    },
+                    [this](const auto& results) {
+                        runs_.logic().on_results(results);
+                        runs_.answer();
+                    }})
     {
+        listener_.handle(runs_path, [this](const auto& connection, auto stream) {
+            return runs_.accept(connection, stream);
+        });
         listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
             return hub_.accept(connection, stream);
         });
+        progress_timer_.setSingleShot(true);
+        QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
+                         [this] { report_progress(); });
     }
 
     auto start(const daemon_settings& settings) -> result<void>
@@ -47,10 +74,21 @@
   private:
     void on_connected()
     {
+        runs_up_.open(link_.connection());
         link_.logic().report_targets(hub_.logic().targets().records());
         link_.logic().report_progress(hub_.logic().progress());
     }
 
+    void pass_runs_on()
+    {
+        if (runs_up_.is_open()) {
+            runs_up_.send(runs_.logic().take_upward());
+            return;
+        }
+        runs_.logic().on_upstream_lost();
+        runs_.answer();
+    }
+
     void ask_for_proof()
     {
         link_.logic().request_proof();
@@ -63,6 +101,13 @@
         link_.run();
     }
 
+    void report_progress_soon()
+    {
+        if (!progress_timer_.isActive()) {
+            progress_timer_.start(progress_period);
+        }
+    }
+
     void report_progress()
     {
         link_.logic().report_progress(hub_.logic().progress());
@@ -91,6 +136,9 @@
     peer_listener listener_;
     hub_server hub_;
     upstream_link link_;
+    QTimer progress_timer_;
+    run_server runs_;
+    run_uplink runs_up_;
 };
 
 } // namespace
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -37,6 +37,9 @@
     /** Carries out what the subscriber wants. */
     void run();
 
+    /** Returns the connection to the upstream, for further channels; ask in on_connected_. */
+    [[nodiscard]] auto connection() const -> h2_connection& { return client_->connection(); }
+
     [[nodiscard]] auto is_connected() const -> bool { return channel_ && channel_->is_open(); }
 
   private:
@@ -44,6 +47,7 @@
     void open_channel();
     void on_message(std::string_view bytes);
     void on_lost(std::string_view reason);
+    void tick();
 
     std::vector<peer_address> upstreams_;
     cluster_key key_;
@@ -53,9 +57,13 @@
     std::shared_ptr<peer_client> client_;
     std::shared_ptr<message_channel> channel_;
     QTimer retry_;
+    QTimer ticker_;
+    instant dialled_at_{};
     std::size_t current_ = 0;
     unsigned failures_ = 0;
     counter& lost_;
+    counter& stale_;
+    counter& proof_age_;
     counter& bytes_received_;
 };
 
