--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr enum_names<raft_role, 4> role_names{{"follower", "pre_candidate", "candidate", "leader"}};
-constexpr std::uint64_t entries_kept_behind_snapshot = 1024;
 
 } // namespace
 
@@ -166,8 +165,8 @@
     invariant(snapshot->index_ <= commit_, "snapshot at {} is ahead of commit {}", snapshot->index_,
               commit_);
     snapshot_ = std::move(snapshot);
-    if (snapshot_->index_ > log_.base_index() + entries_kept_behind_snapshot) {
-        log_.drop_through(snapshot_->index_ - entries_kept_behind_snapshot);
+    if (snapshot_->index_ > log_.base_index() + options_.entries_kept_) {
+        log_.drop_through(snapshot_->index_ - options_.entries_kept_);
     }
 }
 
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -48,6 +48,8 @@
     duration heartbeat_ = std::chrono::milliseconds(50);
     duration lease_ = std::chrono::milliseconds(300); ///< Also the shortest election timeout.
     random_hook random_;
+    /** Entries kept in memory behind a snapshot, for replicas that are a little behind. */
+    std::uint64_t entries_kept_ = 1024;
 };
 
 /** What a replica currently is. */
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "consensus/raft.h"
-#include "control/replicated_state.h"
+#include "control/control_snapshot.h"
 #include "run_record/run_records.h"
 
 namespace sycamorewinch {
@@ -24,11 +24,19 @@
     std::function<result<void>(std::uint64_t index)> truncate_after_;
     /** Makes entries durable. */
     std::function<result<void>(const std::vector<log_entry>& entries)> append_;
+    /** Makes a snapshot and the entries behind it durable, in place of what is stored. */
+    std::function<result<void>(const log_snapshot& snapshot, const std::vector<log_entry>& entries)>
+        switch_to_;
+    /** Reads the disk again after a failed write and makes what it holds durable. Empty: a failed
+     * write ends the replica's part for good. */
+    std::function<result<durable_state>()> reload_;
+    /** Returns whether the disk has room for new entries; may be empty. */
+    std::function<bool()> has_room_;
     /** Sends a message to another replica. */
     std::function<void(const raft_message& message)> send_;
     /** A newer table was accepted. */
     std::function<void(const table_pointer& table)> on_table_;
-    /** The disk failed; the replica has stopped taking part. */
+    /** A write failed; the replica takes no part until the disk is read again. */
     std::function<void(const error& problem)> on_disk_failure_;
     /** Asks for flush() soon, so that what arrives until then shares one sync. Empty: no waiting.
      */
@@ -37,6 +45,9 @@
     std::function<void(const log_entry& entry)> on_committed_;
     /** What the replicated state remembers; the same on every replica. */
     state_limits limits_;
+    /** A snapshot replaces the log when it has grown by this much, and by the last snapshot's size.
+     */
+    std::size_t snapshot_after_bytes_ = 4U * 1024 * 1024;
 };
 
 /** Receives the outcome of an accept command, or why it is not known. */
@@ -71,20 +82,29 @@
     void prove_current(proof_callback callback, instant now);
 
     [[nodiscard]] auto raft_state() const -> const raft& { return raft_; }
-    [[nodiscard]] auto state() const -> const replicated_state& { return state_; }
-    [[nodiscard]] auto runs() const -> const run_records& { return runs_; }
-    /** Returns whether a write failed; the replica then takes no further part. */
+    [[nodiscard]] auto state() const -> const replicated_state& { return state_.tables_; }
+    [[nodiscard]] auto runs() const -> const run_records& { return state_.runs_; }
+    /** Returns how many snapshots this replica made, and how many it received. */
+    [[nodiscard]] auto snapshots_made() const -> std::uint64_t { return snapshots_made_; }
+    [[nodiscard]] auto snapshots_installed() const -> std::uint64_t { return snapshots_installed_; }
+    /** Returns whether a write failed and the disk was not read again yet. */
     [[nodiscard]] auto disk_failed() const -> bool { return disk_failed_; }
 
   private:
     control_replica(raft replica, control_hooks hooks)
-        : raft_(std::move(replica)), hooks_(std::move(hooks)), state_(hooks_.limits_)
+        : raft_(std::move(replica)),
+          hooks_(std::move(hooks)), state_{replicated_state(hooks_.limits_), run_records()}
     {
     }
 
     void flush_soon();
     void run_output();
     [[nodiscard]] auto persist(const raft_output& output) -> result<void>;
+    void on_disk_failure(const error& problem);
+    void try_reload(instant now);
+    [[nodiscard]] auto check_can_propose() const -> result<void>;
+    [[nodiscard]] auto restore(const log_snapshot& snapshot) -> result<void>;
+    void make_snapshot();
     void apply(const log_entry& entry);
     void apply_accept(const log_entry& entry, const std::string& body);
     void apply_run_batch(const log_entry& entry, const std::string& body);
@@ -103,13 +123,19 @@
 
     raft raft_;
     control_hooks hooks_;
-    replicated_state state_;
-    run_records runs_;
+    control_state state_;
+    std::uint64_t applied_index_ = 0;
+    std::size_t bytes_since_snapshot_ = 0;
+    std::size_t snapshot_bytes_ = 0;
+    std::uint64_t snapshots_made_ = 0;
+    std::uint64_t snapshots_installed_ = 0;
     std::map<std::uint64_t, waiting_accept> accepts_;   ///< By log index.
     std::map<std::uint64_t, waiting_runs> run_batches_; ///< By log index.
     std::map<std::uint64_t, proof_callback> proofs_;    ///< By read token.
     std::uint64_t next_token_ = 1;
     bool disk_failed_ = false;
+    instant reload_due_{};
+    instant now_{}; ///< As last passed in.
     bool flush_is_due_ = false;
 };
 
--- a/libs/control/replicated_state.cpp
+++ b/libs/control/replicated_state.cpp
@@ -2,6 +2,9 @@
 
 #include <fmt/core.h>
 
+#include "codec/cbor_reader.h"
+#include "codec/cbor_writer.h"
+#include "table/row_codec.h"
 #include "table/table_check.h"
 
 namespace sycamorewinch {
@@ -9,6 +12,32 @@
 namespace {
 
 constexpr std::size_t max_conflict_cells = 256;
+constexpr std::size_t max_list_entries = 1'000'000;
+constexpr std::size_t max_outcome_bytes = 64U * 1024 * 1024;
+
+void write_version(cbor_writer& writer, const table_version& version)
+{
+    writer.number(version.number_).digest_value(version.digest_);
+}
+
+auto read_version(cbor_reader& reader) -> table_version
+{
+    table_version version;
+    version.number_ = reader.number();
+    version.digest_ = reader.digest_value();
+    return version;
+}
+
+auto read_history_entry(cbor_reader& reader) -> history_entry
+{
+    history_entry entry;
+    reader.array(5);
+    entry.version_ = read_version(reader);
+    entry.operator_ = reader.text(max_name_bytes);
+    entry.edit_id_ = reader.text(max_name_bytes);
+    entry.rows_changed_ = reader.number();
+    return entry;
+}
 
 /** Returns the cells in which \p proposed differs from \p current. */
 void compare_rows(const row* current, const row& proposed, std::vector<cell_conflict>& cells)
@@ -102,4 +131,62 @@
     return found->second;
 }
 
+auto replicated_state::encode() const -> std::string
+{
+    cbor_writer writer;
+    writer.array(4);
+    write_version(writer.array(2), current_->version_);
+    writer.array(current_->rows_.size());
+    for (const auto& row : current_->rows_) {
+        write_row(writer, row);
+    }
+    writer.array(outcome_order_.size());
+    for (const auto& edit_id : outcome_order_) {
+        writer.array(2).text(edit_id).bytes(encode_outcome(outcomes_.at(edit_id)));
+    }
+    writer.array(history_.size());
+    for (const auto& entry : history_) {
+        write_version(writer.array(5), entry.version_);
+        writer.text(entry.operator_).text(entry.edit_id_).number(entry.rows_changed_);
+    }
+    return writer.take();
+}
+
+auto replicated_state::decode(std::string_view bytes, state_limits limits)
+    -> result<replicated_state>
+{
+    replicated_state state(limits);
+    cbor_reader reader(bytes);
+    reader.array(4);
+    reader.array(2);
+    const auto version = read_version(reader);
+    std::vector<row> rows;
+    for (auto left = reader.list(max_table_rows); left > 0 && reader.good(); --left) {
+        rows.push_back(read_row(reader));
+    }
+    for (auto left = reader.list(max_list_entries); left > 0 && reader.good(); --left) {
+        reader.array(2);
+        const auto edit_id = reader.text(max_name_bytes);
+        const auto outcome = decode_accept_outcome(reader.bytes(max_outcome_bytes));
+        if (!outcome) {
+            return tl::unexpected(outcome.error());
+        }
+        state.remember(edit_id, *outcome);
+    }
+    for (auto left = reader.list(max_list_entries); left > 0 && reader.good(); --left) {
+        state.history_.push_back(read_history_entry(reader));
+    }
+    if (auto done = reader.finish(); !done) {
+        return tl::unexpected(done.error());
+    }
+    auto table = make_table(version.number_, std::move(rows));
+    if (table.version_ != version) {
+        return failure(error_kind::corrupt,
+                       fmt::format("the stored table is {}, but its rows are {}", to_text(version),
+                                   to_text(table.version_)));
+    }
+    state.current_ = std::make_shared<const sycamorewinch::table>(std::move(table));
+    return state;
+}
+
 } // namespace sycamorewinch
--- a/libs/control/replicated_state.h
+++ b/libs/control/replicated_state.h
@@ -45,6 +45,12 @@
     /** Returns the latest accepted versions, oldest first. */
     [[nodiscard]] auto history() const -> const std::deque<history_entry>& { return history_; }
 
+    /** Returns the whole state as bytes, for a snapshot. */
+    [[nodiscard]] auto encode() const -> std::string;
+    /** Reads a state back; damaged input is an error. */
+    [[nodiscard]] static auto decode(std::string_view bytes, state_limits limits)
+        -> result<replicated_state>;
+
   private:
     auto decide(const accept_command& command) -> accept_outcome;
     void remember(const std::string& edit_id, const accept_outcome& outcome);
--- a/libs/control/test/error/simulated_group.h
+++ b/libs/control/test/error/simulated_group.h
@@ -72,6 +72,8 @@
     [[nodiscard]] auto broke(group_rule rule) const -> bool;
     /** Returns seed, violations and trace, with the command that replays the run. */
     [[nodiscard]] auto report() const -> std::string;
+    [[nodiscard]] auto snapshots_made() const -> std::uint64_t { return snapshots_made_; }
+    [[nodiscard]] auto snapshots_installed() const -> std::uint64_t { return snapshots_installed_; }
     [[nodiscard]] auto accepted_count() const -> std::size_t { return accepted_.size(); }
 
   private:
@@ -86,6 +88,8 @@
         instant paused_until_{};
         instant restart_at_{};
         std::uint64_t life_ = 0;
+        std::uint64_t snapshots_made_ = 0;
+        std::uint64_t snapshots_installed_ = 0;
         std::uint64_t version_ = 0; ///< Highest version published in this life.
     };
     struct flight {
@@ -155,6 +159,8 @@
     std::map<std::uint64_t, std::string> accepted_;        ///< Acknowledged edit by version.
     std::map<std::string, accept_outcome> first_outcomes_; ///< By edit id.
     std::uint64_t highest_accepted_ = 0;
+    std::uint64_t snapshots_made_ = 0;
+    std::uint64_t snapshots_installed_ = 0;
     std::vector<violation> violations_;
     std::deque<std::string> trace_;
 };
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr std::uint64_t disk_reserve_bytes = 64U * 1024 * 1024;
 constexpr auto tick_period = std::chrono::milliseconds(10);
 /** Operators send whole tables. */
 constexpr admin_limits operator_limits{.request_bytes_ = 8 * 1024 * 1024};
@@ -74,7 +75,12 @@
 
     auto start() -> result<void>
     {
-        auto store = open_file_system(settings_.data_dir_).and_then(replica_store::open);
+        auto files = open_file_system(settings_.data_dir_);
+        if (!files) {
+            return tl::unexpected(files.error());
+        }
+        files_ = std::move(*files);
+        auto store = replica_store::open(files_);
         if (!store) {
             return tl::unexpected(store.error());
         }
@@ -119,6 +125,23 @@
         hooks.append_ = [this](const std::vector<log_entry>& entries) {
             return store_->append(entries);
         };
+        hooks.switch_to_ = [this](const log_snapshot& snapshot,
+                                  const std::vector<log_entry>& entries) {
+            log_event(log_level::info, "snapshot", {{"index", snapshot.index_}});
+            return store_->switch_to(snapshot, entries);
+        };
+        hooks.reload_ = [this]() -> result<durable_state> {
+            auto store = replica_store::open(files_);
+            if (!store) {
+                return tl::unexpected(store.error());
+            }
+            store_.emplace(std::move(*store));
+            log_event(log_level::info, "disk_read_again", {});
+            return store_->take_recovered();
+        };
+        hooks.has_room_ = [this] {
+            return files_.free_bytes_() >= disk_reserve_bytes;
+        };
         hooks.send_ = [this](const raft_message& message) {
             links_.send(message);
         };
@@ -238,6 +261,7 @@
     hub_server hub_;
     replica_links links_;
     run_leader runs_;
+    file_system files_;
     std::optional<replica_store> store_;
     std::optional<control_replica> replica_;
     std::map<std::string, std::vector<zone_progress>> others_progress_;
--- a/libs/storage/file_system.cpp
+++ b/libs/storage/file_system.cpp
@@ -162,6 +162,11 @@
     files.truncate_ = [folder](const std::string& path, std::uint64_t length) {
         return truncate_file(folder + "/" + path, length);
     };
+    files.free_bytes_ = [folder]() -> std::uint64_t {
+        std::error_code unknown;
+        const auto space = std::filesystem::space(folder, unknown);
+        return unknown ? 0 : space.available;
+    };
     return files;
 }
 
--- a/libs/storage/file_system.h
+++ b/libs/storage/file_system.h
@@ -22,6 +22,8 @@
     std::function<result<void>(const std::string& path, std::string_view bytes)> replace_;
     /** Cuts a file to \p length bytes, durably. */
     std::function<result<void>(const std::string& path, std::uint64_t length)> truncate_;
+    /** Returns the bytes that may still be written; may be empty. */
+    std::function<std::uint64_t()> free_bytes_;
 };
 
 /** Returns the real calls on \p folder, which is created if it is missing and locked against
--- a/libs/storage/replica_store.cpp
+++ b/libs/storage/replica_store.cpp
@@ -1,5 +1,7 @@
 #include "storage/replica_store.h"
 
+#include <algorithm>
+
 #include <fmt/core.h>
 
 #include "base/digest.h"
@@ -12,8 +14,11 @@
 
 constexpr const char* vote_path = "vote";
 constexpr const char* log_path = "log";
+constexpr const char* snapshot_path = "snapshot";
+constexpr std::string_view header_start = "sycamorewinch/";
+constexpr unsigned format_version = 1;
 constexpr std::size_t max_name_length = 64;
-constexpr std::size_t max_record_bytes = 64U * 1024 * 1024;
+constexpr std::size_t max_record_bytes = 1024U * 1024 * 1024;
 constexpr std::size_t word_bytes = 8;
 constexpr std::size_t frame_bytes = 2 * word_bytes; // length, checksum
 
@@ -89,6 +94,50 @@
     return entry;
 }
 
+auto header_of(std::string_view path) -> std::string
+{
+    return fmt::format("{}{}/{}\n", header_start, path, format_version);
+}
+
+/** Returns what follows the header of the file \p path. */
+auto skip_header(const std::string& path, std::string_view bytes) -> result<std::string_view>
+{
+    const auto header = header_of(path);
+    if (bytes.starts_with(header)) {
+        return bytes.substr(header.size());
+    }
+    const auto line = bytes.substr(0, bytes.find('\n'));
+    if (line.starts_with(header_start) && line.size() <= header.size()) {
+        return failure(error_kind::corrupt,
+                       fmt::format("file {} has the format {}; this program reads {}", path, line,
+                                   header.substr(0, header.size() - 1)));
+    }
+    return failure(error_kind::corrupt, fmt::format("file {} is damaged at offset 0: it does not "
+                                                    "start with its format",
+                                                    path));
+}
+
+/** Returns the one record of the file \p path; empty when the file does not exist. */
+auto read_only_record(const file_system& files, const std::string& path) -> result<std::string>
+{
+    const auto bytes = files.read_(path);
+    if (!bytes) {
+        return bytes.error().kind_ == error_kind::not_found ? result<std::string>(std::string())
+                                                            : tl::unexpected(bytes.error());
+    }
+    const auto record = skip_header(path, *bytes);
+    if (!record) {
+        return tl::unexpected(record.error());
+    }
+    const auto payload = unframe(*record);
+    if (!payload) {
+        return failure(error_kind::corrupt,
+                       fmt::format("file {} is damaged at offset {}: {}", path,
+                                   bytes->size() - record->size(), payload.error().message_));
+    }
+    return std::string(*payload);
+}
+
 /** Returns whether a whole, sound record starts anywhere in \p bytes. */
 auto holds_sound_record(std::string_view bytes) -> bool
 {
@@ -105,26 +154,27 @@
 auto replica_store::open(file_system files) -> result<replica_store>
 {
     replica_store store(std::move(files));
-    if (auto loaded = store.load_vote(); !loaded) {
+    auto loaded = store.load_vote().and_then([&] { return store.load_snapshot(); }).and_then([&] {
+        return store.load_log();
+    });
+    if (!loaded) {
         return tl::unexpected(loaded.error());
     }
-    if (auto loaded = store.load_log(); !loaded) {
-        return tl::unexpected(loaded.error());
+    store.drop_what_the_snapshot_contains();
+    if (auto written = store.replace_log(store.recovered_.entries_); !written) {
+        return tl::unexpected(written.error());
+    }
+    if (auto saved = store.save_vote(store.recovered_.vote_); !saved) {
+        return tl::unexpected(saved.error());
     }
     return store;
 }
 
 auto replica_store::load_vote() -> result<void>
 {
-    const auto bytes = files_.read_(vote_path);
-    if (!bytes) {
-        return bytes.error().kind_ == error_kind::not_found ? result<void>()
-                                                            : tl::unexpected(bytes.error());
-    }
-    const auto payload = unframe(*bytes);
-    if (!payload) {
-        return failure(error_kind::corrupt,
-                       fmt::format("file {}: {}", vote_path, payload.error().message_));
+    const auto payload = read_only_record(files_, vote_path);
+    if (!payload || payload->empty()) {
+        return payload ? result<void>() : tl::unexpected(payload.error());
     }
     cbor_reader reader(*payload);
     reader.array(2);
@@ -133,6 +183,20 @@
     return reader.finish();
 }
 
+auto replica_store::load_snapshot() -> result<void>
+{
+    const auto payload = read_only_record(files_, snapshot_path);
+    if (!payload || payload->empty()) {
+        return payload ? result<void>() : tl::unexpected(payload.error());
+    }
+    cbor_reader reader(*payload);
+    reader.array(3);
+    recovered_.snapshot_.index_ = reader.number();
+    recovered_.snapshot_.term_ = reader.number();
+    recovered_.snapshot_.data_ = reader.bytes(max_record_bytes);
+    return reader.finish();
+}
+
 auto replica_store::load_log() -> result<void>
 {
     const auto bytes = files_.read_(log_path);
@@ -140,20 +204,19 @@
         return bytes.error().kind_ == error_kind::not_found ? result<void>()
                                                             : tl::unexpected(bytes.error());
     }
-    std::string_view rest(*bytes);
+    const auto records = skip_header(log_path, *bytes);
+    if (!records) {
+        return tl::unexpected(records.error());
+    }
+    auto rest = *records;
     while (!rest.empty()) {
         const auto offset = bytes->size() - rest.size();
         const auto payload = unframe(rest);
-        if (!payload) {
-            // A crash tears only the end: a sound record behind the damage means the disk lied.
-            if (holds_sound_record(rest.substr(1))) {
-                return failure(error_kind::corrupt,
-                               fmt::format("file {} is damaged at offset {}: {}", log_path, offset,
-                                           payload.error().message_));
-            }
-            return files_.truncate_(log_path, offset);
+        // A crash tears only the end: a sound record behind the damage means the disk lied.
+        if (!payload && !holds_sound_record(rest.substr(1))) {
+            return {};
         }
-        auto entry = decode_entry(*payload);
+        auto entry = payload.and_then([](auto record) { return decode_entry(record); });
         if (!entry) {
             return failure(error_kind::corrupt,
                            fmt::format("file {} is damaged at offset {}: {}", log_path, offset,
@@ -161,25 +224,66 @@
         }
         rest.remove_prefix(frame_bytes + payload->size());
         recovered_.entries_.push_back(std::move(*entry));
-        ends_.push_back(bytes->size() - rest.size());
     }
     return {};
 }
 
+void replica_store::drop_what_the_snapshot_contains()
+{
+    const auto& snapshot = recovered_.snapshot_;
+    auto& entries = recovered_.entries_;
+    base_index_ = snapshot.index_;
+    if (entries.empty() || entries.front().index_ > snapshot.index_) {
+        return;
+    }
+    const auto at_snapshot = std::ranges::find(entries, snapshot.index_, &log_entry::index_);
+    const bool agrees = at_snapshot != entries.end() && at_snapshot->term_ == snapshot.term_;
+    entries.erase(entries.begin(), agrees ? at_snapshot + 1 : entries.end());
+}
+
 auto replica_store::save_vote(const vote_state& vote) -> result<void>
 {
     cbor_writer writer;
     writer.array(2).number(vote.term_).text(vote.voted_for_);
-    return files_.replace_(vote_path, frame(writer.take()));
+    return files_.replace_(vote_path, header_of(vote_path) + frame(writer.take()));
+}
+
+auto replica_store::log_bytes() const -> std::uint64_t
+{
+    return ends_.empty() ? header_of(log_path).size() : ends_.back();
 }
 
 auto replica_store::truncate_after(std::uint64_t index) -> result<void>
 {
-    if (index >= ends_.size()) {
+    if (index >= base_index_ + ends_.size()) {
         return {};
     }
-    ends_.resize(index);
-    return files_.truncate_(log_path, ends_.empty() ? 0 : ends_.back());
+    ends_.resize(index - base_index_);
+    return files_.truncate_(log_path, log_bytes());
+}
+
+auto replica_store::switch_to(const log_snapshot& snapshot, const std::vector<log_entry>& entries)
+    -> result<void>
+{
+    cbor_writer writer;
+    writer.array(3).number(snapshot.index_).number(snapshot.term_).bytes(snapshot.data_);
+    const auto bytes = header_of(snapshot_path) + frame(writer.take());
+    if (auto written = files_.replace_(snapshot_path, bytes); !written) {
+        return written;
+    }
+    base_index_ = snapshot.index_;
+    return replace_log(entries);
+}
+
+auto replica_store::replace_log(const std::vector<log_entry>& entries) -> result<void>
+{
+    auto bytes = header_of(log_path);
+    ends_.clear();
+    for (const auto& entry : entries) {
+        bytes += frame(encode_entry(entry));
+        ends_.push_back(bytes.size());
+    }
+    return files_.replace_(log_path, bytes);
 }
 
 auto replica_store::append(const std::vector<log_entry>& entries) -> result<void>
@@ -188,7 +292,7 @@
         return {};
     }
     std::string bytes;
-    auto end = ends_.empty() ? 0 : ends_.back();
+    const auto end = log_bytes();
     std::vector<std::uint64_t> ends;
     for (const auto& entry : entries) {
         bytes += frame(encode_entry(entry));
