Keep a replica that lost its disk from voting until it has caught up

Change: the vote file says whether the replica is a member. A fresh disk is not: the replica asks all others for their terms, follows a leader of the highest or a later one up to that leader's last entry, and only then votes and counts. A new group starts when every other replica is empty.

Ruled out: counting answers of a quorum only instead of all others, because a candidate outside that quorum may still win by a lost vote. Limit: while another replica is down for good the fresh one keeps following without a vote; that needs membership change, which is not there.

--- a/libs/consensus/log_entry.h
+++ b/libs/consensus/log_entry.h
@@ -30,6 +30,9 @@
 struct vote_state {
     std::uint64_t term_ = 0;
     std::string voted_for_;
+    /** False on a fresh disk, until nothing that a lost disk promised can matter any more. Until
+     * then the replica does not vote and is not counted. */
+    bool is_member_ = false;
 
     [[nodiscard]] auto operator==(const vote_state&) const -> bool = default;
 };
--- a/libs/consensus/peer_progress.h
+++ b/libs/consensus/peer_progress.h
@@ -24,6 +24,7 @@
     std::uint64_t match_ = 0; ///< Last entry known stored there.
     std::uint64_t round_ = 0; ///< Latest heartbeat round echoed.
     instant heard_{};         ///< Last reply.
+    bool counts_ = true;      ///< False while the replica recovers from a lost disk.
     bool is_probing_ = true;  ///< Where the logs agree is not known: one append at a time.
     bool probe_is_sent_ = false;
     std::deque<flight> flights_;
@@ -43,6 +44,18 @@
         bytes_in_flight_ += bytes;
     }
 
+    /** Notes a reply. One that recovers from a lost disk proves nothing of what it did before. */
+    void on_reply(bool is_recovering, std::uint64_t round, instant now)
+    {
+        counts_ = !is_recovering;
+        if (is_recovering) {
+            match_ = 0;
+            return;
+        }
+        heard_ = now;
+        round_ = std::max(round_, round);
+    }
+
     /** Notes that entries up to \p index are stored there. */
     void on_stored(std::uint64_t index)
     {
--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -67,7 +67,10 @@
     if (role_ == raft_role::leader && now >= heartbeat_due_) {
         send_heartbeats(now);
     }
-    if (role_ != raft_role::leader && now >= election_due_) {
+    if (!vote_.is_member_) {
+        tick_recovery(now);
+    }
+    if (vote_.is_member_ && role_ != raft_role::leader && now >= election_due_) {
         become_pre_candidate(now);
     }
 }
@@ -132,6 +135,10 @@
         return on_snapshot_request(message, now);
     case raft_message_kind::snapshot_reply:
         return on_snapshot_reply(message, now);
+    case raft_message_kind::recovery_request:
+        return on_recovery_request(message);
+    case raft_message_kind::recovery_reply:
+        return on_recovery_reply(message);
     }
 }
 
@@ -139,7 +146,7 @@
 {
     std::vector<std::uint64_t> rounds{round_};
     for (const auto& [name, peer] : peers_) {
-        rounds.push_back(peer.round_);
+        rounds.push_back(peer.counts_ ? peer.round_ : 0);
     }
     std::ranges::sort(rounds, std::greater<>());
     const auto proven = rounds[quorum() - 1];
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -118,6 +118,8 @@
     [[nodiscard]] auto term() const -> std::uint64_t { return vote_.term_; }
     /** Returns the leader's name as far as known, else an empty string. */
     [[nodiscard]] auto leader() const -> const std::string& { return leader_; }
+    /** Returns whether this replica votes and is counted; see raft_recovery.cpp. */
+    [[nodiscard]] auto is_member() const -> bool { return vote_.is_member_; }
     [[nodiscard]] auto commit_index() const -> std::uint64_t { return commit_; }
     [[nodiscard]] auto last_index() const -> std::uint64_t { return log_.last_index(); }
     [[nodiscard]] auto options() const -> const raft_options& { return options_; }
@@ -129,6 +131,23 @@
         std::uint64_t index_ = 0;
     };
 
+    /** What a replica with a fresh disk has learnt so far. */
+    struct recovery_state {
+        struct answer {
+            std::uint64_t term_ = 0;
+            bool is_empty_ = false;
+            bool is_member_ = false;
+        };
+        std::uint64_t nonce_ = 0; ///< Tells this life's answers from an earlier one's.
+        instant due_{};           ///< When to ask again.
+        std::map<std::string, answer> answers_;
+        std::string leader_;
+        std::uint64_t leader_term_ = 0;
+        std::uint64_t leader_last_ = 0;   ///< Must be held before this replica counts.
+        std::uint64_t matched_term_ = 0;  ///< The leader's log is held in this term ...
+        std::uint64_t matched_index_ = 0; ///< ... up to here.
+    };
+
     raft(raft_options options, durable_state state, instant now);
 
     [[nodiscard]] auto quorum() const -> std::size_t { return options_.voters_.size() / 2 + 1; }
@@ -166,6 +185,16 @@
     void on_snapshot_reply(const raft_message& message, instant now);
     void install(log_snapshot snapshot);
 
+    // raft_recovery.cpp
+    [[nodiscard]] auto is_empty() const -> bool;
+    [[nodiscard]] auto has_caught_up() const -> bool;
+    [[nodiscard]] auto peers_of_group() const -> std::size_t { return options_.voters_.size() - 1; }
+    void tick_recovery(instant now);
+    void ask_for_recovery(instant now);
+    void on_recovery_request(const raft_message& message);
+    void on_recovery_reply(const raft_message& message);
+    void become_member(const std::string& voted_for);
+
     void confirm_reads();
     void fail_reads();
 
@@ -184,6 +213,7 @@
     std::map<std::string, peer_progress> peers_;
     std::uint64_t round_ = 0;
     std::vector<pending_read> reads_;
+    recovery_state recovery_;
     raft_output output_;
 };
 
--- a/libs/consensus/raft_election.cpp
+++ b/libs/consensus/raft_election.cpp
@@ -13,7 +13,7 @@
 {
     std::size_t heard = 1;
     for (const auto& [name, peer] : peers_) {
-        heard += now - peer.heard_ < options_.lease_ ? 1 : 0;
+        heard += peer.counts_ && now - peer.heard_ < options_.lease_ ? 1 : 0;
     }
     if (heard < quorum()) {
         become_follower(vote_.term_, {}, now);
@@ -23,7 +23,7 @@
 void raft::become_follower(std::uint64_t term, const std::string& leader, instant now)
 {
     if (term > vote_.term_) {
-        vote_ = {term, {}};
+        vote_ = {term, {}, vote_.is_member_};
         output_.vote_ = vote_;
     }
     role_ = raft_role::follower;
@@ -50,7 +50,7 @@
 {
     role_ = raft_role::candidate;
     leader_.clear();
-    vote_ = {vote_.term_ + 1, options_.self_};
+    vote_ = {vote_.term_ + 1, options_.self_, true};
     output_.vote_ = vote_;
     votes_ = {options_.self_};
     reset_election_timer(now);
@@ -106,7 +106,8 @@
     raft_message reply;
     reply.kind_ = raft_message_kind::pre_vote_reply;
     reply.to_ = message.from_;
-    reply.accepted_ = message.term_ > vote_.term_ && !hears_leader && is_log_current(message);
+    reply.accepted_ =
+        vote_.is_member_ && message.term_ > vote_.term_ && !hears_leader && is_log_current(message);
     reply.term_ = reply.accepted_ ? message.term_ : vote_.term_;
     send(std::move(reply));
 }
@@ -127,7 +128,8 @@
 void raft::on_vote_request(const raft_message& message, instant now)
 {
     const bool vote_is_free = vote_.voted_for_.empty() || vote_.voted_for_ == message.from_;
-    const bool granted = message.term_ == vote_.term_ && vote_is_free && is_log_current(message);
+    const bool granted =
+        vote_.is_member_ && message.term_ == vote_.term_ && vote_is_free && is_log_current(message);
     if (granted) {
         vote_.voted_for_ = message.from_;
         output_.vote_ = vote_;
--- a/libs/consensus/raft_message.cpp
+++ b/libs/consensus/raft_message.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-constexpr enum_names<raft_message_kind, 8> kind_names{
+constexpr enum_names<raft_message_kind, 10> kind_names{
     {"vote_request", "vote_reply", "append_request", "append_reply", "pre_vote_request",
-     "pre_vote_reply", "snapshot_request", "snapshot_reply"}};
+     "pre_vote_reply", "snapshot_request", "snapshot_reply", "recovery_request", "recovery_reply"}};
 
-constexpr std::size_t message_fields = 13;
+constexpr std::size_t message_fields = 14;
 constexpr std::size_t entry_fields = 4;
 constexpr std::size_t max_replica_name_bytes = 64;
 constexpr std::size_t max_entries_per_message = 4096;
@@ -46,7 +46,7 @@
     writer.array(message_fields).number(static_cast<std::uint64_t>(message.kind_));
     writer.text(message.from_).text(message.to_).number(message.term_);
     writer.number(message.log_index_).number(message.log_term_).number(message.commit_);
-    writer.number(message.round_).boolean(message.accepted_);
+    writer.number(message.round_).boolean(message.recovering_).boolean(message.accepted_);
     writer.array(message.entries_.size());
     for (const auto& entry : message.entries_) {
         writer.array(entry_fields).number(entry.index_).number(entry.term_);
@@ -73,6 +73,7 @@
     message.log_term_ = reader.number();
     message.commit_ = reader.number();
     message.round_ = reader.number();
+    message.recovering_ = reader.boolean();
     message.accepted_ = reader.boolean();
     for (auto left = reader.list(max_entries_per_message); left > 0 && reader.good(); --left) {
         message.entries_.push_back(read_entry(reader));
--- a/libs/consensus/raft_message.h
+++ b/libs/consensus/raft_message.h
@@ -23,6 +23,8 @@
     pre_vote_reply,
     snapshot_request, ///< One chunk of a snapshot.
     snapshot_reply,
+    recovery_request, ///< From a replica with a fresh disk; see raft_recovery.cpp.
+    recovery_reply,   ///< accepted_: holds nothing; log_index_: last entry, from a leader.
 };
 
 /** Returns the name of \p kind for logs. */
@@ -38,6 +40,7 @@
     std::uint64_t log_term_ = 0;  ///< Term of that entry.
     std::uint64_t commit_ = 0;    ///< What the leader knows committed.
     std::uint64_t round_ = 0;     ///< Heartbeat round, echoed, which proves a read current.
+    bool recovering_ = false;     ///< Replies: the sender is not to be counted.
     bool accepted_ = false;       ///< Replies: whether the vote or the entries were taken.
     std::vector<log_entry> entries_;
     std::uint64_t offset_ = 0; ///< Snapshot: where data_ starts; reply: bytes held so far.
--- a/libs/consensus/raft_replication.cpp
+++ b/libs/consensus/raft_replication.cpp
@@ -89,6 +89,7 @@
     reply.kind_ = raft_message_kind::append_reply;
     reply.to_ = message.from_;
     reply.round_ = message.round_;
+    reply.recovering_ = !vote_.is_member_;
     if (message.term_ < vote_.term_) {
         send(std::move(reply)); // the sender sees the newer term and steps down
         return;
@@ -106,6 +107,8 @@
     take_entries(message);
     reply.accepted_ = true;
     reply.log_index_ = message.log_index_ + message.entries_.size();
+    recovery_.matched_term_ = message.term_;
+    recovery_.matched_index_ = reply.log_index_;
     send(std::move(reply));
     commit_up_to(std::min(message.commit_, message.log_index_ + message.entries_.size()));
 }
@@ -139,8 +142,7 @@
         return;
     }
     auto& peer = found->second;
-    peer.heard_ = now;
-    peer.round_ = std::max(peer.round_, message.round_);
+    peer.on_reply(message.recovering_, message.round_, now);
     if (message.accepted_) {
         peer.on_stored(message.log_index_);
         advance_commit();
@@ -157,7 +159,7 @@
 {
     std::vector<std::uint64_t> matches{log_.last_index()};
     for (const auto& [name, peer] : peers_) {
-        matches.push_back(peer.match_);
+        matches.push_back(peer.counts_ ? peer.match_ : 0);
     }
     std::ranges::sort(matches, std::greater<>());
     const auto stored_by_quorum = matches[quorum() - 1];
--- a/libs/consensus/raft_snapshot.cpp
+++ b/libs/consensus/raft_snapshot.cpp
@@ -40,6 +40,7 @@
     reply.kind_ = raft_message_kind::snapshot_reply;
     reply.to_ = message.from_;
     reply.round_ = message.round_;
+    reply.recovering_ = !vote_.is_member_;
     reply.log_index_ = message.log_index_;
     if (message.term_ < vote_.term_) {
         send(std::move(reply));
@@ -88,8 +89,7 @@
         return;
     }
     auto& peer = found->second;
-    peer.heard_ = now;
-    peer.round_ = std::max(peer.round_, message.round_);
+    peer.on_reply(message.recovering_, message.round_, now);
     if (message.accepted_) {
         peer.snapshot_.reset();
         peer.on_stored(message.log_index_);
--- a/libs/control/test/error/disk_failures.cpp
+++ b/libs/control/test/error/disk_failures.cpp
@@ -166,3 +166,23 @@
     BOOST_TEST(again.replica_->state().outcome_of("edit-1")->version_.number_ == 1);
     BOOST_TEST(again.replica_->state().history().size() == 40);
 }
+
+// Found as seed 366: the snapshot's sync had failed, the log behind it was durable.
+BOOST_AUTO_TEST_CASE(opening_makes_the_snapshot_durable_before_the_log)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        fake_disk disk(seeded_random(seed));
+        auto store = replica_store::open(disk.open()).value();
+        BOOST_TEST(store.append({{1, 1, entry_kind::no_op, ""}, {2, 1, entry_kind::no_op, ""}})
+                       .has_value());
+        disk.faults_.failed_sync_ = 65536;
+        BOOST_TEST(!store.switch_to({1, 1, "state"}, {{2, 1, entry_kind::no_op, ""}}).has_value());
+        disk.faults_ = {};
+        BOOST_TEST(replica_store::open(disk.open()).has_value());
+        disk.lose_power();
+        const auto state = replica_store::open(disk.open()).value().take_recovered();
+        BOOST_TEST(state.snapshot_.index_ == 1);
+        BOOST_REQUIRE(state.entries_.size() == 1);
+        BOOST_TEST(state.entries_.front().index_ == 2);
+    }
+}
--- a/libs/storage/replica_store.cpp
+++ b/libs/storage/replica_store.cpp
@@ -161,6 +161,10 @@
         return tl::unexpected(loaded.error());
     }
     store.drop_what_the_snapshot_contains();
+    // The snapshot comes first: a log that outlives it would start behind a gap.
+    if (auto written = store.replace_snapshot(store.recovered_.snapshot_); !written) {
+        return tl::unexpected(written.error());
+    }
     if (auto written = store.replace_log(store.recovered_.entries_); !written) {
         return tl::unexpected(written.error());
     }
@@ -177,9 +181,10 @@
         return payload ? result<void>() : tl::unexpected(payload.error());
     }
     cbor_reader reader(*payload);
-    reader.array(2);
+    reader.array(3);
     recovered_.vote_.term_ = reader.number();
     recovered_.vote_.voted_for_ = reader.text(max_name_length);
+    recovered_.vote_.is_member_ = reader.boolean();
     return reader.finish();
 }
 
@@ -244,7 +249,7 @@
 auto replica_store::save_vote(const vote_state& vote) -> result<void>
 {
     cbor_writer writer;
-    writer.array(2).number(vote.term_).text(vote.voted_for_);
+    writer.array(3).number(vote.term_).text(vote.voted_for_).boolean(vote.is_member_);
     return files_.replace_(vote_path, header_of(vote_path) + frame(writer.take()));
 }
 
@@ -265,16 +270,23 @@
 auto replica_store::switch_to(const log_snapshot& snapshot, const std::vector<log_entry>& entries)
     -> result<void>
 {
-    cbor_writer writer;
-    writer.array(3).number(snapshot.index_).number(snapshot.term_).bytes(snapshot.data_);
-    const auto bytes = header_of(snapshot_path) + frame(writer.take());
-    if (auto written = files_.replace_(snapshot_path, bytes); !written) {
+    if (auto written = replace_snapshot(snapshot); !written) {
         return written;
     }
     base_index_ = snapshot.index_;
     return replace_log(entries);
 }
 
+auto replica_store::replace_snapshot(const log_snapshot& snapshot) -> result<void>
+{
+    if (snapshot.index_ == 0) {
+        return {};
+    }
+    cbor_writer writer;
+    writer.array(3).number(snapshot.index_).number(snapshot.term_).bytes(snapshot.data_);
+    return files_.replace_(snapshot_path, header_of(snapshot_path) + frame(writer.take()));
+}
+
 auto replica_store::replace_log(const std::vector<log_entry>& entries) -> result<void>
 {
     auto bytes = header_of(log_path);
--- a/libs/storage/replica_store.h
+++ b/libs/storage/replica_store.h
@@ -4,8 +4,8 @@
  *
  * Each file starts with its kind and format version. Each record is framed by its length and a
  * checksum. On opening, a torn record at the end of the log is cut off; damage before the end is an
- * error that names file and offset. The log is then written anew, because what an earlier process
- * wrote without a sync may only seem to be on the disk.
+ * error that names file and offset. All files are then written anew, because what an earlier
+ * process wrote without a sync may only seem to be on the disk.
  *
  * A snapshot replaces the log in two atomic steps, snapshot first. After a crash between them the
  * log still holds entries that the snapshot contains; opening drops those, and all of the log when
@@ -54,6 +54,7 @@
     [[nodiscard]] auto load_snapshot() -> result<void>;
     [[nodiscard]] auto load_log() -> result<void>;
     void drop_what_the_snapshot_contains();
+    [[nodiscard]] auto replace_snapshot(const log_snapshot& snapshot) -> result<void>;
     [[nodiscard]] auto replace_log(const std::vector<log_entry>& entries) -> result<void>;
 
     file_system files_;
