Hash only the rows that a change touches

Cause: every step rebuilt the table through a map and hashed all rows again, on every node and replica, although the digest is a sum that one row can be put into and taken out of. Change: apply_change walks rows and changes side by side and adjusts the digest by the rows touched.

--- a/libs/table/table.cpp
+++ b/libs/table/table.cpp
@@ -16,17 +16,25 @@
 
 auto digest_of_rows(const std::vector<row>& rows) -> digest
 {
-    // The sum of the rows' digests, so that a change of one row costs one row's hash; a digest of
-    // a row covers its service name, so no two rows of one table cancel out.
     digest sum;
     for (const auto& row : rows) {
-        const auto one = digest_of(encode_row(row));
-        sum.high_ += one.high_;
-        sum.low_ += one.low_;
+        sum = add_row_digest(sum, row);
     }
     return sum;
 }
 
+auto add_row_digest(digest sum, const row& added) -> digest
+{
+    const auto one = digest_of(encode_row(added));
+    return {sum.high_ + one.high_, sum.low_ + one.low_};
+}
+
+auto subtract_row_digest(digest sum, const row& removed) -> digest
+{
+    const auto one = digest_of(encode_row(removed));
+    return {sum.high_ - one.high_, sum.low_ - one.low_};
+}
+
 auto make_table(std::uint64_t number, std::vector<row> rows) -> table
 {
     std::ranges::sort(rows, {}, &row::service_);
--- a/libs/table/table.h
+++ b/libs/table/table.h
@@ -31,9 +31,17 @@
     [[nodiscard]] auto find(std::string_view service) const -> const row*;
 };
 
-/** Returns the digest of \p rows, which must be sorted by service. */
+/** Returns the digest of \p rows: the sum, word by word, of the digests of their encoded forms. A
+ * row's digest covers its service, so no two rows of one table cancel out, and a change of one row
+ * costs the hashing of that row alone. */
 [[nodiscard]] auto digest_of_rows(const std::vector<row>& rows) -> digest;
 
+/** Returns \p sum with \p added put into it. */
+[[nodiscard]] auto add_row_digest(digest sum, const row& added) -> digest;
+
+/** Returns \p sum with \p removed taken out of it. */
+[[nodiscard]] auto subtract_row_digest(digest sum, const row& removed) -> digest;
+
 /** Returns a table of \p rows, sorted, under \p number and their digest. */
 [[nodiscard]] auto make_table(std::uint64_t number, std::vector<row> rows) -> table;
 
--- a/libs/table/table_change.cpp
+++ b/libs/table/table_change.cpp
@@ -39,20 +39,38 @@
     return change;
 }
 
+// Walks the rows and the outcomes side by side, both in order of service, and hashes only the rows
+// that change.
 auto apply_change(const table& base, const table_change& change, std::uint64_t number) -> table
 {
     outcome_by_service outcomes;
-    for (const auto& row : base.rows_) {
-        outcomes[row.service_] = row;
-    }
     put(outcomes, change);
-    std::vector<row> rows;
-    for (auto& [service, outcome] : outcomes) {
-        if (outcome) {
-            rows.push_back(std::move(*outcome));
+    table next;
+    next.version_ = {number, base.version_.digest_};
+    next.rows_.reserve(base.rows_.size() + change.upserts_.size());
+    auto outcome = outcomes.begin();
+    const auto take_outcome = [&] {
+        if (outcome->second) {
+            next.version_.digest_ = add_row_digest(next.version_.digest_, *outcome->second);
+            next.rows_.push_back(std::move(*outcome->second));
         }
+        ++outcome;
+    };
+    for (const auto& row : base.rows_) {
+        while (outcome != outcomes.end() && outcome->first < row.service_) {
+            take_outcome();
+        }
+        if (outcome == outcomes.end() || outcome->first != row.service_) {
+            next.rows_.push_back(row);
+            continue;
+        }
+        next.version_.digest_ = subtract_row_digest(next.version_.digest_, row);
+        take_outcome();
+    }
+    while (outcome != outcomes.end()) {
+        take_outcome();
     }
-    return make_table(number, std::move(rows));
+    return next;
 }
 
 auto combine(const table_change& earlier, const table_change& later) -> table_change
--- a/libs/table/test/correctness/table_csv.cpp
+++ b/libs/table/test/correctness/table_csv.cpp
@@ -41,3 +41,16 @@
     const auto back = combine(change, difference(after, before));
     BOOST_TEST((apply_change(before, back, 1).version_ == before.version_));
 }
+
+BOOST_AUTO_TEST_CASE(a_change_gives_the_digest_of_the_whole_table)
+{
+    const auto before = make_table(1, *read_csv(sample));
+    row first{.service_ = "aaa", .path_prefix_ = "/aaa"};
+    row last{.service_ = "zzz", .path_prefix_ = "/zzz"};
+    auto changed = before.rows_.front();
+    changed.retries_ = 9;
+    const table_change change{{last, first, changed}, {"directory", "unknown"}};
+    const auto after = apply_change(before, change, 2);
+    BOOST_TEST(after.rows_.size() == 3);
+    BOOST_TEST((after.version_ == make_table(2, after.rows_).version_));
+}
