Grant attempts in the request path's test nodes

Cause: a request with an idempotency key to an unrepeatable row now needs a reservation; the test nodes had none to ask, so the request was refused as not run before it reached the echo target. Change: the fixture stands in for the record and grants every attempt.

--- a/libs/request_path/test/node_fixture.cpp
+++ b/libs/request_path/test/node_fixture.cpp
@@ -12,9 +12,19 @@
 constexpr std::chrono::milliseconds row_timeout{120'000};
 constexpr std::string_view length_field = "content-length: ";
 
+/** Stands in for the record of unrepeatable requests: grants every attempt. */
+auto granting_port() -> run_port
+{
+    return {[](const run_operation& operation, const run_callback& reply) {
+                reply({operation.attempt_, run_verdict::granted, {}});
+            },
+            [](const run_operation&) {}};
+}
+
 auto start_node(const std::string& own_address) -> std::unique_ptr<test_node>
 {
     auto node = std::make_unique<test_node>(own_address);
+    node->state_.set_run_port(granting_port());
     const auto key = cluster_key::create("0123456789abcdef0123456789abcdef");
     auto worker = node_worker::start(node->state_, *key, {{"127.0.0.1", 0}, {"127.0.0.1", 0}});
     invariant(worker.has_value(), "a test node cannot listen");
