--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr auto tick_period = std::chrono::milliseconds(10);
+constexpr auto lease_check_period = std::chrono::milliseconds(500);
 constexpr auto proof_timeout = std::chrono::milliseconds(500);
 constexpr auto proof_retry_after = std::chrono::milliseconds(100);
 
@@ -28,11 +29,11 @@
           admin_(metrics_, secrets.operator_token_,
                  [this] { return !replica_->raft_state().leader().empty(); }),
           listener_(secrets.key_, metrics_),
-          hub_(metrics_, {[this] { ask_for_proof(); },
-                          [this](const auto& news) { tell_others(target_report{news}); },
-                          [this] {
-                              tell_others(progress_report{hub_.logic().progress()});
-                          }}),
+          hub_(metrics_,
+               {[this] { ask_for_proof(); }, [this](const auto& news) { tell_others(news); },
+                [this] {
+                    tell_others(progress_report{hub_.logic().progress()});
+                }}),
           links_(settings.name_, settings.control_peers_, secrets.key_,
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
                   [this](const auto& from, const auto& message) { on_peer(from, message); },
@@ -53,6 +54,10 @@
                                   }});
         QObject::connect(&ticker_, &QTimer::timeout, &ticker_,
                          [this] { replica_->tick(monotonic_now()); });
+        QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_, [this] {
+            hub_.logic().tick(monotonic_now(), !replica_->raft_state().leader().empty());
+            hub_.run();
+        });
         proof_timer_.setSingleShot(true);
         QObject::connect(&proof_timer_, &QTimer::timeout, &proof_timer_, [this] {
             ++proof_number_;
@@ -81,6 +86,7 @@
         }
         links_.start();
         ticker_.start(tick_period);
+        lease_timer_.start(lease_check_period);
         return {};
     }
 
@@ -172,7 +178,14 @@
             finish_proof(proof->nonce_, proof->version_);
         }
         else if (const auto* targets = std::get_if<target_report>(&message)) {
-            hub_.logic().merge_targets(targets->targets_);
+            hub_.logic().merge_targets(*targets);
+            hub_.run();
+        }
+        else if (const auto* summary = std::get_if<target_summary>(&message)) {
+            links_.send(from, target_sync{hub_.logic().targets().differing(summary->digests_)});
+        }
+        else if (const auto* sync = std::get_if<target_sync>(&message)) {
+            hub_.logic().merge_sync(sync->contents_, false);
             hub_.run();
         }
         else if (const auto* progress = std::get_if<progress_report>(&message)) {
@@ -193,7 +206,8 @@
 
     void on_peer_connected(const std::string& to)
     {
-        links_.send(to, target_report{hub_.logic().targets().records()});
+        links_.send(to, target_report{hub_.logic().held_targets(), true});
+        links_.send(to, target_summary{hub_.logic().targets().digests()});
         links_.send(to, progress_report{hub_.logic().progress()});
     }
 
@@ -224,6 +238,7 @@
     std::optional<control_replica> replica_;
     std::map<std::string, std::vector<zone_progress>> others_progress_;
     QTimer ticker_;
+    QTimer lease_timer_;
     QTimer proof_timer_;
     std::uint64_t proof_number_ = 0;
 };
--- a/libs/daemon/hub_server.cpp
+++ b/libs/daemon/hub_server.cpp
@@ -10,7 +10,9 @@
                                   "Messages from subscribers that could not be read.")),
       bytes_sent_(metrics.count("sycamorewinch_hub_bytes_sent_total",
                                 "Message bytes sent to subscribers.")),
-      subscribers_(metrics.gauge("sycamorewinch_hub_subscribers", "Subscribers connected."))
+      subscribers_(metrics.gauge("sycamorewinch_hub_subscribers", "Subscribers connected.")),
+      stale_targets_(metrics.gauge("sycamorewinch_hub_stale_targets",
+                                   "Targets kept though nobody vouches for them now."))
 {
 }
 
@@ -67,8 +69,9 @@
             channel->send(*message.bytes_);
         }
     }
-    if (!output.news_.empty()) {
-        hooks_.on_target_news_(output.news_);
+    stale_targets_.set(hub_.stale_targets());
+    for (const auto& news : output.news_) {
+        hooks_.on_target_news_(news);
     }
     if (output.progress_changed_) {
         hooks_.on_progress_();
--- a/libs/daemon/hub_server.h
+++ b/libs/daemon/hub_server.h
@@ -16,7 +16,7 @@
 /** What a hub needs of its role. */
 struct hub_server_hooks {
     std::function<void()> on_proof_wanted_;
-    std::function<void(const std::vector<target_record>& news)> on_target_news_;
+    std::function<void(const target_report& news)> on_target_news_;
     std::function<void()> on_progress_;
 };
 
@@ -48,6 +48,7 @@
     counter& bad_messages_;
     counter& bytes_sent_;
     counter& subscribers_;
+    counter& stale_targets_;
 };
 
 } // namespace sycamorewinch
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -65,8 +65,8 @@
           link_(settings.upstreams_, secrets.key_,
                 {settings.name_, settings.availability_zone_, false, system_random()}, metrics_,
                 {[this](const auto& output) { on_output(output); },
-                 [this] {
-                     on_connected();
+                 [this](bool is_moved) {
+                     on_connected(is_moved);
                  }}),
           version_(metrics_.gauge("sycamorewinch_table_version",
                                   "Number of the table version in force."))
@@ -148,7 +148,7 @@
             directory_.merge(record);
         }
         publish_routes();
-        link_.logic().report_targets(changed);
+        link_.logic().report_targets({changed, true});
         link_.run();
     }
 
@@ -174,20 +174,36 @@
         state_.publish_routes(route_table::create(link_.logic().enforced(), directory_.records()));
     }
 
-    void on_connected()
+    void on_connected(bool is_moved)
     {
-        link_.logic().report_targets(registry_.records());
+        if (is_moved) {
+            registry_.renew();
+            for (const auto& record : registry_.records()) {
+                directory_.merge(record);
+            }
+        }
+        link_.logic().report_targets({registry_.records(), true});
+        link_.logic().report_summary(directory_.digests());
         link_.logic().report_progress(own_progress());
     }
 
     void on_output(const subscriber_output& output)
     {
+        auto news = output.targets_;
         for (const auto& record : output.targets_) {
             directory_.merge(record);
         }
-        if (output.enforce_ || !output.targets_.empty()) {
+        if (output.sync_) {
+            const auto more = on_sync(*output.sync_, output.sync_replaces_);
+            news.insert(news.end(), more.begin(), more.end());
+        }
+        if (output.enforce_ || !news.empty()) {
             publish_routes();
         }
+        if (const auto refuted = registry_.refute(news); !refuted.empty()) {
+            publish_local_targets();
+            tell(refuted);
+        }
         if (output.enforce_) {
             version_.set(output.enforce_->version_.number_);
             log_event(log_level::info, "table_in_force",
@@ -200,6 +216,19 @@
         }
     }
 
+    // Takes the upstream's buckets and tells it what is later here; returns the news.
+    auto on_sync(const bucket_contents& contents, bool replaces) -> std::vector<target_record>
+    {
+        if (replaces) {
+            directory_.forget_all_but(registry_.records());
+        }
+        auto outcome = directory_.compare(contents);
+        if (!outcome.later_here_.empty()) {
+            link_.logic().report_targets({std::move(outcome.later_here_), false});
+        }
+        return std::move(outcome.news_);
+    }
+
     auto own_progress() -> std::vector<zone_progress>
     {
         const auto& enforced = link_.logic().enforced();
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -16,6 +16,7 @@
 
 /** At most one report of progress goes upwards in this time. */
 constexpr auto progress_period = std::chrono::milliseconds(50);
+constexpr auto lease_check_period = std::chrono::milliseconds(500);
 
 /** A relay: a subscriber upwards, a hub downwards. */
 class relay_role {
@@ -33,7 +34,7 @@
                  std::chrono::seconds(1), relay_proof_timeout},
                 metrics_,
                 {[this](const auto& output) { on_output(output); },
-                 [this] {
+                 [this](bool /*is_moved*/) {
                      on_connected();
                  }})
     {
@@ -43,6 +44,10 @@
         progress_timer_.setSingleShot(true);
         QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
                          [this] { report_progress(); });
+        QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_, [this] {
+            hub_.logic().tick(monotonic_now(), link_.is_connected());
+            hub_.run();
+        });
     }
 
     auto start(const daemon_settings& settings) -> result<void>
@@ -53,6 +58,7 @@
         if (auto listening = admin_.listen(settings.listen_admin_); !listening) {
             return listening;
         }
+        lease_timer_.start(lease_check_period);
         link_.start();
         return {};
     }
@@ -60,7 +66,8 @@
   private:
     void on_connected()
     {
-        link_.logic().report_targets(hub_.logic().targets().records());
+        link_.logic().report_targets({hub_.logic().held_targets(), true});
+        link_.logic().report_summary(hub_.logic().targets().digests());
         link_.logic().report_progress(hub_.logic().progress());
     }
 
@@ -70,7 +77,7 @@
         link_.run();
     }
 
-    void report_targets(const std::vector<target_record>& news)
+    void report_targets(const target_report& news)
     {
         link_.logic().report_targets(news);
         link_.run();
@@ -95,7 +102,10 @@
             hub_.logic().set_table(output.held_);
         }
         if (!output.targets_.empty()) {
-            hub_.logic().merge_targets(output.targets_);
+            hub_.logic().merge_targets({output.targets_, false});
+        }
+        if (output.sync_) {
+            hub_.logic().merge_sync(*output.sync_, output.sync_replaces_);
         }
         if (output.proof_) {
             hub_.logic().on_proof(*output.proof_);
@@ -112,6 +122,7 @@
     hub_server hub_;
     upstream_link link_;
     QTimer progress_timer_;
+    QTimer lease_timer_;
 };
 
 } // namespace
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -1,5 +1,7 @@
 #include "daemon/target_registry.h"
 
+#include <algorithm>
+
 namespace sycamorewinch {
 
 target_registry::target_registry(std::string availability_zone, std::string node_address,
@@ -27,17 +29,23 @@
     if (record == before) {
         return false;
     }
-    record.sequence_ = ++sequence_;
+    record.sequence_ = next_sequence();
     return true;
 }
 
+auto target_registry::next_sequence() -> std::uint64_t
+{
+    sequence_ = (sequence_ / sequence_step + 1) * sequence_step;
+    return sequence_;
+}
+
 auto target_registry::set_state(registered_target& target, target_state state) -> bool
 {
     if (target.record_.state_ == state) {
         return false;
     }
     target.record_.state_ = state;
-    target.record_.sequence_ = ++sequence_;
+    target.record_.sequence_ = next_sequence();
     return true;
 }
 
@@ -52,6 +60,34 @@
     return changed;
 }
 
+auto target_registry::refute(const std::vector<target_record>& news) -> std::vector<target_record>
+{
+    std::vector<target_record> changed;
+    for (const auto& heard : news) {
+        const auto found = targets_.find({heard.service_, heard.target_});
+        if (found == targets_.end() || heard.node_address_ != node_address_ ||
+            !is_newer(heard, found->second.record_)) {
+            continue;
+        }
+        // A wall clock that went back gave this start a lower incarnation than an earlier one.
+        if (heard.incarnation_ > incarnation_) {
+            incarnation_ = heard.incarnation_ + 1;
+        }
+        sequence_ = std::max(sequence_, heard.sequence_);
+        found->second.record_.incarnation_ = incarnation_;
+        found->second.record_.sequence_ = next_sequence();
+        changed.push_back(found->second.record_);
+    }
+    return changed;
+}
+
+void target_registry::renew()
+{
+    for (auto& [name, target] : targets_) {
+        target.record_.sequence_ = next_sequence();
+    }
+}
+
 auto target_registry::drain_all() -> std::vector<target_record>
 {
     std::vector<target_record> changed;
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -46,6 +46,15 @@
     /** Ends leases that have run out; returns the records that changed. */
     auto expire(instant now) -> std::vector<target_record>;
 
+    /** Answers news of this node's own targets that is later than what the node itself says: its
+     * incarnation or sequence is raised above the news. Returns the records that changed. News of
+     * a target that another node has taken over is left alone. */
+    auto refute(const std::vector<target_record>& news) -> std::vector<target_record>;
+
+    /** Makes every record later than any other process has it, after a move to another upstream:
+     * so the upstream that was left learns that it keeps the leases no longer. */
+    void renew();
+
     /** Marks every target as draining; returns the records that changed. */
     auto drain_all() -> std::vector<target_record>;
 
@@ -53,6 +62,7 @@
     [[nodiscard]] auto targets() const -> std::vector<registered_target>;
 
   private:
+    auto next_sequence() -> std::uint64_t;
     auto set_state(registered_target& target, target_state state) -> bool;
 
     std::string availability_zone_;
--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -1,6 +1,7 @@
 #include "daemon/upstream_link.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "daemon/hub_server.h"
 #include "observability/log.h"
@@ -94,7 +95,8 @@
     channel_ = std::move(*channel);
     log_event(log_level::info, "upstream_connected", {{"upstream", to_text(upstreams_[current_])}});
     subscriber_.on_connected(monotonic_now());
-    hooks_.on_connected_();
+    const auto last = std::exchange(last_connected_, current_);
+    hooks_.on_connected_(last && *last != current_);
     run();
 }
 
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <QTimer>
@@ -19,7 +20,8 @@
 /** What the owner of a link hears. */
 struct upstream_hooks {
     std::function<void(const subscriber_output& output)> on_output_;
-    std::function<void()> on_connected_;
+    /** A channel is up; \p is_moved says that the last one led to another upstream. */
+    std::function<void(bool is_moved)> on_connected_;
 };
 
 /** Dials upstreams in turn, with jittered exponential backoff. */
@@ -57,6 +59,7 @@
     QTimer ticker_;
     instant dialled_at_{};
     std::size_t current_ = 0;
+    std::optional<std::size_t> last_connected_;
     unsigned failures_ = 0;
     counter& lost_;
     counter& stale_;
--- a/libs/distribution/distribution_message.cpp
+++ b/libs/distribution/distribution_message.cpp
@@ -26,6 +26,23 @@
     return version;
 }
 
+void write_targets(cbor_writer& writer, const std::vector<target_record>& targets)
+{
+    writer.array(targets.size());
+    for (const auto& target : targets) {
+        write_target(writer, target);
+    }
+}
+
+auto read_target_list(cbor_reader& reader) -> std::vector<target_record>
+{
+    std::vector<target_record> targets;
+    for (auto left = reader.list(max_targets); left > 0 && reader.good(); --left) {
+        targets.push_back(read_target(reader));
+    }
+    return targets;
+}
+
 /** Writes the body of each kind of message. */
 struct message_writer {
     cbor_writer& writer_;
@@ -67,10 +84,25 @@
 
     void operator()(const target_report& message) const
     {
-        writer_.array(message.targets_.size());
-        for (const auto& target : message.targets_) {
-            write_target(writer_, target);
+        writer_.array(2).boolean(message.is_held_);
+        write_targets(writer_, message.targets_);
+    }
+
+    void operator()(const target_summary& message) const
+    {
+        writer_.array(message.digests_.size());
+        for (const auto digest : message.digests_) {
+            writer_.number(digest);
+        }
+    }
+
+    void operator()(const target_sync& message) const
+    {
+        writer_.array(2).array(message.contents_.buckets_.size());
+        for (const auto bucket : message.contents_.buckets_) {
+            writer_.number(bucket);
         }
+        write_targets(writer_, message.contents_.targets_);
     }
 };
 
@@ -130,9 +162,29 @@
 auto read_targets(cbor_reader& reader) -> distribution_message
 {
     target_report message;
-    for (auto left = reader.list(max_targets); left > 0 && reader.good(); --left) {
-        message.targets_.push_back(read_target(reader));
+    reader.array(2);
+    message.is_held_ = reader.boolean();
+    message.targets_ = read_target_list(reader);
+    return message;
+}
+
+auto read_target_summary(cbor_reader& reader) -> distribution_message
+{
+    target_summary message;
+    for (auto left = reader.list(target_buckets); left > 0 && reader.good(); --left) {
+        message.digests_.push_back(static_cast<std::uint32_t>(reader.number()));
+    }
+    return message;
+}
+
+auto read_target_sync(cbor_reader& reader) -> distribution_message
+{
+    target_sync message;
+    reader.array(2);
+    for (auto left = reader.list(target_buckets); left > 0 && reader.good(); --left) {
+        message.contents_.buckets_.push_back(reader.number());
     }
+    message.contents_.targets_ = read_target_list(reader);
     return message;
 }
 
@@ -140,8 +192,8 @@
 
 /** The readers in the order of the variant's alternatives. */
 constexpr std::array<message_reader, std::variant_size_v<distribution_message>> readers{
-    read_subscribe,      read_table_update, read_currency_request,
-    read_currency_proof, read_progress,     read_targets};
+    read_subscribe, read_table_update, read_currency_request, read_currency_proof,
+    read_progress,  read_targets,      read_target_summary,   read_target_sync};
 
 } // namespace
 
--- a/libs/distribution/distribution_message.h
+++ b/libs/distribution/distribution_message.h
@@ -1,8 +1,8 @@
 /** \file
  * The messages between a hub (control or relay) and those who subscribe to it (relay or node).
  *
- * Upwards: subscribe, currency_request, progress_report, target_report.
- * Downwards: table_update, currency_proof, target_report.
+ * Upwards: subscribe, currency_request, progress_report, target_report, target_summary.
+ * Downwards: table_update, currency_proof, target_report, target_sync.
  */
 #pragma once
 
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/result.h"
+#include "membership/target_directory.h"
 #include "membership/target_record.h"
 #include "table/table_change.h"
 
@@ -64,11 +65,23 @@
 /** News of targets, in either direction. */
 struct target_report {
     std::vector<target_record> targets_;
+    bool is_held_ = false; ///< Upwards: the sender, or one below it, keeps these targets' leases.
+};
+
+/** What a subscriber knows of the targets, in short; answered by a target_sync. */
+struct target_summary {
+    target_digests digests_;
+};
+
+/** The buckets that differ from a summary, whole. */
+struct target_sync {
+    bucket_contents contents_;
 };
 
 /** Any message of the protocol. */
-using distribution_message = std::variant<subscribe, table_update, currency_request, currency_proof,
-                                          progress_report, target_report>;
+using distribution_message =
+    std::variant<subscribe, table_update, currency_request, currency_proof, progress_report,
+                 target_report, target_summary, target_sync>;
 
 /** Returns \p message as bytes. */
 [[nodiscard]] auto encode_message(const distribution_message& message) -> std::string;
--- a/libs/distribution/hub.cpp
+++ b/libs/distribution/hub.cpp
@@ -36,20 +36,67 @@
     }
 }
 
-void hub::merge_targets(const std::vector<target_record>& targets)
+void hub::merge_targets(const target_report& report)
 {
-    target_report news;
-    for (const auto& target : targets) {
+    std::vector<target_record> news;
+    for (const auto& target : report.targets_) {
         if (targets_.merge(target)) {
-            news.targets_.push_back(target);
+            leases_.release(target);
+            news.push_back(target);
+        }
+        else if (report.is_held_ && *targets_.find(target.service_, target.target_) == target) {
+            leases_.take_over(target);
         }
     }
-    if (news.targets_.empty()) {
+    broadcast(news, std::nullopt);
+}
+
+void hub::merge_sync(const bucket_contents& contents, bool replaces)
+{
+    if (replaces) {
+        targets_.forget_all_but(held_targets());
+    }
+    const auto outcome = targets_.compare(contents);
+    for (const auto& target : outcome.news_) {
+        leases_.release(target);
+    }
+    broadcast(outcome.news_, std::nullopt);
+    if (!outcome.later_here_.empty()) {
+        output_.news_.push_back({outcome.later_here_, false});
+    }
+}
+
+void hub::tick(instant now, bool is_joined)
+{
+    now_ = now;
+    targets_.forget_gone(now);
+    const auto expired = leases_.tick(now, is_joined, targets_);
+    if (expired.empty()) {
+        return;
+    }
+    for (const auto& target : expired) {
+        targets_.merge(target);
+    }
+    broadcast(expired, std::nullopt);
+    output_.news_.push_back({expired, false});
+}
+
+auto hub::held_targets() const -> std::vector<target_record>
+{
+    auto held = targets_.records();
+    std::erase_if(held, [this](const auto& record) { return !leases_.holds(record); });
+    return held;
+}
+
+void hub::broadcast(const std::vector<target_record>& news, std::optional<subscriber_id> but)
+{
+    if (news.empty()) {
         return;
     }
-    const auto bytes = std::make_shared<const std::string>(encode_message(news));
+    const auto bytes =
+        std::make_shared<const std::string>(encode_message(target_report{news, false}));
     for (const auto& [id, peer] : subscribers_) {
-        if (peer.subscribed_) {
+        if (peer.subscribed_ && id != but) {
             output_.messages_.push_back({id, bytes});
         }
     }
@@ -58,6 +105,7 @@
 void hub::on_gone(subscriber_id from)
 {
     subscribers_.erase(from);
+    leases_.on_holder_gone(from, now_);
     std::erase_if(waiting_, [from](const auto& one) { return one.from_ == from; });
     std::erase_if(asking_, [from](const auto& one) { return one.from_ == from; });
     output_.progress_changed_ = true;
@@ -83,6 +131,9 @@
     else if (const auto* targets = std::get_if<target_report>(&message)) {
         on_targets(from, *targets);
     }
+    else if (const auto* summary = std::get_if<target_summary>(&message)) {
+        on_summary(from, *summary);
+    }
     else {
         output_.drop_.push_back(from);
     }
@@ -97,9 +148,6 @@
     peer.held_ = message.held_;
     peer.subscribed_ = true;
     send_update(from, peer);
-    if (auto targets = targets_.records(); !targets.empty()) {
-        send(from, target_report{std::move(targets)});
-    }
 }
 
 // A report of progress also says that the update on its way has arrived.
@@ -114,24 +162,39 @@
 
 void hub::on_targets(subscriber_id from, const target_report& report)
 {
-    target_report news;
+    target_report news{{}, report.is_held_};
+    target_report taken_over{{}, true};
     for (const auto& target : report.targets_) {
-        if (targets_.merge(target)) {
+        const auto is_news = targets_.merge(target);
+        if (is_news) {
+            leases_.release(target);
             news.targets_.push_back(target);
         }
+        const auto* known = targets_.find(target.service_, target.target_);
+        if (report.is_held_ && *known == target) {
+            if (!is_news && !leases_.is_vouched_for(target)) {
+                taken_over.targets_.push_back(target);
+            }
+            leases_.hold(target, from, subscribers_.at(from).is_relay_);
+        }
+        if (!is_news && *known != target) {
+            send(from, target_report{{*known}, false}); // it must know better, or refute this
+        }
     }
-    if (news.targets_.empty()) {
-        return;
+    if (!news.targets_.empty()) {
+        broadcast(news.targets_, from);
+        output_.news_.push_back(std::move(news));
     }
-    output_.news_.insert(output_.news_.end(), news.targets_.begin(), news.targets_.end());
-    const auto bytes = std::make_shared<const std::string>(encode_message(news));
-    for (const auto& [id, peer] : subscribers_) {
-        if (peer.subscribed_ && id != from) {
-            output_.messages_.push_back({id, bytes});
-        }
+    if (!taken_over.targets_.empty()) {
+        output_.news_.push_back(std::move(taken_over)); // no news below
     }
 }
 
+void hub::on_summary(subscriber_id from, const target_summary& summary)
+{
+    send(from, target_sync{targets_.differing(summary.digests_)});
+}
+
 void hub::send(subscriber_id to, const distribution_message& message)
 {
     output_.messages_.push_back({to, std::make_shared<const std::string>(encode_message(message))});
--- a/libs/distribution/hub.h
+++ b/libs/distribution/hub.h
@@ -11,12 +11,14 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "distribution/distribution_message.h"
 #include "distribution/subscriber.h"
 #include "membership/target_directory.h"
+#include "membership/target_leases.h"
 
 namespace sycamorewinch {
 
@@ -33,7 +35,7 @@
 struct hub_output {
     std::vector<hub_message> messages_; ///< Send, in order.
     bool proof_wanted_ = false;         ///< Ask upstream for a proof, then call on_proof().
-    std::vector<target_record> news_;   ///< News of targets from below, for upstream.
+    std::vector<target_report> news_;   ///< News of targets from here and below, for upstream.
     std::vector<subscriber_id> drop_;   ///< Subscribers that broke the protocol.
     bool progress_changed_ = false;     ///< progress() has something new.
 };
@@ -46,8 +48,17 @@
     /** Puts a newer table in front of all subscribers. */
     void set_table(table_pointer newest);
 
-    /** Takes news of targets from upstream or from a peer. */
-    void merge_targets(const std::vector<target_record>& targets);
+    /** Takes news of targets from upstream or from a peer. A peer's report of targets that it holds
+     * ends the leases kept for them here. */
+    void merge_targets(const target_report& report);
+
+    /** Takes an upstream's or a peer's answer to the digests of targets(); what is later here goes
+     * out as news. When it \p replaces, all that is known from elsewhere is forgotten first. */
+    void merge_sync(const bucket_contents& contents, bool replaces);
+
+    /** Lets time pass for the leases of targets; call it a few times a second. \p is_joined says
+     * whether this process is in touch with the rest of the system. */
+    void tick(instant now, bool is_joined);
 
     /** A subscriber's connection is gone. */
     void on_gone(subscriber_id from);
@@ -69,6 +80,10 @@
 
     [[nodiscard]] auto newest() const -> const table_pointer& { return newest_; }
     [[nodiscard]] auto targets() const -> const target_directory& { return targets_; }
+    /** Returns the targets whose leases are kept here or below. */
+    [[nodiscard]] auto held_targets() const -> std::vector<target_record>;
+    /** Returns how many targets are kept though nobody vouches for them now. */
+    [[nodiscard]] auto stale_targets() const -> std::size_t { return leases_.stale_count(); }
     [[nodiscard]] auto subscriber_count() const -> std::size_t { return subscribers_.size(); }
 
   private:
@@ -89,6 +104,8 @@
     void on_subscribe(subscriber_id from, const subscribe& message);
     void on_progress(subscriber_id from, const progress_report& report);
     void on_targets(subscriber_id from, const target_report& report);
+    void on_summary(subscriber_id from, const target_summary& summary);
+    void broadcast(const std::vector<target_record>& news, std::optional<subscriber_id> but);
     void send(subscriber_id to, const distribution_message& message);
     void send_update(subscriber_id to, peer& peer);
     [[nodiscard]] auto encoded_update(const table_version& held)
@@ -105,6 +122,8 @@
     std::map<table_version, std::shared_ptr<const std::string>> encoded_;
     std::map<subscriber_id, peer> subscribers_;
     target_directory targets_;
+    target_leases leases_;
+    instant now_{};
     std::vector<waiting_proof> asking_;  ///< Covered by the proof being fetched.
     std::vector<waiting_proof> waiting_; ///< For the next one.
     bool proof_on_its_way_ = false;
--- a/libs/distribution/subscriber.cpp
+++ b/libs/distribution/subscriber.cpp
@@ -1,6 +1,7 @@
 #include "distribution/subscriber.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/core.h>
 
@@ -18,6 +19,7 @@
     now_ = now;
     good_at_ = now;
     connected_ = true;
+    was_long_away_ = left_at_ && now - *left_at_ >= gone_remembered / 2;
     output_.messages_.emplace_back(subscribe{options_.name_, options_.availability_zone_,
                                              options_.is_relay_, held_->version_});
     request_proof();
@@ -25,6 +27,9 @@
 
 void subscriber::on_disconnected()
 {
+    if (connected_) {
+        left_at_ = now_;
+    }
     connected_ = false;
     asking_ = false;
 }
@@ -40,7 +45,7 @@
         good_at_ = now;
     }
     if (now - good_at_ >= options_.proof_timeout_) {
-        connected_ = false;
+        on_disconnected();
         output_.change_upstream_ = true;
         return;
     }
@@ -60,9 +65,15 @@
     output_.messages_.emplace_back(currency_request{nonce_});
 }
 
-void subscriber::report_targets(std::vector<target_record> targets)
+void subscriber::report_targets(target_report report)
+{
+    output_.messages_.emplace_back(std::move(report));
+}
+
+void subscriber::report_summary(target_digests digests)
 {
-    output_.messages_.emplace_back(target_report{std::move(targets)});
+    output_.messages_.emplace_back(
+        target_summary{was_long_away_ ? target_digests() : std::move(digests)});
 }
 
 void subscriber::report_progress(std::vector<zone_progress> zones)
@@ -84,6 +95,11 @@
                                 report->targets_.end());
         return {};
     }
+    if (const auto* sync = std::get_if<target_sync>(&message)) {
+        output_.sync_ = sync->contents_;
+        output_.sync_replaces_ = std::exchange(was_long_away_, false);
+        return {};
+    }
     return failure(error_kind::invalid_input, "the upstream sent a message for upstreams only");
 }
 
--- a/libs/distribution/subscriber.h
+++ b/libs/distribution/subscriber.h
@@ -42,6 +42,8 @@
     table_pointer held_;                         ///< Set when a newer table is held.
     table_pointer enforce_;                      ///< Set when a newer table is to be enforced.
     std::vector<target_record> targets_;         ///< News of targets from upstream.
+    std::optional<bucket_contents> sync_;        ///< The upstream's answer to report_summary().
+    bool sync_replaces_ = false;                 ///< Forget first what was known from elsewhere.
     std::optional<std::uint64_t> proof_;         ///< Set when a version number was proved current.
     bool change_upstream_ = false;               ///< Drop the connection and dial another upstream.
 };
@@ -68,7 +70,11 @@
     void request_proof();
 
     /** Queues news of targets for the upstream. */
-    void report_targets(std::vector<target_record> targets);
+    void report_targets(target_report report);
+
+    /** Queues what is known of targets, in short. After so long without a connection that targets
+     * which have gone may be forgotten above, everything is asked for instead. */
+    void report_summary(target_digests digests);
 
     /** Queues progress for the upstream. */
     void report_progress(std::vector<zone_progress> zones);
@@ -94,6 +100,8 @@
     std::optional<std::uint64_t> proved_version_;
     std::uint64_t nonce_ = 0;
     bool connected_ = false;
+    bool was_long_away_ = false;
+    std::optional<instant> left_at_;
     bool asking_ = false; ///< The latest request has no answer yet.
     instant now_{};
     instant asked_at_{};
--- a/libs/membership/target_directory.cpp
+++ b/libs/membership/target_directory.cpp
@@ -1,24 +1,103 @@
 #include "membership/target_directory.h"
 
+#include <algorithm>
+
+#include "base/digest.h"
+
 namespace sycamorewinch {
 
+namespace {
+
+/** Returns the part of a digest that one record adds; a gone one adds nothing. */
+auto digest_of_version(const target_record& record) -> std::uint32_t
+{
+    if (record.state_ == target_state::gone) {
+        return 0;
+    }
+    const auto name = hash_of(record.target_, hash_of(record.service_));
+    const auto with_incarnation = hash_of(std::to_string(record.incarnation_), name);
+    return static_cast<std::uint32_t>(hash_of(std::to_string(record.sequence_), with_incarnation));
+}
+
+} // namespace
+
+auto key_of(const target_record& record) -> target_key
+{
+    return {record.service_, record.target_};
+}
+
+auto bucket_of(const target_key& key) -> std::size_t
+{
+    return hash_of(key.target_, hash_of(key.service_)) % target_buckets;
+}
+
 auto target_directory::merge(const target_record& record) -> bool
 {
-    const auto key = std::pair(record.service_, record.target_);
-    const auto found = records_.find(key);
-    if (found != records_.end() && !is_newer(record, found->second)) {
-        return false;
+    const auto key = key_of(record);
+    auto& bucket = buckets_[bucket_of(key)];
+    const auto found = bucket.records_.find(key);
+    if (found != bucket.records_.end()) {
+        if (!is_newer(record, found->second)) {
+            return false;
+        }
+        bucket.digest_ -= digest_of_version(found->second);
+    }
+    bucket.records_[key] = record;
+    bucket.digest_ += digest_of_version(record);
+    if (record.state_ == target_state::gone) {
+        gone_[key] = std::nullopt;
+    }
+    else {
+        gone_.erase(key);
     }
-    records_[key] = record;
     return true;
 }
 
+// Only targets that are gone are forgotten, and those add nothing to the digest.
+void target_directory::forget(const target_key& key)
+{
+    buckets_[bucket_of(key)].records_.erase(key);
+}
+
+void target_directory::forget_gone(instant now)
+{
+    for (auto one = gone_.begin(); one != gone_.end();) {
+        one->second = one->second.value_or(now);
+        if (now - *one->second >= gone_remembered) {
+            forget(one->first);
+            one = gone_.erase(one);
+        }
+        else {
+            ++one;
+        }
+    }
+}
+
+void target_directory::forget_all_but(const std::vector<target_record>& keep)
+{
+    *this = {};
+    for (const auto& record : keep) {
+        merge(record);
+    }
+}
+
+auto target_directory::size() const -> std::size_t
+{
+    std::size_t sum = 0;
+    for (const auto& bucket : buckets_) {
+        sum += bucket.records_.size();
+    }
+    return sum;
+}
+
 auto target_directory::records() const -> std::vector<target_record>
 {
     std::vector<target_record> all;
-    all.reserve(records_.size());
-    for (const auto& [key, record] : records_) {
-        all.push_back(record);
+    all.reserve(size());
+    for (const auto& bucket : buckets_) {
+        for (const auto& [key, record] : bucket.records_) {
+            all.push_back(record);
+        }
     }
     return all;
 }
@@ -26,8 +105,62 @@
 auto target_directory::find(const std::string& service, const std::string& target) const
     -> const target_record*
 {
-    const auto found = records_.find({service, target});
-    return found == records_.end() ? nullptr : &found->second;
+    const target_key key{service, target};
+    const auto& records = buckets_[bucket_of(key)].records_;
+    const auto found = records.find(key);
+    return found == records.end() ? nullptr : &found->second;
+}
+
+auto target_directory::digests() const -> target_digests
+{
+    target_digests sums;
+    for (const auto& bucket : buckets_) {
+        sums.push_back(bucket.digest_);
+    }
+    const auto is_empty = std::ranges::all_of(sums, [](auto sum) { return sum == 0; });
+    return is_empty ? target_digests() : sums;
+}
+
+auto target_directory::differing(const target_digests& theirs) const -> bucket_contents
+{
+    auto padded = theirs;
+    padded.resize(target_buckets);
+    bucket_contents contents;
+    for (std::size_t index = 0; index < target_buckets; ++index) {
+        const auto& bucket = buckets_[index];
+        if (bucket.digest_ == padded[index]) {
+            continue;
+        }
+        contents.buckets_.push_back(index);
+        for (const auto& [key, record] : bucket.records_) {
+            contents.targets_.push_back(record);
+        }
+    }
+    return contents;
+}
+
+auto target_directory::compare(const bucket_contents& theirs) -> bucket_comparison
+{
+    bucket_comparison outcome;
+    std::map<target_key, const target_record*> listed;
+    for (const auto& record : theirs.targets_) {
+        listed[key_of(record)] = &record;
+        if (merge(record)) {
+            outcome.news_.push_back(record);
+        }
+    }
+    for (const auto index : theirs.buckets_) {
+        for (const auto& [key, record] : buckets_[index % target_buckets].records_) {
+            const auto found = listed.find(key);
+            // The other one may have forgotten a target that is gone; it needs no reminder.
+            const auto is_later = found == listed.end() ? record.state_ != target_state::gone
+                                                        : is_newer(record, *found->second);
+            if (is_later) {
+                outcome.later_here_.push_back(record);
+            }
+        }
+    }
+    return outcome;
 }
 
 } // namespace sycamorewinch
--- a/libs/membership/target_record.h
+++ b/libs/membership/target_record.h
@@ -24,6 +24,11 @@
 /** Returns the name of \p state. */
 [[nodiscard]] auto name_of(target_state state) -> std::string_view;
 
+/** A node's own records have sequences that are multiples of this. The numbers between are for
+ * whoever marks a target as gone, so that such a mark and the node's own next record never share
+ * one: the node's own word is the later one. */
+constexpr std::uint64_t sequence_step = 2;
+
 /** One target of one service. A record with a later (incarnation, sequence) replaces an earlier
  * one, in whatever order they arrive. */
 struct target_record {
--- a/libs/membership/test/correctness/target_directory.cpp
+++ b/libs/membership/test/correctness/target_directory.cpp
@@ -41,3 +41,54 @@
     BOOST_TEST((read_target(reader) == value));
     BOOST_TEST(reader.finish().has_value());
 }
+
+BOOST_AUTO_TEST_CASE(only_buckets_that_differ_are_sent)
+{
+    target_directory above;
+    for (std::uint64_t index = 0; index < 1000; ++index) {
+        auto one = record(1, 1, target_state::up);
+        one.target_ = "d" + std::to_string(index);
+        above.merge(one);
+    }
+    auto below = above;
+    BOOST_TEST(above.differing(below.digests()).buckets_.empty());
+    above.merge(record(1, 2, target_state::draining));
+    const auto contents = above.differing(below.digests());
+    BOOST_TEST(contents.buckets_.size() == 1U);
+    BOOST_TEST(below.compare(contents).news_.size() == 1U);
+    BOOST_TEST((below.digests() == above.digests()));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_later_here_is_found_in_a_comparison)
+{
+    target_directory above;
+    above.merge(record(1, 1, target_state::up));
+    target_directory below;
+    below.merge(record(2, 1, target_state::up));
+    const auto outcome = below.compare(above.differing(below.digests()));
+    BOOST_TEST(outcome.news_.empty());
+    BOOST_TEST(outcome.later_here_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_gone_target_is_remembered_for_a_while_and_then_forgotten)
+{
+    target_directory directory;
+    directory.merge(record(2, 1, target_state::gone));
+    const instant start{};
+    directory.forget_gone(start);
+    directory.forget_gone(start + gone_remembered - std::chrono::seconds(1));
+    BOOST_TEST(!directory.merge(record(1, 9, target_state::up)));
+    directory.forget_gone(start + gone_remembered);
+    BOOST_TEST(directory.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_forgotten_gone_target_is_not_told_again)
+{
+    target_directory above;
+    auto other = record(1, 1, target_state::up);
+    other.target_ = "d2";
+    above.merge(other);
+    target_directory below;
+    below.merge(record(2, 1, target_state::gone));
+    BOOST_TEST(below.compare(above.differing(below.digests())).later_here_.empty());
+}
