--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -5,6 +5,7 @@
 #include "daemon/admin_server.h"
 #include "daemon/hub_server.h"
 #include "daemon/peer_listener.h"
+#include "daemon/run_channels.h"
 #include "daemon/upstream_link.h"
 
 namespace sycamorewinch {
@@ -36,8 +37,21 @@
                 {[this](const auto& output) { on_output(output); },
                  [this](bool /*is_moved*/) {
                      on_connected();
-                 }})
+                 }}),
+          runs_(metrics_, [this] { pass_runs_on(); }),
+          runs_up_({[] {},
+                    [this] {
+                        runs_.logic().on_upstream_lost();
+                        runs_.answer();
+                    },
+                    [this](const auto& results) {
+                        runs_.logic().on_results(results);
+                        runs_.answer();
+                    }})
     {
+        listener_.handle(runs_path, [this](const auto& connection, auto stream) {
+            return runs_.accept(connection, stream);
+        });
         listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
             return hub_.accept(connection, stream);
         });
@@ -68,9 +82,20 @@
     {
         link_.logic().report_targets({hub_.logic().held_targets(), true});
         link_.logic().report_summary(hub_.logic().targets().digests());
+        runs_up_.open(link_.connection());
         link_.logic().report_progress(hub_.logic().progress());
     }
 
+    void pass_runs_on()
+    {
+        if (runs_up_.is_open()) {
+            runs_up_.send(runs_.logic().take_upward());
+            return;
+        }
+        runs_.logic().on_upstream_lost();
+        runs_.answer();
+    }
+
     void ask_for_proof()
     {
         link_.logic().request_proof();
@@ -123,6 +148,8 @@
     upstream_link link_;
     QTimer progress_timer_;
     QTimer lease_timer_;
+    run_server runs_;
+    run_uplink runs_up_;
 };
 
 } // namespace
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -16,6 +16,7 @@
 #include "observability/metrics.h"
 #include "policy/admission.h"
 #include "policy/route_table.h"
+#include "request_path/run_gateway.h"
 #include "transport/peer_connection.h"
 
 namespace sycamorewinch {
@@ -34,13 +35,16 @@
 /** Counts refusals by reason and service, and retries by reason. */
 class call_metrics {
   public:
-    explicit call_metrics(metrics_registry& registry) : registry_(registry) {}
+    explicit call_metrics(metrics_registry& registry);
 
     void count_refusal(refusal_reason reason, std::string_view service);
     void count_retry(refusal_reason reason, std::string_view service);
     void record_call(std::string_view service, duration taken);
 
   private:
+    auto refusal_counter(refusal_reason reason, std::string_view service) -> counter&;
+    auto retry_counter(refusal_reason reason, std::string_view service) -> counter&;
+
     metrics_registry& registry_;
 };
 
@@ -72,6 +76,10 @@
     [[nodiscard]] auto own_address() const -> const std::string& { return own_address_; }
     [[nodiscard]] auto metrics() -> call_metrics& { return metrics_; }
 
+    /** The way to the record of unrepeatable requests; set before the workers start. */
+    void set_run_port(run_port port) { run_port_ = std::move(port); }
+    [[nodiscard]] auto runs() const -> const run_port& { return run_port_; }
+
     /** From now on callers are refused; requests in flight go on. */
     void begin_shutdown() { shutting_down_ = true; }
     [[nodiscard]] auto is_shutting_down() const -> bool { return shutting_down_; }
@@ -84,6 +92,7 @@
     rcu_cell<route_table> routes_;
     rcu_cell<local_targets> targets_;
     call_metrics metrics_;
+    run_port run_port_;
     std::atomic<bool> shutting_down_{false};
     std::atomic<std::int64_t> in_flight_{0};
 };
