--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -18,9 +18,9 @@
 namespace {
 
 constexpr auto tick_period = std::chrono::milliseconds(10);
+constexpr auto lease_check_period = std::chrono::milliseconds(500);
 /** Operators send whole tables. */
 constexpr admin_limits operator_limits{.request_bytes_ = 8 * 1024 * 1024};
-constexpr auto lease_check_period = std::chrono::milliseconds(500);
 constexpr auto proof_timeout = std::chrono::milliseconds(500);
 constexpr auto proof_retry_after = std::chrono::milliseconds(100);
 
@@ -135,9 +135,6 @@
             hub_.logic().set_table(table);
             hub_.run();
         };
-        hooks.request_flush_ = [this] {
-            QTimer::singleShot(0, &ticker_, [this] { replica_->flush(); });
-        };
         hooks.on_disk_failure_ = [](const error& problem) {
             log_event(log_level::error, "disk_failure", {{"message", problem.message_}});
         };
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -80,9 +80,9 @@
   private:
     void on_connected()
     {
-        runs_up_.open(link_.connection());
         link_.logic().report_targets({hub_.logic().held_targets(), true});
         link_.logic().report_summary(hub_.logic().targets().digests());
+        runs_up_.open(link_.connection());
         link_.logic().report_progress(hub_.logic().progress());
     }
 
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -34,6 +34,12 @@
     return true;
 }
 
+auto target_registry::next_sequence() -> std::uint64_t
+{
+    sequence_ = (sequence_ / sequence_step + 1) * sequence_step;
+    return sequence_;
+}
+
 auto target_registry::announced_state(const registered_target& target) const -> target_state
 {
     const bool drains =
@@ -41,12 +47,6 @@
     return drains ? target_state::draining : target_state::up;
 }
 
-auto target_registry::next_sequence() -> std::uint64_t
-{
-    sequence_ = (sequence_ / sequence_step + 1) * sequence_step;
-    return sequence_;
-}
-
 auto target_registry::set_state(registered_target& target, target_state state) -> bool
 {
     if (target.record_.state_ == state) {
