Give retries a budget, share limits out whole, and hash path prefixes

Cause: retries had no budget and passed the first attempt's time left on to later attempts; a concurrency of 2 over 3 targets admitted 3; each call looked its counters up under a lock and scanned all rows.

Change: policy/retry_policy (budget of a tenth of the calls, deadline, retry mark, counted reasons), policy/limit_share (shares that add up), policy/path_index, policy/service_state (counter handles and budget per service, kept over route tables). node_state::publish_routes joins table and targets itself (node_role calls it).

Conclusion: small bursts are kept on few targets; the price is that such callers' calls do not follow the weights. Ruled out: a least burst for each target (admits more at once than the table).

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -203,10 +203,7 @@
         state_.publish_targets(std::move(local));
     }
 
-    void publish_routes()
-    {
-        state_.publish_routes(route_table::create(link_.logic().enforced(), directory_.records()));
-    }
+    void publish_routes() { state_.publish_routes(link_.logic().enforced(), directory_.records()); }
 
     // Called on worker threads.
     void post_reservation(run_operation operation, run_callback reply)
--- a/libs/policy/admission.cpp
+++ b/libs/policy/admission.cpp
@@ -1,7 +1,5 @@
 #include "policy/admission.h"
 
-#include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "base/digest.h"
@@ -45,33 +43,32 @@
     return cells_.at(key % cell_count); // more callers than cells: they share
 }
 
-auto admission::admit(const row& row, std::string_view caller, double share, instant now)
+auto admission::admit(std::string_view caller, const limit_share& share, instant now)
     -> admission_result
 {
     if (draining_) {
         return {{}, refusal_reason::target_draining};
     }
+    if (!share.grants_) {
+        return {{}, refusal_reason::concurrency_limited};
+    }
     if (in_flight_.fetch_add(1) >= slots_) {
         --in_flight_;
         return {{}, refusal_reason::target_full};
     }
     admission_ticket ticket(this, nullptr);
-    const auto& limit = row.limit_of(std::string(caller));
     auto& cell = find_cell(caller);
-    if (limit.concurrency_ > 0) {
-        const auto allowed = std::max(1.0, std::ceil(limit.concurrency_ * share));
-        if (cell.in_flight_.fetch_add(1) >= static_cast<std::uint32_t>(allowed)) {
+    if (share.concurrency_ > 0) {
+        if (cell.in_flight_.fetch_add(1) >= share.concurrency_) {
             --cell.in_flight_;
             return {{}, refusal_reason::concurrency_limited};
         }
         ticket = admission_ticket(this, &cell.in_flight_);
         ++in_flight_; // the ticket that was replaced gives one back
     }
-    if (limit.requests_per_second_ > 0) {
-        const auto burst = std::max(1.0, limit.burst_ * share);
-        if (!cell.rate_.admit(limit.requests_per_second_ * share, burst, now)) {
-            return {{}, refusal_reason::rate_limited};
-        }
+    if (share.requests_per_second_ > 0 &&
+        !cell.rate_.admit(share.requests_per_second_, share.burst_, now)) {
+        return {{}, refusal_reason::rate_limited};
     }
     return {std::move(ticket), std::nullopt};
 }
--- a/libs/policy/admission.h
+++ b/libs/policy/admission.h
@@ -2,8 +2,8 @@
  * The decision of the node beside a target whether a request may go to it: drain, slots, and the
  * caller's limits. What is refused here has not been run.
  *
- * A caller's limit in the table is for the whole system. This node grants its share: the target's
- * weight over the weight of all targets up. Counts are atomics; callers are found in a fixed hash
+ * A caller's limit in the table is for the whole system. This node grants its target's share of it
+ * (policy/limit_share.h). Counts are atomics; callers are found in a fixed hash
  * table without a lock.
  */
 #pragma once
@@ -14,9 +14,9 @@
 #include <optional>
 #include <string_view>
 
+#include "policy/limit_share.h"
 #include "policy/rate_limiter.h"
 #include "policy/refusal.h"
-#include "policy/route_table.h"
 
 namespace sycamorewinch {
 
@@ -53,9 +53,8 @@
     /** \p slots is how many requests the target runs at once. */
     explicit admission(std::uint32_t slots) : slots_(slots) {}
 
-    /** Decides on a request of \p caller under \p row, of which this target serves \p share
-     * (0 to 1]. */
-    [[nodiscard]] auto admit(const row& row, std::string_view caller, double share, instant now)
+    /** Decides on a request of \p caller, of whose limits \p share falls to this target. */
+    [[nodiscard]] auto admit(std::string_view caller, const limit_share& share, instant now)
         -> admission_result;
 
     /** From now on refuses all new work. */
--- a/libs/policy/route_table.cpp
+++ b/libs/policy/route_table.cpp
@@ -44,20 +44,11 @@
     }
 }
 
-auto starts_with_prefix(std::string_view path, std::string_view prefix) -> bool
-{
-    if (!path.starts_with(prefix)) {
-        return false;
-    }
-    const auto rest = path.substr(prefix.size());
-    return rest.empty() || prefix.ends_with('/') || rest.front() == '/' || rest.front() == '?';
-}
-
 } // namespace
 
 auto route_table::create(std::shared_ptr<const table> table,
-                         const std::vector<target_record>& targets)
-    -> std::shared_ptr<const route_table>
+                         const std::vector<target_record>& targets,
+                         const service_state_hook& state_of) -> std::shared_ptr<const route_table>
 {
     const std::shared_ptr<route_table> routes(new route_table());
     routes->table_ = std::move(table);
@@ -73,22 +64,18 @@
     for (const auto& row : routes->table_->rows_) {
         service_route route;
         route.row_ = &row;
+        route.state_ = state_of ? state_of(row.service_) : nullptr;
+        routes->index_.add(row.path_prefix_, routes->routes_.size());
         fill_targets(route, by_service[row.service_]);
         routes->routes_.push_back(std::move(route));
     }
-    std::ranges::stable_sort(routes->routes_, std::greater<>(),
-                             [](const auto& route) { return route.row_->path_prefix_.size(); });
     return routes;
 }
 
 auto route_table::match(std::string_view path) const -> const service_route*
 {
-    for (const auto& route : routes_) {
-        if (starts_with_prefix(path, route.row_->path_prefix_)) {
-            return &route;
-        }
-    }
-    return nullptr;
+    const auto position = index_.find(path);
+    return position ? &routes_[*position] : nullptr;
 }
 
 auto choose_target(const service_route& route, const std::vector<std::string>& excluded,
--- a/libs/policy/route_table.h
+++ b/libs/policy/route_table.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -12,6 +13,8 @@
 
 #include "base/random.h"
 #include "membership/target_record.h"
+#include "policy/path_index.h"
+#include "policy/service_state.h"
 #include "table/table.h"
 
 namespace sycamorewinch {
@@ -27,14 +30,19 @@
     const row* row_ = nullptr;             ///< Points into the table that the routes keep.
     std::vector<weighted_target> targets_; ///< Those that are up and have a weight above zero.
     double total_weight_ = 0;
+    std::shared_ptr<service_state> state_; ///< Outlives the table; null where no hook gave one.
 };
 
+/** Returns the state of a service, kept from one route table to the next. */
+using service_state_hook = std::function<std::shared_ptr<service_state>(const std::string&)>;
+
 /** All routes of one moment. */
 class route_table {
   public:
     /** Joins \p table with \p targets. A null \p table means that none is in force. */
     [[nodiscard]] static auto create(std::shared_ptr<const table> table,
-                                     const std::vector<target_record>& targets)
+                                     const std::vector<target_record>& targets,
+                                     const service_state_hook& state_of = {})
         -> std::shared_ptr<const route_table>;
 
     /** Returns the route with the longest path prefix that \p path starts with, or nullptr. */
@@ -50,7 +58,8 @@
     route_table() = default;
 
     std::shared_ptr<const table> table_;
-    std::vector<service_route> routes_; ///< Longest prefix first.
+    std::vector<service_route> routes_;
+    path_index index_; ///< Positions in routes_ by path prefix.
 };
 
 /** Picks a target of \p route by weight, leaving out the names in \p excluded unless all are;
--- /dev/null
+++ b/libs/policy/service_state.h
@@ -0,0 +1,60 @@
+/** \file
+ * What a node keeps of one service from one route table to the next: its retry budget and the
+ * handles of its counters. A handle is resolved on first use; after that neither lock nor lookup
+ * lies on a request's path.
+ */
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "observability/metrics.h"
+#include "policy/retry_policy.h"
+
+namespace sycamorewinch {
+
+/** One service's state. Safe from any thread. */
+class service_state {
+  public:
+    service_state(metrics_registry& registry, std::string service)
+        : registry_(registry), service_(std::move(service))
+    {
+    }
+
+    void count_refusal(refusal_reason reason);
+    void count_retry(retry_reason reason);
+    /** Counts a call that was not tried again, though one of its attempts was refused. */
+    void count_no_retry(retry_decision decision);
+    void record_call(duration taken);
+
+    [[nodiscard]] auto budget() -> retry_budget& { return budget_; }
+
+  private:
+    using handle = std::atomic<counter*>;
+
+    metrics_registry& registry_;
+    std::string service_;
+    retry_budget budget_;
+    std::array<handle, refusal_reason_count> refusals_{};
+    std::array<handle, retry_reason_count> retries_{};
+    std::array<handle, retry_decision_count> no_retries_{};
+    std::atomic<histogram*> seconds_{nullptr};
+};
+
+/** The states of all services that were ever in force. For one thread. */
+class service_states {
+  public:
+    explicit service_states(metrics_registry& registry) : registry_(registry) {}
+
+    /** Returns the state of \p service, made on first use. */
+    auto of(const std::string& service) -> std::shared_ptr<service_state>;
+
+  private:
+    metrics_registry& registry_;
+    std::map<std::string, std::shared_ptr<service_state>> states_;
+};
+
+} // namespace sycamorewinch
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -6,6 +6,7 @@
 #include <QTimer>
 #include <fmt/core.h>
 
+#include "policy/limit_share.h"
 #include "request_path/peer_headers.h"
 
 namespace sycamorewinch {
@@ -25,14 +26,6 @@
     return is_stated ? std::min(row.timeout_, std::chrono::milliseconds(stated)) : row.timeout_;
 }
 
-/** Whether another attempt may succeed where this reason ended one. */
-auto is_worth_another_target(refusal_reason reason) -> bool
-{
-    return reason == refusal_reason::target_draining || reason == refusal_reason::target_full ||
-           reason == refusal_reason::no_target || reason == refusal_reason::target_unreachable ||
-           reason == refusal_reason::target_failed || reason == refusal_reason::table_not_proved;
-}
-
 class caller_call : public std::enable_shared_from_this<caller_call> {
   public:
     caller_call(const call_environment& environment,
@@ -78,10 +71,24 @@
         const auto caller = find_header(request_.head_.headers_, caller_header);
         request_.caller_ = caller.empty() ? default_caller : caller;
         request_.service_ = route_->row_->service_;
-        request_.time_left_ = time_left_of(request_.head_, *route_->row_);
+        time_allowed_ = time_left_of(request_.head_, *route_->row_);
+        marked_ = !find_header(request_.head_.headers_, retry_mark_header).empty();
+        state().budget().earn();
+        // A caller with small limits may only use some of the targets.
+        tried_ = targets_without_share(*route_, request_.caller_,
+                                       route_->row_->limit_of(request_.caller_));
         remove_system_headers(request_.head_.headers_);
-        set_header(request_.head_.headers_, deadline_header,
-                   std::to_string(request_.time_left_.count()));
+    }
+
+    [[nodiscard]] auto time_left() const -> duration
+    {
+        return time_allowed_ - (monotonic_now() - started_);
+    }
+
+    [[nodiscard]] auto state() -> service_state&
+    {
+        return route_ != nullptr && route_->state_ ? *route_->state_
+                                                   : environment_.node_.unrouted();
     }
 
     void arm_deadline()
@@ -89,7 +96,7 @@
         deadline_.setSingleShot(true);
         QObject::connect(&deadline_, &QTimer::timeout, &deadline_,
                          [self = shared_from_this()] { self->on_deadline(); });
-        deadline_.start(request_.time_left_);
+        deadline_.start(time_allowed_);
     }
 
     void attempt()
@@ -102,6 +109,7 @@
         const auto number = ++attempts_;
         request_.target_ = target->record_.target_;
         tried_.push_back(request_.target_);
+        set_travelling_headers();
         const auto address = parse_peer_address(target->record_.node_address_);
         auto hooks = make_exchange_hooks(number);
         controls_ = {};
@@ -130,6 +138,18 @@
         }
     }
 
+    // What the target passes on when it makes calls of its own.
+    void set_travelling_headers()
+    {
+        request_.time_left_ =
+            std::chrono::milliseconds(std::max<std::int64_t>(to_milliseconds(time_left()), 0));
+        set_header(request_.head_.headers_, deadline_header,
+                   std::to_string(request_.time_left_.count()));
+        if (attempts_ > 1) {
+            set_header(request_.head_.headers_, retry_mark_header, "1");
+        }
+    }
+
     auto make_exchange_hooks(unsigned number) -> exchange_hooks
     {
         const auto self = shared_from_this();
@@ -163,22 +183,29 @@
             return;
         }
         ran_ = ran_ || refusal.outcome_ != request_outcome::not_run;
-        if (may_retry(refusal)) {
-            environment_.node_.metrics().count_retry(refusal.reason_, request_.service_);
+        const auto decision = decide_retry(question_of(refusal), state().budget());
+        if (decision == retry_decision::retry) {
+            state().count_retry(*retry_reason_of(refusal.reason_));
             attempt();
             return;
         }
+        state().count_no_retry(decision);
         // An earlier attempt may have run, whatever is known of the last one.
         const bool is_in_doubt = ran_ && refusal.outcome_ == request_outcome::not_run;
         refuse({refusal.reason_, is_in_doubt ? request_outcome::unknown : refusal.outcome_});
     }
 
-    auto may_retry(const refusal& refusal) const -> bool
+    [[nodiscard]] auto question_of(const refusal& refusal) const -> retry_question
     {
-        const bool is_safe =
-            refusal.outcome_ == request_outcome::not_run || route_->row_->repeatable_;
-        return is_safe && !replay_lost_ && attempts_ <= route_->row_->retries_ &&
-               is_worth_another_target(refusal.reason_);
+        return {.reason_ = refusal.reason_,
+                .outcome_ = refusal.outcome_,
+                .repeatable_ = route_->row_->repeatable_,
+                .replayable_ = !replay_lost_,
+                .untried_ = tried_.size() < route_->targets_.size(),
+                .marked_ = marked_,
+                .attempts_ = attempts_,
+                .retries_ = route_->row_->retries_,
+                .time_left_ = time_left()};
     }
 
     void on_response(message_head head)
@@ -210,7 +237,7 @@
             return;
         }
         end();
-        environment_.node_.metrics().record_call(request_.service_, monotonic_now() - started_);
+        state().record_call(monotonic_now() - started_);
         if (const auto connection = connection_.lock()) {
             connection->finish();
         }
@@ -222,8 +249,7 @@
             return;
         }
         end();
-        environment_.node_.metrics().count_refusal(refusal_reason::target_failed,
-                                                   request_.service_);
+        state().count_refusal(refusal_reason::target_failed);
         if (const auto connection = connection_.lock()) {
             connection->abort();
         }
@@ -299,7 +325,7 @@
     void refuse(const refusal& refusal)
     {
         end();
-        environment_.node_.metrics().count_refusal(refusal.reason_, request_.service_);
+        state().count_refusal(refusal.reason_);
         if (const auto connection = connection_.lock()) {
             answer_refusal(*connection, refusal, request_.service_);
         }
@@ -318,6 +344,8 @@
     call_environment environment_;
     std::weak_ptr<http1_server_connection> connection_;
     instant started_;
+    std::chrono::milliseconds time_allowed_{0}; ///< From the start to the deadline.
+    bool marked_ = false;                       ///< The call belongs to a retried call.
     exchange_request request_;
     std::shared_ptr<const route_table> routes_;
     const service_route* route_ = nullptr;
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -13,15 +13,22 @@
 /** A target may take at least this long after its caller has gone. */
 constexpr std::chrono::milliseconds detached_time{10'000};
 
-/** The part of a service's load that falls to one target, from the weights in force. */
-auto share_of(const service_route& route, const std::string& target) -> double
+/** The part of a caller's limits that falls to one target. A target that is new to this node's
+ * routes grants as if it were one more alike. */
+auto share_of(const service_route& route, const exchange_request& request) -> limit_share
 {
-    for (const auto& candidate : route.targets_) {
-        if (candidate.record_.target_ == target) {
-            return candidate.weight_ / route.total_weight_;
+    const auto& limit = route.row_->limit_of(request.caller_);
+    if (!is_limited(limit)) {
+        return {};
+    }
+    const auto shares = share_limit(route, request.caller_, limit);
+    for (std::size_t index = 0; index < shares.size(); ++index) {
+        if (route.targets_[index].record_.target_ == request.target_) {
+            return shares[index];
         }
     }
-    return 1.0 / static_cast<double>(route.targets_.size() + 1);
+    const auto parts = static_cast<double>(shares.size() + 1);
+    return {true, limit.requests_per_second_ / parts, 1, limit.concurrency_ == 0 ? 0U : 1U};
 }
 
 /** One exchange; kept alive by the connection's hooks and the controls. */
@@ -49,8 +56,8 @@
                                                          : refusal_reason::table_not_proved));
             return;
         }
-        auto decision = target->admission_->admit(
-            *route->row_, request.caller_, share_of(*route, request.target_), monotonic_now());
+        auto decision =
+            target->admission_->admit(request.caller_, share_of(*route, request), monotonic_now());
         if (decision.refusal_) {
             refuse(make_refusal(*decision.refusal_));
             return;
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -32,19 +32,6 @@
 /** All targets beside this node. */
 using local_targets = std::vector<local_target>;
 
-/** Counts refusals by reason and service, and retries by reason. */
-class call_metrics {
-  public:
-    explicit call_metrics(metrics_registry& registry) : registry_(registry) {}
-
-    void count_refusal(refusal_reason reason, std::string_view service);
-    void count_retry(refusal_reason reason, std::string_view service);
-    void record_call(std::string_view service, duration taken);
-
-  private:
-    metrics_registry& registry_;
-};
-
 /** The shared state of one node. */
 class node_state {
   public:
@@ -71,7 +58,12 @@
     }
 
     [[nodiscard]] auto own_address() const -> const std::string& { return own_address_; }
-    [[nodiscard]] auto metrics() -> call_metrics& { return metrics_; }
+    /** Joins the table in force with the targets and publishes the routes. Main thread only. */
+    void publish_routes(const std::shared_ptr<const table>& enforced,
+                        const std::vector<target_record>& targets);
+
+    /** Returns the state of calls that match no service. */
+    [[nodiscard]] auto unrouted() -> service_state& { return *unrouted_; }
 
     /** The way to the record of unrepeatable requests; set before the workers start. */
     void set_run_port(run_port port) { run_port_ = std::move(port); }
@@ -88,7 +80,8 @@
     std::string own_address_;
     rcu_cell<route_table> routes_;
     rcu_cell<local_targets> targets_;
-    call_metrics metrics_;
+    service_states states_;
+    std::shared_ptr<service_state> unrouted_;
     run_port run_port_;
     std::atomic<bool> shutting_down_{false};
     std::atomic<std::int64_t> in_flight_{0};
--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -66,7 +66,7 @@
         };
         hooks.on_bad_request_ = [this, self](http1_problem problem) {
             const auto refusal = make_refusal(reason_of(problem));
-            node_.metrics().count_refusal(refusal.reason_, "");
+            node_.unrouted().count_refusal(refusal.reason_);
             answer_refusal(*self->lock(), refusal, "");
         };
         hooks.on_closed_ = [this, self] {
--- a/libs/request_path/peer_headers.h
+++ b/libs/request_path/peer_headers.h
@@ -17,6 +17,9 @@
 /** The time left until the deadline in milliseconds, sent along over up to 6 calls. */
 constexpr std::string_view deadline_header = "sycamorewinch-deadline-ms";
 
+/** Marks a request that belongs to a retried call; targets pass it on with the deadline. */
+constexpr std::string_view retry_mark_header = "sycamorewinch-retry";
+
 /** Returns the fields of \p request for another node. */
 [[nodiscard]] auto to_peer_headers(const exchange_request& request) -> header_list;
 /** Reads a request back from another node's fields. */
--- a/libs/run_record/test/error/random_failures.cpp
+++ b/libs/run_record/test/error/random_failures.cpp
@@ -234,14 +234,14 @@
         run_at_target(index, operation);
     }
 
-    void run_at_target(std::size_t index, run_operation operation)
+    void run_at_target(std::size_t index, const run_operation& operation)
     {
         const auto incarnation = nodes_[index].incarnation_;
-        after(delay(), [this, index, incarnation, operation]() mutable {
+        after(delay(), [this, index, incarnation, operation] {
             if (!chance(0.1)) { // else the target crashes before it runs the request
                 target_runs(operation);
             }
-            after(delay(), [this, index, incarnation, operation]() mutable {
+            after(delay(), [this, index, incarnation, operation] {
                 if (nodes_[index].incarnation_ == incarnation) {
                     report(index, operation);
                 }
