End silent, foreign and slow peers with a reason, and shut down without a cut

Cause: A peer without the key kept its connection after the 401; a peer of another version too. A server that answers PINGs but no handshake kept calls waiting for ever, without a bound. A stream that was closed from one of its own hooks destroyed that hook while it ran, and nghttp2 was entered again from inside its own callback. Ending a node's thread left calls alive whose loop was gone. Closing at shutdown cut requests that were on their way. Change: Such connections end with a reason (unauthorized, other_version, not_ready); at most 256 calls wait for one connection. GOAWAY at shutdown: streams that have not begun are refused as not run, those that have finish, and a client dials anew. Callers are answered for a grace period of 1 s with connection: close. An answer through a peer is whole at its END_STREAM and does not wait for the rest of the request. The timer of a connection wakes when a PING is due and not twice a second; received body bytes are handed on without a copy; writers are told from a list, not by a walk over all streams. Ruled out: ending idle callers' connections at once, which cuts requests that are already in the kernel.

--- a/libs/http1/http1_server_connection.cpp
+++ b/libs/http1/http1_server_connection.cpp
@@ -37,7 +37,8 @@
     bool chunked_ = false;
     bool keep_alive_ = true;
     bool paused_ = false;
-    bool closing_ = false;
+    bool closing_ = false; ///< The next answer says `connection: close`.
+    bool last_ = false;    ///< The current answer is the last, whatever it said.
     bool closed_ = false;
     bool in_parse_ = false;
     bool lingering_ = false; ///< The last answer is written; input is read and dropped.
@@ -330,7 +331,7 @@
     self.request_open_ = false;
     self.answering_ = false;
     self.request_.reset();
-    if (!self.keep_alive_ || self.closing_) {
+    if (!self.keep_alive_ || self.last_) {
         self.closing_ = true;
         self.paused_ = false;
         self.linger();
@@ -362,8 +363,14 @@
     return static_cast<std::size_t>(state_->socket_->bytesToWrite());
 }
 
+void http1_server_connection::close_after_next_answer()
+{
+    state_->closing_ = true;
+}
+
 void http1_server_connection::close_when_idle()
 {
+    state_->last_ = true;
     state_->closing_ = true;
     if (!state_->request_open_ && !state_->lingering_) {
         state_->end();
--- a/libs/http1/http1_server_connection.h
+++ b/libs/http1/http1_server_connection.h
@@ -63,6 +63,8 @@
     void pause_reading(bool paused);
     /** Returns the bytes written that the caller has not taken yet. */
     [[nodiscard]] auto queued_bytes() const -> std::size_t;
+    /** Ends after the next answer, or the current one; that one says `connection: close`. */
+    void close_after_next_answer();
     /** Ends after the current answer; at once when idle. */
     void close_when_idle();
 
--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -2,10 +2,12 @@
 
 #include <future>
 #include <set>
+#include <utility>
 
 #include <QObject>
 #include <QTcpSocket>
 #include <QThread>
+#include <QTimer>
 
 #include "request_path/caller_call.h"
 #include "request_path/peer_service.h"
@@ -15,6 +17,9 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds shutdown_grace{1'000};
+constexpr std::chrono::milliseconds grace_check_period{10};
+
 auto reason_of(http1_problem problem) -> refusal_reason
 {
     switch (problem) {
@@ -37,6 +42,23 @@
     {
     }
 
+    loop(const loop&) = delete;
+    auto operator=(const loop&) -> loop& = delete;
+    loop(loop&&) = delete;
+    auto operator=(loop&&) -> loop& = delete;
+
+    /** Ends every connection while all that their hooks use is still there. */
+    ~loop()
+    {
+        for (const auto& connection : std::set(caller_connections_)) {
+            connection->abort();
+        }
+        for (const auto& connection : std::set(peer_connections_)) {
+            connection->close();
+        }
+        end_grace();
+    }
+
     auto listen(const node_addresses& wanted) -> result<node_addresses>
     {
         auto callers = reuse_port_listener::listen(
@@ -91,13 +113,40 @@
         peer_connections_.insert(std::move(connection));
     }
 
+    /** Closes the listener and tells peers to send nothing new. Callers whose connections are
+     * idle may be sending a request at this moment: they are answered for a grace period, with
+     * `connection: close`, and the node counts as busy until then. */
     void begin_shutdown()
     {
+        if (std::exchange(in_grace_, true)) {
+            return;
+        }
+        ++node_.calls_in_flight();
         caller_listener_->close();
-        const auto connections = caller_connections_;
-        for (const auto& connection : connections) {
+        for (const auto& connection : std::set(caller_connections_)) {
+            connection->close_after_next_answer();
+        }
+        for (const auto& connection : std::set(peer_connections_)) {
+            connection->begin_shutdown();
+        }
+        QObject::connect(&grace_timer_, &QTimer::timeout, &context_, [this] {
+            if (caller_connections_.empty() || monotonic_now() > grace_end_) {
+                end_grace();
+            }
+        });
+        grace_end_ = monotonic_now() + shutdown_grace;
+        grace_timer_.start(grace_check_period);
+    }
+
+    void end_grace()
+    {
+        grace_timer_.stop();
+        for (const auto& connection : std::set(caller_connections_)) {
             connection->close_when_idle();
         }
+        if (std::exchange(in_grace_, false)) {
+            --node_.calls_in_flight();
+        }
     }
 
     node_state& node_;
@@ -109,6 +158,9 @@
     std::unique_ptr<reuse_port_listener> peer_listener_;
     std::set<std::shared_ptr<http1_server_connection>> caller_connections_;
     std::set<std::shared_ptr<h2_connection>> peer_connections_;
+    QTimer grace_timer_;
+    instant grace_end_{};
+    bool in_grace_ = false;
     QObject context_; ///< Lives in the thread, for calls from others.
 };
 
@@ -139,14 +191,13 @@
 
 node_worker::~node_worker()
 {
-    if (loop_) {
-        QMetaObject::invokeMethod(
-            &loop_->context_, [this] { loop_.reset(); }, Qt::QueuedConnection);
-    }
     QObject last;
     last.moveToThread(thread_.get());
-    QMetaObject::invokeMethod(
-        &last, [&] { last.moveToThread(nullptr); }, Qt::BlockingQueuedConnection);
+    const auto end_loop = [&] {
+        loop_.reset();
+        last.moveToThread(nullptr);
+    };
+    QMetaObject::invokeMethod(&last, end_loop, Qt::BlockingQueuedConnection);
     thread_->quit();
     thread_->wait();
 }
--- a/libs/request_path/peer_exchange.cpp
+++ b/libs/request_path/peer_exchange.cpp
@@ -1,9 +1,30 @@
 #include "request_path/peer_exchange.h"
 
+#include <utility>
+
 #include "request_path/peer_headers.h"
 
 namespace sycamorewinch {
 
+namespace {
+
+/** Calls that wait for one connection to open; more are refused at once. */
+constexpr std::size_t max_waiting = 256;
+
+} // namespace
+
+peer_connections::~peer_connections()
+{
+    for (const auto& [address, slot] : std::exchange(slots_, {})) {
+        if (slot.client_) {
+            slot.client_->close();
+        }
+    }
+    for (const auto& client : std::exchange(retiring_, {})) {
+        client->close();
+    }
+}
+
 void peer_connections::with_connection(const peer_address& address,
                                        std::function<void(h2_connection*)> use)
 {
@@ -12,27 +33,47 @@
         use(&slot.client_->connection());
         return;
     }
+    if (slot.waiting_.size() >= max_waiting) {
+        use(nullptr);
+        return;
+    }
     slot.waiting_.push_back(std::move(use));
+    const bool is_opening =
+        slot.client_ && slot.client_->is_open() && !slot.client_->is_established();
+    if (!is_opening) {
+        dial(address);
+    }
+}
+
+void peer_connections::dial(const peer_address& address)
+{
+    auto& slot = slots_[address];
+    std::erase_if(retiring_, [](const auto& client) { return !client->is_open(); });
     if (slot.client_ && slot.client_->is_open()) {
-        return; // still opening
+        retiring_.push_back(std::move(slot.client_));
     }
+    const auto generation = ++slot.generation_;
     peer_client_hooks hooks;
-    hooks.on_ready_ = [this, address] {
-        answer_waiting(address, true);
+    hooks.on_ready_ = [this, address, generation] {
+        answer_waiting(address, generation, true);
     };
-    hooks.on_ended_ = [this, address](connection_end) {
-        answer_waiting(address, false);
+    hooks.on_ended_ = [this, address, generation](connection_end) {
+        answer_waiting(address, generation, false);
     };
-    slot.client_ = peer_client::dial(address, key_, std::move(hooks));
+    slot.client_ = peer_client::dial(address, key_, std::move(hooks), limits_);
 }
 
-void peer_connections::answer_waiting(const peer_address& address, bool ready)
+void peer_connections::answer_waiting(const peer_address& address, std::uint64_t generation,
+                                      bool ready)
 {
-    const auto client = slots_[address].client_;
-    const auto waiting = std::move(slots_[address].waiting_);
-    slots_[address].waiting_.clear();
+    const auto found = slots_.find(address);
+    if (found == slots_.end() || found->second.generation_ != generation) {
+        return; // an earlier connection, already replaced
+    }
+    const auto client = found->second.client_;
+    const auto waiting = std::exchange(found->second.waiting_, {});
     for (const auto& use : waiting) {
-        use(ready ? &client->connection() : nullptr);
+        use(ready && client->is_ready() ? &client->connection() : nullptr);
     }
 }
 
@@ -71,6 +112,7 @@
 
     void write(std::string_view bytes, bool last)
     {
+        finished_ = finished_ || last;
         const auto connection = connection_.lock();
         if (connection) {
             connection->write(stream_, bytes, last);
@@ -118,6 +160,14 @@
                 self->hooks_.on_writable_();
             }
         };
+        hooks.on_end_ = [self] {
+            self->on_answer_end();
+        };
+        hooks.on_refused_ = [self] {
+            if (!self->ended_) {
+                self->end_with(make_refusal(refusal_reason::target_unreachable));
+            }
+        };
         hooks.on_closed_ = [self](bool whole) {
             self->on_closed(whole);
         };
@@ -155,6 +205,20 @@
         hooks_.on_body_(bytes);
     }
 
+    /** The answer is whole; the target may have given it without the rest of the request. */
+    void on_answer_end()
+    {
+        if (ended_ || !responded_) {
+            return;
+        }
+        ended_ = true;
+        const auto connection = connection_.lock();
+        if (connection && has_body_ && !finished_) {
+            connection->reset(stream_);
+        }
+        hooks_.on_end_();
+    }
+
     void on_closed(bool whole)
     {
         if (ended_) {
@@ -194,6 +258,7 @@
     stream_id stream_ = 0;
     std::string early_body_; ///< Written before the connection was ready.
     bool early_finish_ = false;
+    bool finished_ = false; ///< Our side's body is whole.
     bool responded_ = false;
     bool ended_ = false;
     bool paused_ = false;
--- a/libs/request_path/peer_exchange.h
+++ b/libs/request_path/peer_exchange.h
@@ -16,22 +16,39 @@
 /** The connections of one thread to other nodes. */
 class peer_connections {
   public:
-    explicit peer_connections(cluster_key key) : key_(std::move(key)) {}
-
-    /** Calls \p use with a ready connection to \p address, or with nullptr if none can be had. */
+    explicit peer_connections(cluster_key key, connection_limits limits = {})
+        : key_(std::move(key)), limits_(limits)
+    {
+    }
+    peer_connections(const peer_connections&) = delete;
+    auto operator=(const peer_connections&) -> peer_connections& = delete;
+    peer_connections(peer_connections&&) = delete;
+    auto operator=(peer_connections&&) -> peer_connections& = delete;
+    /** Closes every connection. */
+    ~peer_connections();
+
+    /** Calls \p use with a ready connection to \p address, or with nullptr if none can be had:
+     * it does not open, or too many calls wait for it already. */
     void with_connection(const peer_address& address,
                          std::function<void(h2_connection* connection)> use);
 
   private:
+    using use_hook = std::function<void(h2_connection*)>;
+
     struct slot {
         std::shared_ptr<peer_client> client_;
-        std::vector<std::function<void(h2_connection*)>> waiting_;
+        std::uint64_t generation_ = 0; ///< Rises with every connection made for this address.
+        std::vector<use_hook> waiting_;
     };
 
-    void answer_waiting(const peer_address& address, bool ready);
+    void dial(const peer_address& address);
+    void answer_waiting(const peer_address& address, std::uint64_t generation, bool ready);
 
     cluster_key key_;
+    connection_limits limits_;
     std::map<peer_address, slot> slots_;
+    /** Connections that take no further requests and finish those they have. */
+    std::vector<std::shared_ptr<peer_client>> retiring_;
 };
 
 /** Starts an exchange through the node at \p address. Hooks may be called before it returns. */
--- a/libs/standin/load_maker.cpp
+++ b/libs/standin/load_maker.cpp
@@ -70,7 +70,8 @@
             }
             self->finish(*status);
         };
-        hooks.on_failed_ = [self](exchange_failure) {
+        hooks.on_failed_ = [self](exchange_failure failure) {
+            self->outcome_.not_sent_ += failure == exchange_failure::not_sent ? 1 : 0;
             self->finish(0);
         };
         connection->start(std::move(head), std::move(hooks));
--- a/libs/standin/load_maker.h
+++ b/libs/standin/load_maker.h
@@ -28,7 +28,8 @@
 
 /** What came of it. */
 struct load_outcome {
-    std::map<unsigned, std::uint64_t> by_status_;     ///< HTTP status; 0 for a broken answer.
+    std::map<unsigned, std::uint64_t> by_status_; ///< HTTP status; 0 for a broken answer.
+    std::uint64_t not_sent_ = 0; ///< Of the broken: no byte of the request was sent.
     std::map<std::string, std::uint64_t> by_refusal_; ///< Refusal reason.
     std::map<std::string, std::uint64_t> by_target_;  ///< Who answered.
     std::vector<double> seconds_;                     ///< Latency of each answered call.
--- a/libs/transport/h2_connection.cpp
+++ b/libs/transport/h2_connection.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <QElapsedTimer>
@@ -20,7 +22,7 @@
 constexpr qint64 socket_high_water_bytes = 256 * 1024;
 constexpr std::size_t stream_low_water_bytes = 32U * 1024;
 constexpr std::int32_t connection_window_bytes = 16 * 1024 * 1024;
-constexpr auto timer_period = std::chrono::milliseconds(500);
+constexpr std::chrono::milliseconds shortest_timer{5};
 
 /** One stream's hooks and what is queued on it. */
 struct stream_state {
@@ -32,7 +34,8 @@
     std::size_t outgoing_sent_ = 0;
     bool outgoing_last_ = false;
     bool deferred_ = false;
-    bool responded_ = false; ///< A data provider is attached.
+    bool handed_over_ = false; ///< The header fields were written to the socket.
+    bool responded_ = false;   ///< A data provider is attached.
     bool peer_done_ = false;
     bool our_side_done_ = false;
     bool was_above_low_water_ = false;
@@ -48,11 +51,15 @@
     connection_limits limits_;
     nghttp2_session* session_ = nullptr;
     std::unordered_map<stream_id, std::unique_ptr<stream_state>> streams_;
+    std::vector<std::unique_ptr<stream_state>> closed_; ///< Kept while one of their hooks may run.
+    std::vector<stream_id> above_low_water_;            ///< Streams that owe an on_writable_.
+    std::optional<connection_end> end_after_flush_;
     QTimer timer_;
     QElapsedTimer quiet_;
     bool connected_ = false;
     bool ended_ = false;
-    bool busy_ = false; ///< Inside nghttp2: output waits until the outermost call returns.
+    bool going_away_ = false; ///< We sent GOAWAY.
+    bool busy_ = false;       ///< Inside nghttp2: output waits until the outermost call returns.
     std::uint64_t received_ = 0;
     std::uint64_t sent_ = 0;
 
@@ -66,9 +73,12 @@
     void make_session();
     void on_readable();
     void on_timer();
+    void arm_timer();
     void flush();
+    void tell_writable();
+    void drop_closed_later();
     void end(connection_end end);
-    void close_stream(stream_id stream, bool whole);
+    void close_stream(stream_id stream, bool whole, bool refused);
     auto attach_body(stream_id stream) -> nghttp2_data_provider;
 };
 
@@ -106,6 +116,9 @@
     static auto on_begin_headers(nghttp2_session*, const nghttp2_frame* frame, void* data) -> int
     {
         auto& self = *static_cast<state*>(data);
+        if (self.ended_) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
         if (frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
             self.streams_[frame->hd.stream_id] = std::make_unique<stream_state>();
         }
@@ -135,6 +148,9 @@
         auto& self = *static_cast<state*>(data);
         auto* stream = self.find(frame->hd.stream_id);
         const bool last = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+        if (self.ended_) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
         if (stream == nullptr ||
             (frame->hd.type != NGHTTP2_HEADERS && frame->hd.type != NGHTTP2_DATA)) {
             return 0;
@@ -176,9 +192,8 @@
             nghttp2_session_consume(session, id, length);
             return 0;
         }
-        const std::string copy(bytes, bytes + length);
-        stream->hooks_.on_data_(copy);
-        return 0;
+        stream->hooks_.on_data_({reinterpret_cast<const char*>(bytes), length});
+        return self.ended_ ? NGHTTP2_ERR_CALLBACK_FAILURE : 0;
     }
 
     static auto on_stream_close(nghttp2_session*, std::int32_t id, std::uint32_t code, void* data)
@@ -187,7 +202,18 @@
         auto& self = *static_cast<state*>(data);
         const auto* stream = self.find(id);
         const bool whole = stream != nullptr && code == NGHTTP2_NO_ERROR && stream->peer_done_;
-        self.close_stream(id, whole);
+        self.close_stream(id, whole, code == NGHTTP2_REFUSED_STREAM);
+        return 0;
+    }
+
+    static auto on_frame_sent(nghttp2_session*, const nghttp2_frame* frame, void* data) -> int
+    {
+        if (frame->hd.type == NGHTTP2_HEADERS) {
+            auto* stream = static_cast<state*>(data)->find(frame->hd.stream_id);
+            if (stream != nullptr) {
+                stream->handed_over_ = true;
+            }
+        }
         return 0;
     }
 };
@@ -258,10 +284,21 @@
         end(connected_ ? connection_end::closed_by_peer : connection_end::refused);
     });
     QObject::connect(&timer_, &QTimer::timeout, socket, [this] { on_timer(); });
-    timer_.start(timer_period);
+    timer_.setSingleShot(true);
+    arm_timer();
     flush();
 }
 
+/** Wakes when a PING or the end is due, and not before. */
+void h2_connection::state::arm_timer()
+{
+    const auto quiet = std::chrono::milliseconds(quiet_.elapsed());
+    const auto due = quiet < limits_.ping_after_ && connected_
+                         ? limits_.ping_after_ - quiet
+                         : std::min(limits_.ping_after_, limits_.silent_after_ - quiet);
+    timer_.start(std::max(due, shortest_timer));
+}
+
 void h2_connection::state::make_session()
 {
     nghttp2_session_callbacks* callbacks = nullptr;
@@ -273,6 +310,7 @@
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, h2_callbacks::on_data);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
                                                            h2_callbacks::on_stream_close);
+    nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, h2_callbacks::on_frame_sent);
     nghttp2_option* option = nullptr;
     nghttp2_option_new(&option);
     nghttp2_option_set_no_auto_window_update(option, 1);
@@ -307,9 +345,9 @@
     busy_ = false;
     if (taken < 0) {
         end(connection_end::protocol_error);
-        return;
     }
     flush();
+    closed_.clear();
 }
 
 void h2_connection::state::on_timer()
@@ -323,6 +361,9 @@
         nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
         flush();
     }
+    if (!ended_) {
+        arm_timer();
+    }
 }
 
 void h2_connection::state::flush()
@@ -343,17 +384,33 @@
     }
     busy_ = false;
     if (nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0) {
-        end(connection_end::protocol_error);
+        end_after_flush_ =
+            going_away_ ? connection_end::closed_by_us : connection_end::protocol_error;
+    }
+    if (end_after_flush_) {
+        if (socket_->bytesToWrite() == 0 && nghttp2_session_want_write(session_) == 0) {
+            end(*end_after_flush_);
+        }
         return;
     }
+    tell_writable();
+}
+
+void h2_connection::state::tell_writable()
+{
     std::vector<stream_id> drained;
-    for (auto& [id, stream] : streams_) {
-        const auto left = stream->outgoing_.size() - stream->outgoing_sent_;
-        if (stream->was_above_low_water_ && left <= stream_low_water_bytes) {
-            stream->was_above_low_water_ = false;
-            drained.push_back(id);
+    std::erase_if(above_low_water_, [&](stream_id id) {
+        auto* stream = find(id);
+        if (stream == nullptr) {
+            return true;
         }
-    }
+        if (stream->outgoing_.size() - stream->outgoing_sent_ > stream_low_water_bytes) {
+            return false;
+        }
+        stream->was_above_low_water_ = false;
+        drained.push_back(id);
+        return true;
+    });
     for (const auto id : drained) {
         if (auto* stream = find(id); stream != nullptr && stream->hooks_.on_writable_) {
             stream->hooks_.on_writable_();
@@ -361,16 +418,33 @@
     }
 }
 
-void h2_connection::state::close_stream(stream_id stream, bool whole)
+/** A stream may be closed by one of its own hooks, which must not be destroyed while it runs. */
+void h2_connection::state::drop_closed_later()
+{
+    if (closed_.size() == 1) {
+        QTimer::singleShot(0, socket_.get(), [weak = owner_->weak_from_this()] {
+            if (const auto owner = weak.lock()) {
+                owner->state_->closed_.clear();
+            }
+        });
+    }
+}
+
+void h2_connection::state::close_stream(stream_id stream, bool whole, bool refused)
 {
     const auto found = streams_.find(stream);
     if (found == streams_.end()) {
         return;
     }
-    const auto gone = std::move(found->second);
+    closed_.push_back(std::move(found->second));
+    auto& gone = *closed_.back();
     streams_.erase(found);
-    if (gone->hooks_.on_closed_) {
-        gone->hooks_.on_closed_(whole);
+    drop_closed_later();
+    if (side_ == side::client && (refused || !gone.handed_over_) && gone.hooks_.on_refused_) {
+        gone.hooks_.on_refused_();
+    }
+    if (gone.hooks_.on_closed_) {
+        gone.hooks_.on_closed_(whole);
     }
 }
 
@@ -382,7 +456,7 @@
     const auto keep = owner_->shared_from_this();
     ended_ = true;
     timer_.stop();
-    if (end == connection_end::closed_by_us && connected_) {
+    if (end == connection_end::closed_by_us && connected_ && !busy_) {
         nghttp2_session_terminate_session(session_, NGHTTP2_NO_ERROR);
         const std::uint8_t* bytes = nullptr;
         for (auto count = nghttp2_session_mem_send(session_, &bytes); count > 0;
@@ -394,7 +468,7 @@
     socket_->disconnect();
     socket_->abort();
     while (!streams_.empty()) {
-        close_stream(streams_.begin()->first, false);
+        close_stream(streams_.begin()->first, false, false);
     }
     if (hooks_.on_ended_) {
         const auto on_ended = std::move(hooks_.on_ended_);
@@ -460,8 +534,9 @@
     invariant(found->responded_, "stream {} is written before its headers", stream);
     found->outgoing_ += bytes;
     found->outgoing_last_ = last;
-    if (found->outgoing_.size() - found->outgoing_sent_ > stream_low_water_bytes) {
-        found->was_above_low_water_ = true;
+    if (found->outgoing_.size() - found->outgoing_sent_ > stream_low_water_bytes &&
+        !std::exchange(found->was_above_low_water_, true)) {
+        state_->above_low_water_.push_back(stream);
     }
     if (found->deferred_) {
         found->deferred_ = false;
@@ -497,6 +572,27 @@
     state_->end(end);
 }
 
+void h2_connection::close_after_flush(connection_end end)
+{
+    state_->end_after_flush_ = end;
+    state_->flush();
+}
+
+void h2_connection::begin_shutdown()
+{
+    if (state_->ended_ || std::exchange(state_->going_away_, true)) {
+        return;
+    }
+    const auto last = nghttp2_session_get_last_proc_stream_id(state_->session_);
+    nghttp2_submit_goaway(state_->session_, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+    state_->flush();
+}
+
+auto h2_connection::accepts_requests() const -> bool
+{
+    return !state_->ended_ && nghttp2_session_check_request_allowed(state_->session_) != 0;
+}
+
 auto h2_connection::is_open() const -> bool
 {
     return !state_->ended_;
--- a/libs/transport/h2_connection.h
+++ b/libs/transport/h2_connection.h
@@ -34,11 +34,14 @@
     silent,         ///< Nothing arrived for the heartbeat timeout.
     protocol_error, ///< The peer broke HTTP/2 or a size limit.
     unauthorized,   ///< The peer did not prove the cluster key.
+    other_version,  ///< The peer speaks another version of the protocol.
+    not_ready,      ///< The peer did not prove the key in time.
 };
 
 /** Names for logs and for the reason label of counters. */
-constexpr enum_names<connection_end, 6> connection_end_names{
-    {"closed_by_us", "closed_by_peer", "refused", "silent", "protocol_error", "unauthorized"}};
+constexpr enum_names<connection_end, 8> connection_end_names{
+    {"closed_by_us", "closed_by_peer", "refused", "silent", "protocol_error", "unauthorized",
+     "other_version", "not_ready"}};
 
 /** What happens on one stream. Unset hooks are skipped. */
 struct stream_hooks {
@@ -50,6 +53,9 @@
     std::function<void()> on_end_;
     /** Bytes queued by write() have drained below the low-water mark. */
     std::function<void()> on_writable_;
+    /** Client: the peer has not begun with the request and will not, which is a fact. on_closed_
+     * follows. */
+    std::function<void()> on_refused_;
     /** The stream is gone; \p whole when both sides had finished. Always the last call. */
     std::function<void(bool whole)> on_closed_;
 };
@@ -67,6 +73,7 @@
 struct connection_limits {
     std::chrono::milliseconds ping_after_{2'000};   ///< Quiet time before a PING is sent.
     std::chrono::milliseconds silent_after_{6'000}; ///< Quiet time before the connection ends.
+    std::chrono::milliseconds ready_within_{3'000}; ///< To connect and prove the cluster key.
     std::uint32_t streams_ = 1'000;                 ///< Concurrent streams accepted.
     std::uint32_t window_bytes_ = 256U * 1024;      ///< Receive window of one stream.
     std::size_t header_bytes_ = 32U * 1024;         ///< Header fields of one message.
@@ -103,8 +110,14 @@
     void reset(stream_id stream);
     /** Ends the connection. */
     void close(connection_end end = connection_end::closed_by_us);
+    /** Ends the connection once what is queued has been sent. */
+    void close_after_flush(connection_end end);
+    /** Server: takes no further requests (GOAWAY), finishes those it has, then ends. */
+    void begin_shutdown();
 
     [[nodiscard]] auto is_open() const -> bool;
+    /** Client: returns whether a request may be started; false once the peer is shutting down. */
+    [[nodiscard]] auto accepts_requests() const -> bool;
     /** Returns how many streams are open. */
     [[nodiscard]] auto open_streams() const -> std::size_t;
     /** Returns the time since bytes last arrived. */
--- a/libs/transport/peer_connection.cpp
+++ b/libs/transport/peer_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <QHostAddress>
 #include <QTcpSocket>
+#include <QTimer>
 #include <fmt/core.h>
 
 namespace sycamorewinch {
@@ -14,6 +15,7 @@
 constexpr std::string_view prove_path = "/prove";
 constexpr std::string_view nonce_header = "sycamorewinch-nonce";
 constexpr std::string_view proof_header = "sycamorewinch-proof";
+constexpr std::string_view other_version_status = "426";
 constexpr std::string_view version_header = "sycamorewinch-protocol";
 
 auto make_post(std::string_view path) -> header_list
@@ -42,8 +44,9 @@
               const header_list& headers, const cluster_key& key, peer_check& check)
 {
     if (find_header(headers, version_header) != protocol_version) {
-        answer(connection, stream, "426",
+        answer(connection, stream, other_version_status,
                {{std::string(version_header), std::string(protocol_version)}});
+        connection->close_after_flush(connection_end::other_version);
         return;
     }
     check.client_nonce_ = find_header(headers, nonce_header);
@@ -61,6 +64,9 @@
                     key.verify(proof_side::client, check.client_nonce_, check.server_nonce_, proof);
     check.server_nonce_.clear();
     answer(connection, stream, check.proved_ ? "200" : "401");
+    if (!check.proved_) {
+        connection->close_after_flush(connection_end::unauthorized);
+    }
 }
 
 } // namespace
@@ -108,12 +114,22 @@
     connection_hooks below;
     below.on_ended_ = [weak = std::weak_ptr(client)](connection_end end) {
         const auto self = weak.lock();
+        if (self) {
+            self->handshake_timer_.stop();
+        }
         if (self && self->hooks_.on_ended_) {
             self->hooks_.on_ended_(end);
         }
     };
     client->connection_ = h2_connection::create(h2_connection::side::client, std::move(socket),
                                                 std::move(below), limits);
+    client->handshake_timer_.setSingleShot(true);
+    QObject::connect(&client->handshake_timer_, &QTimer::timeout, &client->handshake_timer_,
+                     [raw = client.get()] {
+                         const auto keep = raw->shared_from_this();
+                         raw->connection_->close(connection_end::not_ready);
+                     });
+    client->handshake_timer_.start(limits.ready_within_);
     client->say_hello();
     return client;
 }
@@ -137,6 +153,10 @@
 
 void peer_client::check_server(const header_list& answer)
 {
+    if (find_header(answer, ":status") == other_version_status) {
+        connection_->close(connection_end::other_version);
+        return;
+    }
     const std::string server_nonce(find_header(answer, nonce_header));
     const auto proof = find_header(answer, proof_header);
     if (!key_.verify(proof_side::server, nonce_, server_nonce, proof)) {
@@ -162,6 +182,7 @@
             return;
         }
         self->ready_ = true;
+        self->handshake_timer_.stop();
         if (self->hooks_.on_ready_) {
             self->hooks_.on_ready_();
         }
@@ -176,6 +197,7 @@
     -> std::shared_ptr<h2_connection>
 {
     const auto check = std::make_shared<peer_check>();
+    auto* timed = socket.get();
     const auto self = std::make_shared<std::weak_ptr<h2_connection>>();
     connection_hooks hooks;
     hooks.on_ended_ = std::move(on_ended);
@@ -193,6 +215,7 @@
         }
         if (!check->proved_) {
             answer(connection, stream, "401");
+            connection->close_after_flush(connection_end::unauthorized);
             return stream_hooks();
         }
         return on_request(connection, stream, headers, last);
@@ -200,6 +223,12 @@
     auto connection = h2_connection::create(h2_connection::side::server, std::move(socket),
                                             std::move(hooks), limits);
     *self = connection;
+    QTimer::singleShot(limits.ready_within_, timed, [check, self] {
+        const auto late = self->lock();
+        if (late && !check->proved_) {
+            late->close(connection_end::not_ready);
+        }
+    });
     return connection;
 }
 
--- a/libs/transport/peer_connection.h
+++ b/libs/transport/peer_connection.h
@@ -12,6 +12,8 @@
 #include <memory>
 #include <string>
 
+#include <QTimer>
+
 #include "transport/cluster_key.h"
 #include "transport/h2_connection.h"
 
@@ -50,7 +52,12 @@
 
     /** Returns the connection below. Make requests on it once ready. */
     [[nodiscard]] auto connection() const -> h2_connection& { return *connection_; }
-    [[nodiscard]] auto is_ready() const -> bool { return ready_ && connection_->is_open(); }
+    [[nodiscard]] auto is_ready() const -> bool
+    {
+        return ready_ && connection_->accepts_requests();
+    }
+    /** Returns whether it was ready once, even if it takes no further requests. */
+    [[nodiscard]] auto is_established() const -> bool { return ready_; }
     [[nodiscard]] auto is_open() const -> bool { return connection_->is_open(); }
     void close() { connection_->close(); }
 
@@ -69,6 +76,7 @@
     std::shared_ptr<h2_connection> connection_;
     std::string nonce_;
     bool ready_ = false;
+    QTimer handshake_timer_; ///< Ends a connection that does not get ready in time.
 };
 
 /** Serves one accepted socket: checks the peer, then hands every request to \p on_request. */
--- a/libs/transport/reuse_port_listener.cpp
+++ b/libs/transport/reuse_port_listener.cpp
@@ -96,6 +96,9 @@
 
 void reuse_port_listener::close()
 {
+    while (server_->waitForNewConnection(0)) {
+        // what the kernel has accepted for us would be reset by the closing
+    }
     server_->close();
 }
 
--- /dev/null
+++ b/libs/transport/test/correctness/h2_streams.cpp
@@ -0,0 +1,178 @@
+// Streams between two processes: flow control, resets, shutdown.
+#include <boost/test/unit_test.hpp>
+
+#include "../h2_fixture.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+constexpr std::size_t body_bytes = 4U * 1024 * 1024;
+
+/** What a stream's hooks saw. */
+struct seen {
+    std::string status_;
+    std::size_t bytes_ = 0;
+    bool ended_ = false;
+    bool refused_ = false;
+    std::optional<bool> closed_;
+
+    auto hooks() -> stream_hooks
+    {
+        stream_hooks hooks;
+        hooks.on_headers_ = [this](const header_list& headers, bool) {
+            status_ = find_header(headers, ":status");
+        };
+        hooks.on_data_ = [this](std::string_view bytes) {
+            bytes_ += bytes.size();
+        };
+        hooks.on_end_ = [this] {
+            ended_ = true;
+        };
+        hooks.on_refused_ = [this] {
+            refused_ = true;
+        };
+        hooks.on_closed_ = [this](bool whole) {
+            closed_ = whole;
+        };
+        return hooks;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_receiver_that_does_not_consume_holds_the_sender_back)
+{
+    seen at_server;
+    stream_id stream = 0;
+    const h2_server server([&](h2_connection&, stream_id id, const header_list&) {
+        stream = id;
+        return at_server.hooks();
+    });
+    const auto client = dial_h2(server.port());
+    const auto sent = client->request(request_fields("/"), false, {});
+    client->write(*sent, std::string(body_bytes, 'b'), true);
+    const auto window = connection_limits().window_bytes_;
+    BOOST_TEST(wait_until([&] { return at_server.bytes_ == window; }));
+    run_events(std::chrono::milliseconds(20));
+    BOOST_TEST(at_server.bytes_ == window);
+    BOOST_TEST(client->queued_bytes(*sent) > body_bytes / 2);
+    std::size_t consumed = 0;
+    BOOST_TEST(wait_until([&] {
+        server.connections().front()->consume(stream, at_server.bytes_ - consumed);
+        consumed = at_server.bytes_;
+        return at_server.ended_;
+    }));
+    BOOST_TEST(at_server.bytes_ == body_bytes);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_is_held_back_by_a_client_that_does_not_consume)
+{
+    const h2_server server([&](h2_connection& connection, stream_id id, const header_list&) {
+        connection.respond(id, {{":status", "200"}}, false);
+        connection.write(id, std::string(body_bytes, 'b'), true);
+        return stream_hooks();
+    });
+    seen at_client;
+    const auto client = dial_h2(server.port());
+    const auto stream = client->request(request_fields("/"), true, at_client.hooks());
+    const auto window = connection_limits().window_bytes_;
+    BOOST_TEST(wait_until([&] { return at_client.bytes_ == window; }));
+    std::size_t consumed = 0;
+    BOOST_TEST(wait_until([&] {
+        client->consume(*stream, at_client.bytes_ - consumed);
+        consumed = at_client.bytes_;
+        return at_client.ended_;
+    }));
+    BOOST_TEST(at_client.bytes_ == body_bytes);
+    BOOST_TEST(wait_until([&] { return at_client.closed_.has_value(); }));
+    BOOST_TEST(*at_client.closed_);
+}
+
+BOOST_AUTO_TEST_CASE(a_writer_hears_when_its_bytes_have_drained)
+{
+    seen at_server;
+    const h2_server server([&](h2_connection& connection, stream_id id, const header_list&) {
+        auto hooks = at_server.hooks();
+        hooks.on_data_ = [&connection, id](std::string_view bytes) {
+            connection.consume(id, bytes.size());
+        };
+        return hooks;
+    });
+    const auto client = dial_h2(server.port());
+    unsigned writable = 0;
+    stream_hooks hooks;
+    hooks.on_writable_ = [&] {
+        ++writable;
+    };
+    const auto stream = client->request(request_fields("/"), false, std::move(hooks));
+    client->write(*stream, std::string(body_bytes, 'b'), false);
+    BOOST_TEST(wait_until([&] { return writable == 1; }));
+    BOOST_TEST(client->queued_bytes(*stream) <= 32U * 1024);
+}
+
+BOOST_AUTO_TEST_CASE(a_reset_closes_the_stream_on_both_sides_and_no_other)
+{
+    seen first;
+    seen second;
+    const h2_server server([&](h2_connection&, stream_id, const header_list& headers) {
+        return find_header(headers, ":path") == "/first" ? first.hooks() : second.hooks();
+    });
+    const auto client = dial_h2(server.port());
+    seen at_client;
+    const auto stream = client->request(request_fields("/first"), false, at_client.hooks());
+    (void)client->request(request_fields("/second"), false, {});
+    BOOST_TEST(wait_until([&] {
+        return !server.connections().empty() && server.connections()[0]->open_streams() == 2;
+    }));
+    client->reset(*stream);
+    BOOST_TEST(wait_until([&] { return first.closed_ && at_client.closed_; }));
+    BOOST_TEST(!*first.closed_);
+    BOOST_TEST(!*at_client.closed_);
+    BOOST_TEST(!at_client.refused_);
+    BOOST_TEST(server.connections()[0]->open_streams() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_hook_may_end_its_own_connection)
+{
+    const h2_server server([&](h2_connection& connection, stream_id id, const header_list&) {
+        stream_hooks hooks;
+        hooks.on_data_ = [&connection, id, text = std::string("still here")](std::string_view) {
+            connection.reset(id);
+            connection.close();
+            BOOST_TEST(text == "still here");
+        };
+        return hooks;
+    });
+    seen at_client;
+    const auto client = dial_h2(server.port());
+    const auto stream = client->request(request_fields("/"), false, at_client.hooks());
+    client->write(*stream, "bytes", false);
+    BOOST_TEST(wait_until([&] { return at_client.closed_.has_value(); }));
+    BOOST_TEST(!*at_client.closed_);
+    BOOST_TEST((server.ends() == std::vector{connection_end::closed_by_us}));
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_shuts_down_finishes_what_it_has_and_takes_nothing_new)
+{
+    stream_id held = 0;
+    const h2_server server([&](h2_connection&, stream_id id, const header_list&) {
+        held = id;
+        return stream_hooks();
+    });
+    const auto client = dial_h2(server.port());
+    seen first;
+    (void)client->request(request_fields("/"), true, first.hooks());
+    BOOST_TEST(wait_until([&] { return held != 0; }));
+    server.connections()[0]->begin_shutdown();
+    seen crossing; // sent before the news arrived
+    const auto late = client->request(request_fields("/"), true, crossing.hooks());
+    BOOST_TEST(late.has_value());
+    BOOST_TEST(wait_until([&] { return crossing.refused_ && crossing.closed_; }));
+    BOOST_TEST(!client->accepts_requests());
+    server.connections()[0]->respond(held, {{":status", "200"}}, true);
+    BOOST_TEST(wait_until([&] { return first.ended_; }));
+    BOOST_TEST(first.status_ == "200");
+    BOOST_TEST(wait_until([&] { return !server.ends().empty(); }));
+    BOOST_TEST((server.ends()[0] == connection_end::closed_by_us));
+}
--- /dev/null
+++ b/libs/transport/test/error/broken_peers.cpp
@@ -0,0 +1,252 @@
+// Peers that are silent, foreign, hostile or gone: that connection ends, with a reason.
+#include <boost/test/unit_test.hpp>
+
+#include <QTcpSocket>
+
+#include "../h2_fixture.h"
+#include "transport/message_channel.h"
+#include "transport/peer_connection.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+auto key_of(char letter) -> cluster_key
+{
+    return *cluster_key::create(std::string(32, letter));
+}
+
+/** A listener that serves peers with one key. */
+struct peer_server {
+    explicit peer_server(connection_limits limits = {})
+    {
+        (void)wait_until([] { return true; });
+        listener_ =
+            std::move(*reuse_port_listener::listen({"127.0.0.1", 0}, [=, this](auto socket) {
+                connections_.push_back(serve_peer(
+                    std::move(socket), key_of('k'),
+                    [this](const auto& connection, stream_id stream, const auto&, bool) {
+                        ++requests_;
+                        connection->respond(stream, {{":status", "200"}}, true);
+                        return stream_hooks();
+                    },
+                    [this](connection_end end) { ends_.push_back(end); }, limits));
+            }));
+    }
+
+    [[nodiscard]] auto address() const -> peer_address { return {"127.0.0.1", listener_->port()}; }
+
+    unsigned requests_ = 0;
+    std::vector<connection_end> ends_;
+    std::vector<std::shared_ptr<h2_connection>> connections_;
+    std::unique_ptr<reuse_port_listener> listener_;
+};
+
+/** A client with \p key and what became of it. */
+struct peer_end {
+    peer_end(const peer_address& address, const cluster_key& key, connection_limits limits = {})
+        : client_(peer_client::dial(address, key,
+                                    {[this] { ready_ = true; },
+                                     [this](connection_end end) {
+                                         ended_ = end;
+                                     }},
+                                    limits))
+    {
+    }
+
+    bool ready_ = false;
+    std::optional<connection_end> ended_;
+    std::shared_ptr<peer_client> client_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_peer_with_the_key_gets_ready)
+{
+    const peer_server server;
+    const peer_end peer(server.address(), key_of('k'));
+    BOOST_TEST(wait_until([&] { return peer.ready_; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_with_another_key_is_refused_and_no_other_connection_is_touched)
+{
+    const peer_server server;
+    const peer_end friendly(server.address(), key_of('k'));
+    BOOST_TEST(wait_until([&] { return friendly.ready_; }));
+    const peer_end stranger(server.address(), key_of('x'));
+    BOOST_TEST(wait_until([&] { return stranger.ended_.has_value(); }));
+    BOOST_TEST((*stranger.ended_ == connection_end::unauthorized));
+    BOOST_TEST(friendly.client_->is_ready());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_without_a_proof_ends_its_connection)
+{
+    const peer_server server;
+    const auto client = dial_h2(server.address().port_);
+    (void)client->request(request_fields("/calls"), true, {});
+    BOOST_TEST(wait_until([&] { return !server.ends_.empty(); }));
+    BOOST_TEST((server.ends_[0] == connection_end::unauthorized));
+    BOOST_TEST(server.requests_ == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_wrong_proof_ends_its_connection)
+{
+    const peer_server server;
+    const auto client = dial_h2(server.address().port_);
+    auto fields = request_fields("/prove");
+    fields.push_back({"sycamorewinch-proof", std::string(64, '0')});
+    (void)client->request(fields, true, {});
+    BOOST_TEST(wait_until([&] { return !server.ends_.empty(); }));
+    BOOST_TEST((server.ends_[0] == connection_end::unauthorized));
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_of_another_protocol_version_is_told_so)
+{
+    const peer_server server;
+    const auto client = dial_h2(server.address().port_);
+    auto fields = request_fields("/hello");
+    fields.push_back({"sycamorewinch-protocol", "0"});
+    fields.push_back({"sycamorewinch-nonce", "n"});
+    std::string status;
+    stream_hooks hooks;
+    hooks.on_headers_ = [&](const header_list& headers, bool) {
+        status = find_header(headers, ":status");
+    };
+    (void)client->request(fields, true, std::move(hooks));
+    BOOST_TEST(wait_until([&] { return !server.ends_.empty() && !status.empty(); }));
+    BOOST_TEST((server.ends_[0] == connection_end::other_version));
+    BOOST_TEST(status == "426");
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_http_2_end_their_connection_alone)
+{
+    const peer_server server;
+    const peer_end friendly(server.address(), key_of('k'));
+    BOOST_TEST(wait_until([&] { return friendly.ready_; }));
+    const auto stranger = raw_socket::dial(server.address().port_);
+    stranger->write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    BOOST_TEST(wait_until([&] { return stranger->is_closed(); }));
+    BOOST_TEST((server.ends_ == std::vector{connection_end::protocol_error}));
+    BOOST_TEST(friendly.client_->is_ready());
+}
+
+BOOST_AUTO_TEST_CASE(an_oversized_header_resets_its_stream_alone)
+{
+    const h2_server server([&](h2_connection& connection, stream_id id, const header_list&) {
+        connection.respond(id, {{":status", "200"}}, true);
+        return stream_hooks();
+    });
+    const auto client = dial_h2(server.port());
+    auto fields = request_fields("/");
+    for (unsigned count = 0; count < 12; ++count) {
+        fields.push_back({"large", std::string(4'000, 'x')});
+    }
+    std::optional<bool> large;
+    stream_hooks large_hooks;
+    large_hooks.on_closed_ = [&](bool whole) {
+        large = whole;
+    };
+    (void)client->request(fields, true, std::move(large_hooks));
+    BOOST_TEST(wait_until([&] { return large.has_value(); }));
+    BOOST_TEST(!*large);
+    std::optional<bool> small;
+    stream_hooks small_hooks;
+    small_hooks.on_closed_ = [&](bool whole) {
+        small = whole;
+    };
+    (void)client->request(request_fields("/"), true, std::move(small_hooks));
+    BOOST_TEST(wait_until([&] { return small.has_value(); }));
+    BOOST_TEST(*small);
+}
+
+BOOST_AUTO_TEST_CASE(a_message_past_the_limit_ends_its_channel)
+{
+    std::shared_ptr<message_channel> accepted;
+    bool closed = false;
+    const h2_server server([&](h2_connection& connection, stream_id id, const header_list&) {
+        stream_hooks hooks;
+        accepted = message_channel::accept(connection.shared_from_this(), id,
+                                           {[](auto) { BOOST_ERROR("a message was taken"); },
+                                            [&] {
+                                                closed = true;
+                                            }},
+                                           hooks);
+        return hooks;
+    });
+    const auto client = dial_h2(server.port());
+    const auto stream = client->request(request_fields("/"), false, {});
+    client->write(*stream, std::string("\xff\xff\xff\x7f", 4) + "start of it", false);
+    BOOST_TEST(wait_until([&] { return closed; }));
+    BOOST_TEST(server.ends().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_never_answers_is_given_up)
+{
+    const raw_server mute([](raw_socket&) {});
+    const peer_end peer({"127.0.0.1", mute.port()}, key_of('k'), quick_limits());
+    BOOST_TEST(wait_until([&] { return peer.ended_.has_value(); }));
+    BOOST_TEST((*peer.ended_ == connection_end::silent));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_talks_but_never_proves_the_key_is_given_up)
+{
+    const h2_server server([](h2_connection&, stream_id, const header_list&) {
+        return stream_hooks(); // answers PINGs, and no request
+    });
+    const peer_end peer({"127.0.0.1", server.port()}, key_of('k'), quick_limits());
+    BOOST_TEST(wait_until([&] { return peer.ended_.has_value(); }));
+    BOOST_TEST((*peer.ended_ == connection_end::not_ready));
+}
+
+BOOST_AUTO_TEST_CASE(a_client_that_never_proves_the_key_is_given_up)
+{
+    auto limits = quick_limits();
+    limits.silent_after_ = std::chrono::seconds(60);
+    const peer_server server(limits);
+    const auto mute = raw_socket::dial(server.address().port_);
+    BOOST_TEST(wait_until([&] { return mute->is_closed(); }));
+    BOOST_TEST((server.ends_ == std::vector{connection_end::not_ready}));
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_goes_silent_ends_and_its_streams_with_it)
+{
+    constexpr std::string_view empty_settings("\0\0\0\4\0\0\0\0\0", 9);
+    const raw_server fake([&](raw_socket& peer) {
+        if (peer.bytes_received() < 200) {
+            peer.write(empty_settings);
+        }
+    });
+    std::optional<connection_end> ended;
+    connection_hooks hooks;
+    hooks.on_ended_ = [&](connection_end end) {
+        ended = end;
+    };
+    const auto client = dial_h2(fake.port(), std::move(hooks), quick_limits());
+    std::optional<bool> closed;
+    stream_hooks stream;
+    stream.on_closed_ = [&](bool whole) {
+        closed = whole;
+    };
+    (void)client->request(request_fields("/"), true, std::move(stream));
+    BOOST_TEST(wait_until([&] { return ended.has_value(); }));
+    BOOST_TEST((*ended == connection_end::silent));
+    BOOST_TEST((closed && !*closed));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_was_never_sent_is_known_not_to_have_run)
+{
+    std::uint16_t unused = 0;
+    {
+        const raw_server gone([](raw_socket&) {});
+        unused = gone.port();
+    }
+    bool refused = false;
+    stream_hooks hooks;
+    hooks.on_refused_ = [&] {
+        refused = true;
+    };
+    const auto client = dial_h2(unused);
+    (void)client->request(request_fields("/"), true, std::move(hooks));
+    BOOST_TEST(wait_until([&] { return !client->is_open(); }));
+    BOOST_TEST(refused);
+}
