Let no dead or silent replica hold watch up; test the tool; add the failure script

Cause: a control replica kept another's last word on its nodes for ever. With the leader stopped (SIGSTOP) every node enforced the new version 2.6 s later by their logs, but watch never saw it, since the silent replica's old report still counted. Change: progress_board (pure) leaves a report out once its replica was silent for 6 s or disconnected for 2 s, by when its subscribers have moved; replicas repeat their reports twice a second; /v1/progress names the silent ones and watch prints them. Hooks in control_role and replica_links. scripts/failures breaks a whole system on loopback under calls and checks what must hold; the stand-ins keep journals for it. libs/cli is tested against a small fake of the interface. Ruled out: dropping a report at once when the connection ends, which would say 'in force everywhere' while the nodes are between two replicas.

--- a/apps/sycamorewinch-standin/main.cpp
+++ b/apps/sycamorewinch-standin/main.cpp
@@ -2,11 +2,13 @@
  * Stand-ins for the demo and the bench: `target` answers requests, `load` makes calls.
  */
 #include <csignal>
+#include <fstream>
 #include <iostream>
 
 #include <QCoreApplication>
 #include <boost/program_options.hpp>
 #include <fmt/core.h>
+#include <fmt/ostream.h>
 
 #include "standin/load_maker.h"
 #include "standin/standin_target.h"
@@ -27,6 +29,8 @@
     add("listen", po::value<std::string>()->default_value("127.0.0.1:0"), "IP:PORT");
     add("node-admin", po::value<std::string>()->default_value(""), "admin address of its node");
     add("slots", po::value<std::uint32_t>()->default_value(10), "requests at once");
+    add("journal", po::value<std::string>()->default_value(""),
+        "file that gets the key of each request that arrived whole");
     add("delay-ms", po::value<int>()->default_value(0), "time before each answer");
     return options;
 }
@@ -41,6 +45,10 @@
     add("caller", po::value<std::string>()->default_value(""), "caller's name");
     add("calls", po::value<std::uint64_t>()->default_value(100), "how many calls");
     add("concurrency", po::value<unsigned>()->default_value(1), "calls in flight");
+    add("key-prefix", po::value<std::string>()->default_value(""),
+        "gives each call the idempotency key PREFIX-NUMBER");
+    add("journal", po::value<std::string>()->default_value(""),
+        "file that gets a line 'KEY STATUS REFUSAL OUTCOME' for each call");
     add("per-second", po::value<double>()->default_value(0), "start calls at this rate instead");
     return options;
 }
@@ -66,6 +74,13 @@
     if (const auto node = values["node-admin"].as<std::string>(); !node.empty()) {
         options.node_admin_ = parse_peer_address(node).value();
     }
+    std::ofstream journal;
+    if (const auto path = values["journal"].as<std::string>(); !path.empty()) {
+        journal.open(path, std::ios::app);
+        options.on_run_ = [&journal](const std::string& key) {
+            journal << key << std::endl;
+        };
+    }
     const auto target = standin_target::start(options);
     if (!target) {
         std::cerr << target.error().message_ << '\n';
@@ -107,6 +122,16 @@
     options.calls_ = values["calls"].as<std::uint64_t>();
     options.concurrency_ = values["concurrency"].as<unsigned>();
     options.per_second_ = values["per-second"].as<double>();
+    options.key_prefix_ = values["key-prefix"].as<std::string>();
+    std::ofstream journal;
+    if (const auto path = values["journal"].as<std::string>(); !path.empty()) {
+        journal.open(path);
+        options.on_call_ = [&journal](const call_record& record) {
+            fmt::print(journal, "{} {} {} {}\n", record.key_, record.status_,
+                       record.refusal_.empty() ? "-" : record.refusal_,
+                       record.outcome_.empty() ? "-" : record.outcome_);
+        };
+    }
     const auto load = make_load(options, [](const load_outcome& outcome) {
         print(outcome);
         QCoreApplication::quit();
--- /dev/null
+++ b/libs/cli/test/fake_control.cpp
@@ -0,0 +1,177 @@
+#include "fake_control.h"
+
+#include <sstream>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QTcpSocket>
+
+#include "cli/table_output.h"
+#include "table/table_csv.h"
+
+namespace sycamorewinch::testing {
+
+namespace {
+
+void need_application()
+{
+    static int count = 1;
+    static std::string name = "cli_test";
+    static char* arguments[] = {name.data(), nullptr};
+    static const QCoreApplication application(count, arguments);
+}
+
+auto text(const QJsonObject& object) -> std::string
+{
+    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+/** Returns the length of the whole request at the front of \p bytes, or 0 when more must come. */
+auto whole_length(const QByteArray& bytes) -> qsizetype
+{
+    const auto head = bytes.indexOf("\r\n\r\n");
+    if (head < 0) {
+        return 0;
+    }
+    const auto lower = bytes.left(head).toLower();
+    const auto at = lower.indexOf("content-length: ");
+    const auto body = at < 0 ? 0 : lower.mid(at + 16, lower.indexOf('\r', at) - at - 16).toInt();
+    const auto length = head + 4 + body;
+    return bytes.size() >= length ? length : 0;
+}
+
+} // namespace
+
+fake_control::fake_control() : current_(make_table(0, {}))
+{
+    need_application();
+    server_.listen(QHostAddress::LocalHost, 0);
+    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] {
+        while (auto* socket = server_.nextPendingConnection()) {
+            serve(*socket);
+        }
+    });
+}
+
+auto fake_control::address() const -> std::string
+{
+    return "127.0.0.1:" + std::to_string(server_.serverPort());
+}
+
+void fake_control::accept(std::vector<row> rows)
+{
+    current_ = make_table(current_.version_.number_ + 1, std::move(rows));
+}
+
+void fake_control::serve(QTcpSocket& socket)
+{
+    const auto bytes = std::make_shared<QByteArray>();
+    QObject::connect(&socket, &QTcpSocket::readyRead, &socket, [this, &socket, bytes] {
+        *bytes += socket.readAll();
+        if (const auto length = whole_length(*bytes); length > 0) {
+            const auto path = bytes->left(bytes->indexOf('\r')).split(' ').at(1).toStdString();
+            const auto head = bytes->indexOf("\r\n\r\n") + 4;
+            on_request(socket, path, bytes->mid(head, length - head).toStdString());
+        }
+    });
+}
+
+void fake_control::on_request(QTcpSocket& socket, const std::string& path, const std::string& body)
+{
+    const auto made = answer_to(path, body);
+    if (loses_answers_ && path == "/v1/table/accept") {
+        socket.abort();
+        return;
+    }
+    const auto head =
+        "HTTP/1.1 " + std::to_string(made.status_) +
+        " x\r\nConnection: close\r\nContent-Length: " + std::to_string(made.body_.size()) +
+        "\r\n\r\n";
+    socket.write(QByteArray::fromStdString(head + made.body_));
+    socket.disconnectFromHost();
+}
+
+auto fake_control::answer_to(const std::string& path, const std::string& body) -> answer
+{
+    if (path == "/metrics") {
+        return {200, metrics_};
+    }
+    if (!leads_) {
+        return {503, text({{"message", "this replica does not lead"}})};
+    }
+    if (path == "/v1/table") {
+        return {200, text({{"version", to_json(current_.version_)},
+                           {"csv", json_text(write_csv(current_.rows_))}})};
+    }
+    if (path == "/v1/progress") {
+        return {200, text(progress_)};
+    }
+    if (path == "/v1/targets") {
+        const QJsonObject target{{"service", "a"},
+                                 {"target", "a1"},
+                                 {"state", "up"},
+                                 {"node", "127.0.0.1:1"},
+                                 {"admin", json_text(address())}};
+        return {200, text({{"targets", QJsonArray{target}}})};
+    }
+    if (path == "/v1/table/accept") {
+        ++accepts_seen_;
+        return accept_answer(QJsonDocument::fromJson(QByteArray::fromStdString(body)).object());
+    }
+    return {404, text({{"message", "no such path"}})};
+}
+
+auto fake_control::accept_answer(const QJsonObject& edit) -> answer
+{
+    if (pending_answers_ > 0) {
+        --pending_answers_;
+        return {202, text({{"status", "pending"}})};
+    }
+    const auto id = text_of(edit, "edit_id");
+    if (outcomes_.contains(id)) {
+        return outcomes_[id];
+    }
+    const auto base = edit.value(QLatin1String("base")).toObject();
+    if (base != to_json(current_.version_)) {
+        return outcomes_[id] = {409, text({{"status", "conflict"}})};
+    }
+    accept(*read_csv(text_of(edit, "csv")));
+    return outcomes_[id] = {
+               200, text({{"status", "accepted"}, {"version", to_json(current_.version_)}})};
+}
+
+test_operator::test_operator(const std::vector<std::string>& addresses)
+    : client_({.addresses_ = addresses, .total_timeout_ = std::chrono::milliseconds(200)})
+{
+}
+
+auto test_operator::run(const command_words& words, const command_options& options) -> exit_status
+{
+    std::ostringstream out;
+    std::ostringstream errors;
+    command_context context{client_, out, errors, false, "ann", options};
+    const auto status = run_command(context, words);
+    out_ = out.str();
+    errors_ = errors.str();
+    return status;
+}
+
+auto test_operator::path(const std::string& name) const -> std::string
+{
+    return folder_.filePath(QString::fromStdString(name)).toStdString();
+}
+
+auto test_operator::said(const std::string& text) const -> bool
+{
+    return (out_ + errors_).find(text) != std::string::npos;
+}
+
+auto row_of(const std::string& service, std::uint32_t rate) -> row
+{
+    row one{.service_ = service, .path_prefix_ = "/" + service};
+    one.default_limit_ = {rate, 1, 0};
+    one.timeout_ = std::chrono::milliseconds(500);
+    return one;
+}
+
+} // namespace sycamorewinch::testing
--- a/libs/cli/watch_command.cpp
+++ b/libs/cli/watch_command.cpp
@@ -44,6 +44,16 @@
                        lowest, fmt::join(names, ", "), has_more ? ", ..." : "");
 }
 
+/** Says which replicas cannot speak for their nodes: those that reach no other are not counted. */
+void report_silent(command_context& context, const QJsonObject& progress)
+{
+    for (const auto& name : progress.value(QLatin1String("silent_replicas")).toArray()) {
+        context.errors_ << fmt::format(
+            "sycamorewinch: {} is silent; nodes that reach no other replica are not counted\n",
+            name.toString().toStdString());
+    }
+}
+
 /** Prints a state of the zones, unless it is the one printed last. */
 class progress_printer {
   public:
@@ -96,6 +106,7 @@
             const auto zones = progress->value(QLatin1String("zones")).toArray();
             printer.print(zones, *wanted);
             if (is_in_force(zones, *wanted)) {
+                report_silent(context, *progress);
                 if (!context.json_) {
                     context.out_ << fmt::format("version {} is in force everywhere\n", *wanted);
                 }
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -8,6 +8,7 @@
 #include "daemon/hub_server.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_listener.h"
+#include "daemon/progress_board.h"
 #include "daemon/replica_links.h"
 #include "observability/log.h"
 #include "storage/replica_store.h"
@@ -39,8 +40,9 @@
           links_(settings.name_, settings.control_peers_, secrets.key_,
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
                   [this](const auto& from, const auto& message) { on_peer(from, message); },
+                  [this](const auto& to) { on_peer_connected(to); },
                   [this](const auto& to) {
-                      on_peer_connected(to);
+                      others_progress_.on_disconnected(to, monotonic_now());
                   }})
     {
         listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
@@ -51,9 +53,12 @@
         });
         add_operator_api(admin_, {[this]() -> control_replica& { return *replica_; },
                                   [this] { return total_progress(); },
+                                  [this] { return others_progress_.silent(monotonic_now()); },
                                   [this] {
                                       return hub_.logic().targets().records();
                                   }});
+        QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
+                         [this] { tell_others(progress_report{hub_.logic().progress()}); });
         QObject::connect(&ticker_, &QTimer::timeout, &ticker_,
                          [this] { replica_->tick(monotonic_now()); });
         proof_timer_.setSingleShot(true);
@@ -84,6 +89,7 @@
         }
         links_.start();
         ticker_.start(tick_period);
+        progress_timer_.start(progress_period);
         return {};
     }
 
@@ -181,7 +187,7 @@
             hub_.run();
         }
         else if (const auto* progress = std::get_if<progress_report>(&message)) {
-            others_progress_[from] = progress->zones_;
+            others_progress_.report(from, progress->zones_, monotonic_now());
         }
     }
 
@@ -211,11 +217,7 @@
 
     auto total_progress() -> std::vector<zone_progress>
     {
-        auto sum = hub_.logic().progress();
-        for (const auto& [name, zones] : others_progress_) {
-            fold_progress(sum, zones);
-        }
-        return sum;
+        return others_progress_.total(hub_.logic().progress(), monotonic_now());
     }
 
     daemon_settings settings_;
@@ -227,7 +229,8 @@
     replica_links links_;
     std::optional<replica_store> store_;
     std::optional<control_replica> replica_;
-    std::map<std::string, std::vector<zone_progress>> others_progress_;
+    progress_board others_progress_;
+    QTimer progress_timer_;
     QTimer ticker_;
     QTimer proof_timer_;
     std::uint64_t proof_number_ = 0;
--- a/libs/daemon/operator_api.cpp
+++ b/libs/daemon/operator_api.cpp
@@ -114,7 +114,13 @@
 auto on_progress(const operator_api_hooks& hooks) -> QHttpServerResponse
 {
     const auto& version = hooks.replica_().state().current()->version_;
-    return json_answer({{"version", to_json(version)}, {"zones", to_json(hooks.progress_())}});
+    QJsonArray silent;
+    for (const auto& name : hooks.silent_()) {
+        silent.append(to_json(name));
+    }
+    return json_answer({{"version", to_json(version)},
+                        {"zones", to_json(hooks.progress_())},
+                        {"silent_replicas", silent}});
 }
 
 auto on_targets(const operator_api_hooks& hooks) -> QHttpServerResponse
--- a/libs/daemon/operator_api.h
+++ b/libs/daemon/operator_api.h
@@ -13,6 +13,7 @@
 struct operator_api_hooks {
     std::function<control_replica&()> replica_;
     std::function<std::vector<zone_progress>()> progress_; ///< Over all replicas' hubs.
+    std::function<std::vector<std::string>()> silent_; ///< Replicas whose nodes are not counted.
     std::function<std::vector<target_record>()> targets_;
 };
 
--- a/libs/daemon/replica_links.cpp
+++ b/libs/daemon/replica_links.cpp
@@ -58,6 +58,7 @@
 
 void replica_links::redial_later(const std::string& name)
 {
+    hooks_.on_disconnected_(name);
     links_.at(name).channel_.reset();
     QTimer::singleShot(redial_after, &context_, [this, name] { dial(name); });
 }
--- a/libs/daemon/replica_links.h
+++ b/libs/daemon/replica_links.h
@@ -25,6 +25,8 @@
     std::function<void(const std::string& from, const distribution_message& message)>
         on_distribution_;
     std::function<void(const std::string& to)> on_connected_;
+    /** The connection to a replica ended, or could not be made. */
+    std::function<void(const std::string& to)> on_disconnected_;
 };
 
 /** The path of the channel between replicas. */
--- a/libs/daemon/test/correctness/operator_api.cpp
+++ b/libs/daemon/test/correctness/operator_api.cpp
@@ -40,11 +40,20 @@
             control_replica::create(options, {}, hooks, instant{}).value());
         replica_->tick(instant{} + std::chrono::seconds(1));
         server_ = std::make_unique<admin_server>(metrics_, "", [] { return true; });
-        add_operator_api(*server_, {[this]() -> control_replica& { return *replica_; },
-                                    [] { return std::vector<zone_progress>{}; },
-                                    [] {
-                                        return std::vector<target_record>{};
-                                    }});
+        operator_api_hooks api;
+        api.replica_ = [this]() -> control_replica& {
+            return *replica_;
+        };
+        api.progress_ = [] {
+            return std::vector<zone_progress>{};
+        };
+        api.silent_ = [] {
+            return std::vector<std::string>{};
+        };
+        api.targets_ = [] {
+            return std::vector<target_record>{};
+        };
+        add_operator_api(*server_, api);
         BOOST_REQUIRE(server_->listen({"127.0.0.1", 0}).has_value());
     }
 
--- a/libs/standin/load_maker.cpp
+++ b/libs/standin/load_maker.cpp
@@ -55,23 +55,28 @@
         if (!options_.caller_.empty()) {
             head.headers_.push_back({"sycamorewinch-caller", options_.caller_});
         }
+        const auto record = std::make_shared<call_record>();
+        if (!options_.key_prefix_.empty()) {
+            record->key_ = options_.key_prefix_ + "-" + std::to_string(started_);
+            head.headers_.push_back({"idempotency-key", record->key_});
+        }
         const auto began = monotonic_now();
-        const auto status = std::make_shared<unsigned>(0);
         const auto self = shared_from_this();
         client_exchange_hooks hooks;
-        hooks.on_response_ = [self, status](const message_head& answer) {
-            *status = answer.status_;
-            self->note_answer(answer);
+        hooks.on_response_ = [self, record](const message_head& answer) {
+            record->status_ = answer.status_;
+            self->note_answer(answer, *record);
         };
-        hooks.on_end_ = [self, node, connection, status, began] {
+        hooks.on_end_ = [self, node, connection, record, began] {
             self->outcome_.seconds_.push_back(to_seconds(monotonic_now() - began));
             if (connection->is_reusable()) {
                 self->idle_[node].push_back(connection);
             }
-            self->finish(*status);
+            self->finish(*record);
         };
-        hooks.on_failed_ = [self](exchange_failure) {
-            self->finish(0);
+        hooks.on_failed_ = [self, record](exchange_failure) {
+            record->status_ = 0; // what arrived of an answer does not count
+            self->finish(*record);
         };
         connection->start(std::move(head), std::move(hooks));
     }
@@ -90,19 +95,24 @@
         return http1_client_connection::dial(address.host_, address.port_);
     }
 
-    void note_answer(const message_head& answer)
+    void note_answer(const message_head& answer, call_record& record)
     {
         const auto refusal = find_header(answer.headers_, "sycamorewinch-refusal");
         if (!refusal.empty()) {
+            record.refusal_ = refusal;
+            record.outcome_ = find_header(answer.headers_, "sycamorewinch-outcome");
             ++outcome_.by_refusal_[std::string(refusal)];
             return;
         }
         ++outcome_.by_target_[std::string(find_header(answer.headers_, "x-target"))];
     }
 
-    void finish(unsigned status)
+    void finish(const call_record& record)
     {
-        ++outcome_.by_status_[status];
+        ++outcome_.by_status_[record.status_];
+        if (options_.on_call_) {
+            options_.on_call_(record);
+        }
         if (++finished_ == options_.calls_) {
             pacer_.stop();
             done_(outcome_);
--- a/libs/standin/load_maker.h
+++ b/libs/standin/load_maker.h
@@ -15,6 +15,14 @@
 
 namespace sycamorewinch {
 
+/** What became of one call, for comparing with what the targets ran. */
+struct call_record {
+    std::string key_;     ///< Its idempotency key.
+    unsigned status_ = 0; ///< 0: no whole answer.
+    std::string refusal_; ///< Empty: answered by a target.
+    std::string outcome_; ///< Of a refusal: `not-run` or `unknown`.
+};
+
 /** What load to make. */
 struct load_options {
     std::vector<peer_address> nodes_; ///< Called in turn.
@@ -23,7 +31,10 @@
     std::string caller_;
     std::uint64_t calls_ = 100;
     unsigned concurrency_ = 1;
-    double per_second_ = 0; ///< Above 0: starts calls at this rate.
+    double per_second_ = 0;  ///< Above 0: starts calls at this rate.
+    std::string key_prefix_; ///< Given: each call has the idempotency key PREFIX-NUMBER.
+    /** Is told of each call as it ends. */
+    std::function<void(const call_record& record)> on_call_;
 };
 
 /** What came of it. */
--- a/libs/standin/standin_target.cpp
+++ b/libs/standin/standin_target.cpp
@@ -67,7 +67,11 @@
     void on_whole(const std::shared_ptr<standin_request>& request)
     {
         const auto key = find_header(request->head_.headers_, "idempotency-key");
-        ++runs_[key.empty() ? request->head_.path_ : std::string(key)];
+        const auto name = key.empty() ? request->head_.path_ : std::string(key);
+        ++runs_[name];
+        if (options_.on_run_) {
+            options_.on_run_(name);
+        }
         ++count_;
         QTimer::singleShot(options_.delay_, &context_, [this, request] { answer(*request); });
     }
--- a/libs/standin/standin_target.h
+++ b/libs/standin/standin_target.h
@@ -25,6 +25,8 @@
     std::chrono::milliseconds lease_{2'000};
     /** The admin address of the node beside it; without one it does not announce itself. */
     std::optional<peer_address> node_admin_;
+    /** Is told the idempotency key, or else the path, of each request that arrived whole. */
+    std::function<void(const std::string& key)> on_run_;
 };
 
 /** A running stand-in target, in the event loop of the thread that made it. It answers 200 with
--- a/scripts/lib/system.sh
+++ b/scripts/lib/system.sh
@@ -91,7 +91,8 @@
         --listen-peers="127.0.0.1:$((base + 100 + n))" \
         --listen-callers="127.0.0.1:$((base + 200 + n))" --listen-admin="$(node_admin "$n")"
       start "target-$n" "$bin/sycamorewinch-standin" target --service="$service" \
-        --target="$service-$i" --node-admin="$(node_admin "$n")" --delay-ms=5 ${target_options:-}
+        --target="$service-$i" --node-admin="$(node_admin "$n")" --delay-ms=5 \
+        --journal="$work/journal-$service-$i"
       callers+=(--node="127.0.0.1:$((base + 200 + n))")
       n=$((n + 1))
     done
