--- a/libs/daemon/replica_links.h
+++ b/libs/daemon/replica_links.h
@@ -27,6 +27,8 @@
     std::function<void(const std::string& to)> on_connected_;
     /** The connection to a replica ended, or could not be made. */
     std::function<void(const std::string& to)> on_disconnected_;
+    /** Operations on the record of unrepeatable requests, or their results. */
+    std::function<void(const std::string& from, std::string_view bytes)> on_runs_;
 };
 
 /** The path of the channel between replicas. */
@@ -48,6 +50,8 @@
     void send(const raft_message& message);
     void send(const std::string& to, const distribution_message& message);
 
+    void send_runs(const std::string& to, std::string_view bytes);
+
     /** Returns the names of all other replicas. */
     [[nodiscard]] auto others() const -> std::vector<std::string>;
 
