--- a/libs/cli/accept_edit.cpp
+++ b/libs/cli/accept_edit.cpp
@@ -65,10 +65,10 @@
     const auto merged = merge_tables(edit.base_, *theirs, edit.mine_);
     if (context.json_) {
         print_json(context, {{"status", "conflict"},
-                             {"version", to_json(theirs->version_)},
-                             {"base", to_json(edit.base_.version_)},
-                             {"conflicts", to_json(merged.conflicts_)},
-                             {"theirs", to_json(changed_cells(edit.base_, *theirs))}});
+                             {"version", json_of(theirs->version_)},
+                             {"base", json_of(edit.base_.version_)},
+                             {"conflicts", json_of(merged.conflicts_)},
+                             {"theirs", json_of(changed_cells(edit.base_, *theirs))}});
         return {exit_status::conflict, theirs->version_};
     }
     fail(context, fmt::format("not accepted: the table is at version {}, your edit starts from {}",
@@ -112,7 +112,7 @@
         return exit_status::done;
     }
     if (context.json_) {
-        print_json(context, {{"status", "bad_table"}, {"findings", to_json(findings)}});
+        print_json(context, {{"status", "bad_table"}, {"findings", json_of(findings)}});
     }
     for (const auto& finding : findings) {
         fail(context, fmt::format("{}, column {}: {}", finding.service_, name_of(finding.column_),
--- a/libs/cli/edit_commands.cpp
+++ b/libs/cli/edit_commands.cpp
@@ -156,8 +156,8 @@
     const bool is_done = merged.conflicts_.empty() || context.options_.keep_mine_;
     if (context.json_) {
         print_json(context, {{"status", is_done ? "merged" : "conflict"},
-                             {"base", to_json(base.table_.version_)},
-                             {"conflicts", to_json(merged.conflicts_)}});
+                             {"base", json_of(base.table_.version_)},
+                             {"conflicts", json_of(merged.conflicts_)}});
     }
     else if (is_done) {
         context.out_ << fmt::format("{} now starts from version {}\n", file,
--- a/libs/cli/table_commands.cpp
+++ b/libs/cli/table_commands.cpp
@@ -28,7 +28,7 @@
 void report_written(command_context& context, const std::string& file, const table& table)
 {
     if (context.json_) {
-        print_json(context, {{"file", json_text(file)}, {"version", to_json(table.version_)}});
+        print_json(context, {{"file", json_text(file)}, {"version", json_of(table.version_)}});
         return;
     }
     context.out_ << fmt::format("{}: {} rows, from version {}\n", file, table.rows_.size(),
@@ -129,7 +129,7 @@
     const auto changes = changed_cells(base->table_, make_table(0, *rows));
     if (context.json_) {
         print_json(context,
-                   {{"base", to_json(base->table_.version_)}, {"changes", to_json(changes)}});
+                   {{"base", json_of(base->table_.version_)}, {"changes", json_of(changes)}});
         return exit_status::done;
     }
     context.out_ << fmt::format("{} cells differ from version {}\n", changes.size(),
--- a/libs/cli/table_output.cpp
+++ b/libs/cli/table_output.cpp
@@ -17,13 +17,13 @@
 
 } // namespace
 
-auto to_json(const table_version& version) -> QJsonObject
+auto json_of(const table_version& version) -> QJsonObject
 {
     return {{"number", static_cast<qint64>(version.number_)},
             {"digest", json_text(to_hex(version.digest_))}};
 }
 
-auto to_json(const std::vector<cell_change>& changes) -> QJsonArray
+auto json_of(const std::vector<cell_change>& changes) -> QJsonArray
 {
     QJsonArray array;
     for (const auto& change : changes) {
@@ -35,7 +35,7 @@
     return array;
 }
 
-auto to_json(const std::vector<merge_conflict>& conflicts) -> QJsonArray
+auto json_of(const std::vector<merge_conflict>& conflicts) -> QJsonArray
 {
     QJsonArray array;
     for (const auto& conflict : conflicts) {
@@ -48,7 +48,7 @@
     return array;
 }
 
-auto to_json(const std::vector<table_finding>& findings) -> QJsonArray
+auto json_of(const std::vector<table_finding>& findings) -> QJsonArray
 {
     QJsonArray array;
     for (const auto& finding : findings) {
--- a/libs/cli/table_output.h
+++ b/libs/cli/table_output.h
@@ -14,10 +14,10 @@
 
 namespace sycamorewinch {
 
-[[nodiscard]] auto to_json(const table_version& version) -> QJsonObject;
-[[nodiscard]] auto to_json(const std::vector<cell_change>& changes) -> QJsonArray;
-[[nodiscard]] auto to_json(const std::vector<merge_conflict>& conflicts) -> QJsonArray;
-[[nodiscard]] auto to_json(const std::vector<table_finding>& findings) -> QJsonArray;
+[[nodiscard]] auto json_of(const table_version& version) -> QJsonObject;
+[[nodiscard]] auto json_of(const std::vector<cell_change>& changes) -> QJsonArray;
+[[nodiscard]] auto json_of(const std::vector<merge_conflict>& conflicts) -> QJsonArray;
+[[nodiscard]] auto json_of(const std::vector<table_finding>& findings) -> QJsonArray;
 
 /** Prints one line a cell: `  dialer, column rate: '20' -> '30'`. */
 void print_changes(std::ostream& out, const std::vector<cell_change>& changes);
--- a/libs/cli/test/fake_control.cpp
+++ b/libs/cli/test/fake_control.cpp
@@ -100,7 +100,7 @@
         return {503, text({{"message", "this replica does not lead"}})};
     }
     if (path == "/v1/table") {
-        return {200, text({{"version", to_json(current_.version_)},
+        return {200, text({{"version", json_of(current_.version_)},
                            {"csv", json_text(write_csv(current_.rows_))}})};
     }
     if (path == "/v1/progress") {
@@ -132,12 +132,12 @@
         return outcomes_[id];
     }
     const auto base = edit.value(QLatin1String("base")).toObject();
-    if (base != to_json(current_.version_)) {
+    if (base != json_of(current_.version_)) {
         return outcomes_[id] = {409, text({{"status", "conflict"}})};
     }
     accept(*read_csv(text_of(edit, "csv")));
     return outcomes_[id] = {
-               200, text({{"status", "accepted"}, {"version", to_json(current_.version_)}})};
+               200, text({{"status", "accepted"}, {"version", json_of(current_.version_)}})};
 }
 
 test_operator::test_operator(const std::vector<std::string>& addresses)
--- /dev/null
+++ b/tutorial/lesson_05_routing/main.cpp
@@ -0,0 +1,60 @@
+/** \file
+ * Lesson 5: what a node does with a call. The path finds the row, the weights choose the target,
+ * and the node beside the target admits the request or says why not.
+ */
+#include "../lesson.h"
+#include "policy/admission.h"
+#include "policy/route_table.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+auto make_target(const std::string& name, const std::string& zone) -> target_record
+{
+    target_record record{.service_ = "dialer", .target_ = name};
+    record.availability_zone_ = zone;
+    record.slots_ = 10;
+    return record;
+}
+
+} // namespace
+
+auto main() -> int
+{
+    row dialer{.service_ = "dialer", .path_prefix_ = "/dialer"};
+    dialer.timeout_ = std::chrono::milliseconds(500);
+    dialer.weights_ = {{weight_scope::availability_zone, "zone-a", 3},
+                       {weight_scope::availability_zone, "zone-b", 1}};
+    dialer.default_limit_ = {.requests_per_second_ = 10, .burst_ = 2, .concurrency_ = 0};
+    const auto accepted = std::make_shared<const table>(make_table(1, {dialer}));
+
+    // Routes join the table with the targets known at this moment.
+    const auto routes =
+        route_table::create(accepted, {make_target("d1", "zone-a"), make_target("d2", "zone-b")});
+    const auto* route = routes->match("/dialer/call/42");
+    lesson::shows("a path finds its row", route != nullptr && route->row_->service_ == "dialer");
+    lesson::shows("a path without a row finds none", routes->match("/elsewhere") == nullptr);
+
+    // Three in four calls go to zone-a. The random numbers are seeded, so this is repeatable.
+    const auto random = seeded_random(1);
+    int first = 0;
+    for (int call = 0; call < 1000; ++call) {
+        first += choose_target(*route, {}, random)->record_.target_ == "d1" ? 1 : 0;
+    }
+    lesson::shows("the weights hold", first > 700 && first < 800);
+    lesson::shows("a retry goes to another target",
+                  choose_target(*route, {"d1"}, random)->record_.target_ == "d2");
+
+    // The node beside the target enforces the caller's limit: a burst of two at once.
+    admission gate(10);
+    const instant now{};
+    const auto one = gate.admit(dialer, "desk", 1, now);
+    const auto two = gate.admit(dialer, "desk", 1, now);
+    const auto three = gate.admit(dialer, "desk", 1, now);
+    lesson::shows("two are admitted", !one.refusal_ && !two.refusal_);
+    lesson::shows("the third is refused, and so was not run",
+                  three.refusal_ == refusal_reason::rate_limited &&
+                      describe(*three.refusal_).outcome_ == request_outcome::not_run);
+    return EXIT_SUCCESS;
+}
