--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -8,6 +8,7 @@
 #include "daemon/hub_server.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_listener.h"
+#include "daemon/progress_board.h"
 #include "daemon/replica_links.h"
 #include "daemon/run_leader.h"
 #include "observability/log.h"
@@ -42,6 +43,7 @@
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
                   [this](const auto& from, const auto& message) { on_peer(from, message); },
                   [this](const auto& to) { on_peer_connected(to); },
+                  [this](const auto& to) { others_progress_.on_disconnected(to, monotonic_now()); },
                   [this](const auto& from, auto bytes) {
                       runs_.receive(from, bytes);
                   }}),
@@ -61,9 +63,12 @@
         });
         add_operator_api(admin_, {[this]() -> control_replica& { return *replica_; },
                                   [this] { return total_progress(); },
+                                  [this] { return others_progress_.silent(monotonic_now()); },
                                   [this] {
                                       return hub_.logic().targets().records();
                                   }});
+        QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
+                         [this] { tell_others(progress_report{hub_.logic().progress()}); });
         QObject::connect(&ticker_, &QTimer::timeout, &ticker_,
                          [this] { replica_->tick(monotonic_now()); });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_, [this] {
@@ -99,6 +104,7 @@
         links_.start();
         ticker_.start(tick_period);
         lease_timer_.start(lease_check_period);
+        progress_timer_.start(progress_period);
         return {};
     }
 
@@ -203,7 +209,7 @@
             hub_.run();
         }
         else if (const auto* progress = std::get_if<progress_report>(&message)) {
-            others_progress_[from] = progress->zones_;
+            others_progress_.report(from, progress->zones_, monotonic_now());
         }
     }
 
@@ -234,11 +240,7 @@
 
     auto total_progress() -> std::vector<zone_progress>
     {
-        auto sum = hub_.logic().progress();
-        for (const auto& [name, zones] : others_progress_) {
-            fold_progress(sum, zones);
-        }
-        return sum;
+        return others_progress_.total(hub_.logic().progress(), monotonic_now());
     }
 
     daemon_settings settings_;
@@ -251,7 +253,8 @@
     run_leader runs_;
     std::optional<replica_store> store_;
     std::optional<control_replica> replica_;
-    std::map<std::string, std::vector<zone_progress>> others_progress_;
+    progress_board others_progress_;
+    QTimer progress_timer_;
     QTimer ticker_;
     QTimer lease_timer_;
     QTimer proof_timer_;
