--- a/libs/table/test/error/table_errors.cpp
+++ b/libs/table/test/error/table_errors.cpp
@@ -119,7 +119,8 @@
     for (int index = 0; index < services; ++index) {
         const auto name = std::to_string(index);
         const auto next = index + 1 < services ? "s" + std::to_string(index + 1) : std::string();
-        rows += "s" + name + ",/" + name + ",,0,0,0,,1,0,no," + next + "\n";
+        rows.append("s").append(name).append(",/").append(name);
+        rows.append(",,0,0,0,,1,0,no,").append(next).append("\n");
     }
     BOOST_TEST(first_finding(rows) == "accepted");
     rows.insert(rows.size() - 1, "s0");
