--- a/libs/bench/node_cost.cpp
+++ b/libs/bench/node_cost.cpp
@@ -63,7 +63,7 @@
 /** Processor microseconds for admitting one call, over a number of different callers. */
 auto admission_cpu_per_call(std::uint64_t callers) -> double
 {
-    const auto rows = sample_rows(1);
+    const limit_share share{.requests_per_second_ = 500, .burst_ = 100, .concurrency_ = 50};
     const auto gate = std::make_unique<admission>(1'000);
     std::vector<std::string> names;
     for (std::uint64_t caller = 0; caller < callers; ++caller) {
@@ -72,7 +72,7 @@
     const auto spent = cpu_seconds_of([&] {
         for (std::uint64_t call = 0; call < calls_measured; ++call) {
             const auto now = instant(std::chrono::milliseconds(call));
-            static_cast<void>(gate->admit(rows.front(), names[call % callers], 1, now));
+            static_cast<void>(gate->admit(names[call % callers], share, now));
         }
     });
     return spent * microseconds / static_cast<double>(calls_measured);
--- a/libs/request_path/test/node_fixture.cpp
+++ b/libs/request_path/test/node_fixture.cpp
@@ -18,7 +18,8 @@
     return {[](const run_operation& operation, const run_callback& reply) {
                 reply({operation.attempt_, run_verdict::granted, {}});
             },
-            [](const run_operation&) {}};
+            [](const run_operation&) {
+            }};
 }
 
 auto start_node(const std::string& own_address) -> std::unique_ptr<test_node>
--- a/libs/standin/load_maker.cpp
+++ b/libs/standin/load_maker.cpp
@@ -74,7 +74,8 @@
             }
             self->finish(*record);
         };
-        hooks.on_failed_ = [self, record](exchange_failure) {
+        hooks.on_failed_ = [self, record](exchange_failure failure) {
+            self->outcome_.not_sent_ += failure == exchange_failure::not_sent ? 1 : 0;
             record->status_ = 0; // what arrived of an answer does not count
             self->finish(*record);
         };
