Teach shares of a limit in the routing lesson

Cause: admission takes a target's share of a limit since limits are shared over targets by weight. Change: the lesson shows the shares, then one target's gate.

--- a/tutorial/lesson_05_routing/main.cpp
+++ b/tutorial/lesson_05_routing/main.cpp
@@ -4,6 +4,7 @@
  */
 #include "../lesson.h"
 #include "policy/admission.h"
+#include "policy/limit_share.h"
 #include "policy/route_table.h"
 
 using namespace sycamorewinch;
@@ -46,15 +47,22 @@
     lesson::shows("a retry goes to another target",
                   choose_target(*route, {"d1"}, random)->record_.target_ == "d2");
 
-    // The node beside the target enforces the caller's limit: a burst of two at once.
+    // A caller's limit is for the whole system; each target grants a share of it by its weight.
+    const auto shares = share_limit(*route, "desk", dialer.default_limit_);
+    const double whole = shares[0].requests_per_second_ + shares[1].requests_per_second_;
+    lesson::shows("the shares make up the limit", whole > 9.99 && whole < 10.01);
+
+    // The node beside the target enforces its share: of many requests at one moment, few get in.
     admission gate(10);
     const instant now{};
-    const auto one = gate.admit(dialer, "desk", 1, now);
-    const auto two = gate.admit(dialer, "desk", 1, now);
-    const auto three = gate.admit(dialer, "desk", 1, now);
-    lesson::shows("two are admitted", !one.refusal_ && !two.refusal_);
-    lesson::shows("the third is refused, and so was not run",
-                  three.refusal_ == refusal_reason::rate_limited &&
-                      describe(*three.refusal_).outcome_ == request_outcome::not_run);
+    int admitted = 0;
+    auto last = gate.admit("desk", shares[0], now);
+    for (; !last.refusal_ && admitted < 10; ++admitted) {
+        last = gate.admit("desk", shares[0], now);
+    }
+    lesson::shows("some are admitted, and no more than the burst", admitted >= 1 && admitted <= 2);
+    lesson::shows("the next is refused, and so was not run",
+                  last.refusal_ == refusal_reason::rate_limited &&
+                      describe(*last.refusal_).outcome_ == request_outcome::not_run);
     return EXIT_SUCCESS;
 }
