Drop connections gone silent, end stalled answers, and run faulty targets at random

Cause: A connection that an intermediary has lost track of stays idle in the pool and takes the next call down with it; an answer that stops in the middle held its call until the row's whole timeout. Change: An exchange given up after a second without one byte of an answer drops the idle connections to that target that are as old. An answer that has begun ends as cut short after 10 s without a byte while its reader is ready. A randomised run over real sockets, directly and through a second node: targets that close, reset, truncate, answer late and lie; both sides' counts are compared. A node that repeats, and made-up records, show that each invariant bites.

--- a/libs/http1/http1_client_connection.cpp
+++ b/libs/http1/http1_client_connection.cpp
@@ -22,7 +22,6 @@
 namespace {
 
 constexpr qint64 read_buffer_bytes = 64 * 1024;
-constexpr std::chrono::milliseconds connect_timeout{3'000};
 constexpr unsigned first_final_status = 200;
 constexpr unsigned switching_protocols_status = 101;
 constexpr std::size_t low_water_bytes = 64U * 1024;
@@ -37,7 +36,7 @@
     std::string method_; ///< Of the request, for the parser of its answer.
     std::string input_;
     std::string unsent_; ///< Written before the connection was up.
-    QElapsedTimer idle_;
+    QElapsedTimer idle_; ///< Since the last exchange ended, or the current one began.
     bool connected_ = false;
     bool active_ = false;
     bool sent_any_ = false;
@@ -51,7 +50,10 @@
     bool lost_ = false;          ///< The connection broke while reading was paused.
     bool informational_ = false; ///< The head just parsed is a 1xx; another follows.
     int end_probe_ = -1;         ///< A second descriptor, to tell a proper end from a reset.
+    http1_client_limits limits_;
+    std::function<void()> on_silent_;
     QTimer connect_timer_;
+    QTimer stall_timer_; ///< Runs while an answer is not whole.
 
     void start_socket(const std::string& host, std::uint16_t port);
     void send(std::string_view bytes);
@@ -77,11 +79,13 @@
     state_->socket_.release()->deleteLater();
 }
 
-auto http1_client_connection::dial(const std::string& host, std::uint16_t port)
+auto http1_client_connection::dial(const std::string& host, std::uint16_t port,
+                                   http1_client_limits limits)
     -> std::shared_ptr<http1_client_connection>
 {
     std::shared_ptr<http1_client_connection> connection(new http1_client_connection());
     connection->state_->owner_ = connection.get();
+    connection->state_->limits_ = limits;
     connection->state_->start_socket(host, port);
     return connection;
 }
@@ -93,7 +97,13 @@
     socket->setReadBufferSize(read_buffer_bytes);
     connect_timer_.setSingleShot(true);
     QObject::connect(&connect_timer_, &QTimer::timeout, socket, [this] { on_lost(); });
-    connect_timer_.start(connect_timeout);
+    connect_timer_.start(limits_.connect_timeout_);
+    stall_timer_.setSingleShot(true);
+    QObject::connect(&stall_timer_, &QTimer::timeout, socket, [this] {
+        if (!paused_) {
+            fail(exchange_failure::cut_short);
+        }
+    });
     QObject::connect(socket, &QTcpSocket::connected, socket, [this, socket] {
         connect_timer_.stop();
         connected_ = true;
@@ -133,6 +143,7 @@
     invariant(!self.active_, "an exchange is started on a busy connection");
     self.hooks_ = std::make_shared<client_exchange_hooks>(std::move(hooks));
     self.active_ = true;
+    self.idle_.restart();
     self.paused_ = false;
     self.sent_any_ = false;
     self.response_done_ = false;
@@ -231,11 +242,15 @@
     if (active_ && parser_->is_done()) {
         complete();
     }
+    else if (active_ && parser_->has_started() && !paused_) {
+        stall_timer_.start(limits_.stall_timeout_);
+    }
 }
 
 void http1_client_connection::state::complete()
 {
     active_ = false;
+    stall_timer_.stop();
     close_probe();
     reusable_ = reusable_ && request_done_ && input_.empty() && !ended_;
     idle_.restart();
@@ -333,6 +348,7 @@
     ended_ = true;
     close_probe();
     connect_timer_.stop();
+    stall_timer_.stop();
     socket_->disconnect();
     socket_->abort();
     const auto hooks = std::exchange(hooks_, nullptr);
@@ -365,7 +381,13 @@
 void http1_client_connection::cancel()
 {
     auto& self = *state_;
+    const bool is_silent = self.active_ && self.sent_any_ && !self.parser_->has_started() &&
+                           idle_time() >= self.limits_.silent_after_;
+    if (is_silent && self.on_silent_) {
+        self.on_silent_();
+    }
     self.active_ = false;
+    self.stall_timer_.stop();
     self.hooks_.reset();
     self.close_probe();
     self.connect_timer_.stop();
@@ -390,6 +412,11 @@
     }
 }
 
+void http1_client_connection::on_silent(std::function<void()> on_silent)
+{
+    state_->on_silent_ = std::move(on_silent);
+}
+
 auto http1_client_connection::queued_bytes() const -> std::size_t
 {
     return state_->unsent_.size() + static_cast<std::size_t>(state_->socket_->bytesToWrite());
--- a/libs/http1/http1_client_connection.h
+++ b/libs/http1/http1_client_connection.h
@@ -22,6 +22,15 @@
     malformed, ///< The answer is no HTTP.
 };
 
+/** Timers of a connection to a target. */
+struct http1_client_limits {
+    std::chrono::milliseconds connect_timeout_{3'000}; ///< To connect.
+    /** An answer that has begun, and whose reader is ready, may pause this long. */
+    std::chrono::milliseconds stall_timeout_{10'000};
+    /** An exchange given up after this long without one byte of an answer counts as silent. */
+    std::chrono::milliseconds silent_after_{1'000};
+};
+
 /** What happens in one exchange. After on_end_ or on_failed_ nothing follows. */
 struct client_exchange_hooks {
     std::function<void(message_head head)> on_response_;
@@ -35,7 +44,8 @@
 class http1_client_connection : public std::enable_shared_from_this<http1_client_connection> {
   public:
     /** Starts connecting to an IP number and port. */
-    [[nodiscard]] static auto dial(const std::string& host, std::uint16_t port)
+    [[nodiscard]] static auto dial(const std::string& host, std::uint16_t port,
+                                   http1_client_limits limits = {})
         -> std::shared_ptr<http1_client_connection>;
     http1_client_connection(const http1_client_connection&) = delete;
     auto operator=(const http1_client_connection&) -> http1_client_connection& = delete;
@@ -51,13 +61,16 @@
     void finish();
     /** Gives the exchange up and closes the connection, which cancels it at the target. */
     void cancel();
+    /** \p on_silent is called when an exchange is given up and nothing of its answer had come:
+     * something between the two ends may have lost track of the connection, and of others. */
+    void on_silent(std::function<void()> on_silent);
     /** Stops or resumes reading the answer. */
     void pause_reading(bool paused);
 
     [[nodiscard]] auto queued_bytes() const -> std::size_t;
     /** Returns whether another exchange may be started here. */
     [[nodiscard]] auto is_reusable() const -> bool;
-    /** Returns how long the connection has been without an exchange. */
+    /** Returns how long the connection has been without an exchange, or in the current one. */
     [[nodiscard]] auto idle_time() const -> std::chrono::milliseconds;
 
   private:
--- a/libs/request_path/target_connections.cpp
+++ b/libs/request_path/target_connections.cpp
@@ -22,7 +22,28 @@
             return connection;
         }
     }
-    return http1_client_connection::dial(address.host_, address.port_);
+    auto connection = http1_client_connection::dial(address.host_, address.port_, limits_);
+    connection->on_silent([this, address, weak = std::weak_ptr(connection)] {
+        if (const auto silent = weak.lock()) {
+            drop_silent(address, silent->idle_time());
+        }
+    });
+    return connection;
+}
+
+void target_connections::drop_silent(const peer_address& address,
+                                     std::chrono::milliseconds silent_for)
+{
+    // One that was in use after the silence began has shown that it works.
+    std::erase_if(idle_[address], [silent_for](const auto& connection) {
+        return connection->idle_time() >= silent_for;
+    });
+}
+
+auto target_connections::idle_count(const peer_address& address) const -> std::size_t
+{
+    const auto found = idle_.find(address);
+    return found == idle_.end() ? 0 : found->second.size();
 }
 
 void target_connections::give_back(const peer_address& address,
--- a/libs/request_path/target_connections.h
+++ b/libs/request_path/target_connections.h
@@ -12,9 +12,13 @@
 
 namespace sycamorewinch {
 
-/** Keeps idle connections for reuse. */
+/** Keeps idle connections for reuse. When an exchange on one is given up in silence, the idle
+ * connections to the same target that are as old are dropped too: whatever lost track of one
+ * connection may have lost the others. */
 class target_connections {
   public:
+    explicit target_connections(http1_client_limits limits = {}) : limits_(limits) {}
+
     /** Returns an idle connection to \p address, or a new one. With \p fresh_only, a connection
      * that has been idle for long is not used: it may have gone silent. */
     [[nodiscard]] auto take(const peer_address& address, bool fresh_only)
@@ -24,7 +28,13 @@
     void give_back(const peer_address& address,
                    std::shared_ptr<http1_client_connection> connection);
 
+    /** Returns how many connections to \p address wait for reuse. */
+    [[nodiscard]] auto idle_count(const peer_address& address) const -> std::size_t;
+
   private:
+    void drop_silent(const peer_address& address, std::chrono::milliseconds silent_for);
+
+    http1_client_limits limits_;
     std::map<peer_address, std::vector<std::shared_ptr<http1_client_connection>>> idle_;
 };
 
--- /dev/null
+++ b/libs/request_path/test/correctness/random_faults.cpp
@@ -0,0 +1,210 @@
+// A randomised run over real sockets: targets that close, stall, truncate, answer late and lie.
+//
+// SYCAMOREWINCH_SEEDS and SYCAMOREWINCH_FROM_SEED set how many seeds are run and from which; a
+// failure names its seed.
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+#include <QTimer>
+#include <fmt/core.h>
+
+#include "../node_fixture.h"
+#include "base/random.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+constexpr unsigned calls_per_seed = 60;
+constexpr std::uint64_t default_seeds = 4;
+
+/** What a target does with a request once it is whole. */
+enum class behaviour : std::uint8_t {
+    answer,
+    answer_late,
+    answer_early_and_close, ///< A whole answer, then the end.
+    close,
+    reset,
+    truncate,
+    truncate_chunked,
+    lie_about_load, ///< Claims a refusal in the system's own header after it ran.
+    count,
+};
+
+auto number_from(const char* name, std::uint64_t otherwise) -> std::uint64_t
+{
+    const auto* text = std::getenv(name);
+    return text == nullptr ? otherwise : std::stoull(text);
+}
+
+/** The target: counts how often it ran each call, by the number in its path. */
+class faulty_target {
+  public:
+    explicit faulty_target(random_hook random) : random_(std::move(random)) {}
+
+    [[nodiscard]] auto port() const -> std::uint16_t { return server_.port(); }
+    [[nodiscard]] auto runs() const -> const std::map<std::string, unsigned>& { return runs_; }
+
+  private:
+    void on_bytes(raw_socket& peer)
+    {
+        if (!peer.received().ends_with("body")) {
+            return;
+        }
+        const auto start = peer.received().find("/call");
+        const auto name = peer.received().substr(start, peer.received().find(' ', start) - start);
+        peer.clear();
+        ++runs_[name];
+        act(peer, name);
+    }
+
+    void act(raw_socket& peer, const std::string& name)
+    {
+        const auto body = "answer to " + name;
+        constexpr auto kinds = static_cast<std::uint64_t>(behaviour::count);
+        switch (static_cast<behaviour>(uniform_below(random_, kinds))) {
+        case behaviour::answer_late:
+            run_late(peer, body);
+            return;
+        case behaviour::answer_early_and_close:
+            peer.write(answer_with(body));
+            peer.close();
+            return;
+        case behaviour::close:
+            peer.close();
+            return;
+        case behaviour::reset:
+            peer.abort();
+            return;
+        case behaviour::truncate:
+            peer.write(fmt::format("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{}", body));
+            peer.close();
+            return;
+        case behaviour::truncate_chunked:
+            peer.write(fmt::format("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                                   "{:x}\r\n{}\r\n",
+                                   body.size(), body));
+            peer.close();
+            return;
+        case behaviour::lie_about_load:
+            peer.write("HTTP/1.1 503 Busy\r\nsycamorewinch-refusal: target_full\r\n"
+                       "sycamorewinch-outcome: not-run\r\ncontent-length: 0\r\n\r\n");
+            return;
+        default:
+            peer.write(answer_with(body));
+        }
+    }
+
+    void run_late(raw_socket& peer, const std::string& body)
+    {
+        QTimer::singleShot(static_cast<int>(uniform_below(random_, 20)), &context_,
+                           [&peer, body] { peer.write(answer_with(body)); });
+    }
+
+    random_hook random_;
+    std::map<std::string, unsigned> runs_;
+    QObject context_;
+    raw_server server_{[this](raw_socket& peer) {
+        on_bytes(peer);
+    }};
+};
+
+/** Returns whether the caller may take what it got as a whole answer 200. */
+auto is_whole_success(const std::string& got)
+{
+    const bool is_chunked = got.find("transfer-encoding: chunked") != std::string::npos;
+    return got.starts_with("HTTP/1.1 200") &&
+           (is_chunked ? got.ends_with("0\r\n\r\n") : holds_whole_answer(got));
+}
+
+/** How often each invariant was broken. */
+struct violations {
+    unsigned doubled_ = 0;            ///< Run more than once.
+    unsigned mixed_up_ = 0;           ///< Answered with another call's body, or with half of one.
+    unsigned answered_not_run_ = 0;   ///< Answered as whole and never run.
+    unsigned ran_though_not_run_ = 0; ///< Refused as not run, and was run.
+
+    [[nodiscard]] auto none() const -> bool
+    {
+        return doubled_ + mixed_up_ + answered_not_run_ + ran_though_not_run_ == 0;
+    }
+};
+
+void check_call(const std::string& name, const std::string& got, unsigned runs, violations& found)
+{
+    const auto body = "answer to " + name;
+    const bool is_whole = is_whole_success(got);
+    const bool is_chunked = got.find("transfer-encoding: chunked") != std::string::npos;
+    const bool is_own = is_chunked ? got.find(body + "\r\n") != std::string::npos
+                                   : got.ends_with("\r\n\r\n" + body);
+    const bool is_refused = got.find("sycamorewinch-outcome: not-run") != std::string::npos;
+    found.doubled_ += runs > 1 ? 1 : 0;
+    found.mixed_up_ += is_whole && !is_own ? 1 : 0;
+    found.answered_not_run_ += is_whole && runs == 0 ? 1 : 0;
+    found.ran_though_not_run_ += is_refused && runs > 0 ? 1 : 0;
+}
+
+auto run_seed(std::uint64_t seed, call_path path, const row& row = test_row()) -> violations
+{
+    const auto random = seeded_random(seed);
+    const faulty_target target(random);
+    node_fixture nodes(path, target.port(), row);
+    std::vector<std::unique_ptr<raw_socket>> callers;
+    for (unsigned number = 0; number < calls_per_seed; ++number) {
+        callers.push_back(nodes.call());
+        callers.back()->write(
+            fmt::format("POST /call{} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
+                        "content-length: 4\r\n\r\nbody",
+                        number));
+        if (uniform_below(random, 4) == 0) {
+            run_events(std::chrono::milliseconds(2)); // lets connections be reused
+        }
+    }
+    for (const auto& caller : callers) {
+        BOOST_TEST(wait_until([&] { return caller->is_closed(); }));
+    }
+    violations seen;
+    for (unsigned number = 0; number < calls_per_seed; ++number) {
+        const auto name = fmt::format("/call{}", number);
+        const auto found = target.runs().find(name);
+        check_call(name, callers[number]->received(),
+                   found == target.runs().end() ? 0 : found->second, seen);
+    }
+    return seen;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(no_call_is_mixed_up_cut_or_run_twice)
+{
+    const auto first = number_from("SYCAMOREWINCH_FROM_SEED", 1);
+    const auto seeds = number_from("SYCAMOREWINCH_SEEDS", default_seeds);
+    for (auto seed = first; seed < first + seeds; ++seed) {
+        BOOST_TEST_CONTEXT("SYCAMOREWINCH_FROM_SEED=" << seed << " SYCAMOREWINCH_SEEDS=1")
+        {
+            BOOST_TEST(run_seed(seed, call_path::local).none());
+            BOOST_TEST(run_seed(seed, call_path::through_peer).none());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_run_notices_a_node_that_repeats_what_may_not_be_repeated)
+{
+    auto repeated = test_row();
+    repeated.repeatable_ = true;
+    BOOST_TEST(run_seed(1, call_path::local, repeated).doubled_ > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_check_notices_each_broken_invariant)
+{
+    violations seen;
+    check_call("/call1", answer_with("answer to /call2"), 1, seen);
+    BOOST_TEST(seen.mixed_up_ == 1U);
+    check_call("/call1", answer_with("answer to"), 1, seen);
+    BOOST_TEST(seen.mixed_up_ == 2U);
+    check_call("/call1", answer_with("answer to /call1"), 0, seen);
+    BOOST_TEST(seen.answered_not_run_ == 1U);
+    check_call("/call1", "HTTP/1.1 503 Busy\r\nsycamorewinch-outcome: not-run\r\n\r\n", 1, seen);
+    BOOST_TEST(seen.ran_though_not_run_ == 1U);
+}
