--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -5,6 +5,7 @@
 
 #include "daemon/admin_server.h"
 #include "daemon/drain_api.h"
+#include "daemon/run_channels.h"
 #include "daemon/target_registry.h"
 #include "daemon/upstream_link.h"
 #include "membership/target_directory.h"
@@ -17,6 +18,8 @@
 
 constexpr auto lease_check_period = std::chrono::milliseconds(200);
 constexpr auto shutdown_check_period = std::chrono::milliseconds(20);
+constexpr auto run_check_period = std::chrono::milliseconds(50);
+constexpr duration longest_record_wait = std::chrono::seconds(5);
 constexpr int default_lease_ms = 5'000;
 constexpr int max_lease_ms = 600'000;
 constexpr int max_slots = 100'000;
@@ -67,11 +70,25 @@
           link_(settings.upstreams_, secrets.key_,
                 {settings.name_, settings.availability_zone_, false, system_random()}, metrics_,
                 {[this](const auto& output) { on_output(output); },
-                 [this] {
-                     on_connected();
+                 [this](bool is_moved) {
+                     on_connected(is_moved);
                  }}),
+          runs_({to_text(settings.listen_peers_),
+                 static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch())}),
+          runs_up_({[this] {
+                        runs_.on_connected(monotonic_now());
+                        send_runs();
+                    },
+                    [this] { runs_.on_disconnected(monotonic_now()); },
+                    [this](const auto& results) {
+                        runs_.on_results(results, monotonic_now());
+                        send_runs();
+                    }}),
           version_(metrics_.gauge("sycamorewinch_table_version",
-                                  "Number of the table version in force."))
+                                  "Number of the table version in force.")),
+          last_proof_(metrics_.gauge("sycamorewinch_last_proof_timestamp_seconds",
+                                     "Unix time of the last proof of the current version; 0 before "
+                                     "the first."))
     {
         admin_.handle(QHttpServerRequest::Method::Post, "/v1/targets", admin_access::anybody,
                       [this](const auto& request) { return on_announce(request); });
@@ -79,8 +96,23 @@
             publish_local_targets();
             tell(changed);
         });
+        auto& in_flight = metrics_.gauge("sycamorewinch_calls_in_flight",
+                                         "Calls of callers and of other nodes being carried.");
+        admin_.refresh_metrics_by([this, &in_flight] {
+            in_flight.set(static_cast<std::uint64_t>(state_.calls_in_flight().load()));
+        });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_,
                          [this] { check_leases(); });
+        QObject::connect(&run_timer_, &QTimer::timeout, &run_timer_, [this] {
+            runs_.tick(monotonic_now());
+            send_runs();
+        });
+        state_.set_run_port({[this](auto operation, auto reply) {
+                                 post_reservation(std::move(operation), std::move(reply));
+                             },
+                             [this](auto operation) {
+                                 post_end(std::move(operation));
+                             }});
     }
 
     auto start() -> result<void>
@@ -97,6 +129,7 @@
             return listening;
         }
         lease_timer_.start(lease_check_period);
+        run_timer_.start(run_check_period);
         link_.start();
         return {};
     }
@@ -111,9 +144,12 @@
         for (const auto& worker : workers_) {
             worker->begin_shutdown();
         }
+        const auto record_deadline = monotonic_now() + longest_record_wait;
         QObject::connect(&shutdown_timer_, &QTimer::timeout, &shutdown_timer_,
-                         [this, done = std::move(done)] {
-                             if (state_.calls_in_flight() == 0) {
+                         [this, done = std::move(done), record_deadline] {
+                             const bool is_recorded =
+                                 runs_.unacknowledged() == 0 || monotonic_now() > record_deadline;
+                             if (state_.calls_in_flight() == 0 && is_recorded) {
                                  shutdown_timer_.stop();
                                  done();
                              }
@@ -154,7 +190,7 @@
             directory_.merge(record);
         }
         publish_routes();
-        link_.logic().report_targets(changed);
+        link_.logic().report_targets({changed, true});
         link_.run();
     }
 
@@ -175,25 +211,68 @@
         state_.publish_targets(std::move(local));
     }
 
-    void publish_routes()
+    void publish_routes() { state_.publish_routes(link_.logic().enforced(), directory_.records()); }
+
+    // Called on worker threads.
+    void post_reservation(run_operation operation, run_callback reply)
     {
-        state_.publish_routes(route_table::create(link_.logic().enforced(), directory_.records()));
+        QMetaObject::invokeMethod(
+            &run_timer_,
+            [this, operation = std::move(operation), reply = std::move(reply)] {
+                runs_.reserve(operation, reply, monotonic_now());
+                send_runs();
+            },
+            Qt::QueuedConnection);
     }
 
-    void on_connected()
+    // Called on worker threads.
+    void post_end(run_operation operation)
     {
-        link_.logic().report_targets(registry_.records());
+        QMetaObject::invokeMethod(
+            &run_timer_,
+            [this, operation = std::move(operation)] {
+                runs_.end(operation, monotonic_now());
+                send_runs();
+            },
+            Qt::QueuedConnection);
+    }
+
+    void send_runs() { runs_up_.send(runs_.take_output()); }
+
+    void on_connected(bool is_moved)
+    {
+        runs_up_.open(link_.connection());
+        if (is_moved) {
+            registry_.renew();
+            for (const auto& record : registry_.records()) {
+                directory_.merge(record);
+            }
+        }
+        link_.logic().report_targets({registry_.records(), true});
+        link_.logic().report_summary(directory_.digests());
         link_.logic().report_progress(own_progress());
     }
 
     void on_output(const subscriber_output& output)
     {
+        if (output.proof_) {
+            last_proof_.set(static_cast<std::uint64_t>(QDateTime::currentSecsSinceEpoch()));
+        }
+        auto news = output.targets_;
         for (const auto& record : output.targets_) {
             directory_.merge(record);
         }
-        if (output.enforce_ || !output.targets_.empty()) {
+        if (output.sync_) {
+            const auto more = on_sync(*output.sync_, output.sync_replaces_);
+            news.insert(news.end(), more.begin(), more.end());
+        }
+        if (output.enforce_ || !news.empty()) {
             publish_routes();
         }
+        if (const auto refuted = registry_.refute(news); !refuted.empty()) {
+            publish_local_targets();
+            tell(refuted);
+        }
         if (output.enforce_) {
             version_.set(output.enforce_->version_.number_);
             log_event(log_level::info, "table_in_force",
@@ -206,6 +285,19 @@
         }
     }
 
+    // Takes the upstream's buckets and tells it what is later here; returns the news.
+    auto on_sync(const bucket_contents& contents, bool replaces) -> std::vector<target_record>
+    {
+        if (replaces) {
+            directory_.forget_all_but(registry_.records());
+        }
+        auto outcome = directory_.compare(contents);
+        if (!outcome.later_here_.empty()) {
+            link_.logic().report_targets({std::move(outcome.later_here_), false});
+        }
+        return std::move(outcome.news_);
+    }
+
     auto own_progress() -> std::vector<zone_progress>
     {
         const auto& enforced = link_.logic().enforced();
@@ -222,8 +314,12 @@
     std::map<std::pair<std::string, std::string>, std::shared_ptr<admission>> admissions_;
     admin_server admin_;
     upstream_link link_;
+    run_client runs_;
+    run_uplink runs_up_;
     counter& version_;
+    counter& last_proof_;
     QTimer lease_timer_;
+    QTimer run_timer_;
     QTimer shutdown_timer_;
     std::vector<std::unique_ptr<node_worker>> workers_;
 };
--- a/libs/request_path/target_connections.h
+++ b/libs/request_path/target_connections.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "http1/http1_client_connection.h"
+#include "request_path/run_gateway.h"
 #include "transport/peer_connection.h"
 
 namespace sycamorewinch {
@@ -31,10 +32,14 @@
     /** Returns how many connections to \p address wait for reuse. */
     [[nodiscard]] auto idle_count(const peer_address& address) const -> std::size_t;
 
+    /** Returns this thread's way to the record of unrepeatable requests. */
+    [[nodiscard]] auto runs() -> run_gateway& { return runs_; }
+
   private:
     void drop_silent(const peer_address& address, std::chrono::milliseconds silent_for);
 
     http1_client_limits limits_;
+    run_gateway runs_;
     std::map<peer_address, std::vector<std::shared_ptr<http1_client_connection>>> idle_;
 };
 
