--- /dev/null
+++ b/libs/request_path/test/performance/added_latency.cpp
@@ -0,0 +1,98 @@
+// Prints what a node adds to a call; checks only that each call was answered.
+#include <boost/test/unit_test.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include <fmt/core.h>
+
+#include "../node_fixture.h"
+#include "base/time.h"
+#include "standin/added_latency.h"
+#include "standin/load_maker.h"
+#include "standin/standin_target.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+/** SYCAMOREWINCH_CALLS sets a longer run than the tests'. */
+auto calls_to_make() -> std::uint64_t
+{
+    const auto* text = std::getenv("SYCAMOREWINCH_CALLS");
+    return text == nullptr ? 200 : std::stoull(text);
+}
+
+constexpr double calls_per_second = 165;
+constexpr double microseconds = 1e6;
+
+void print(std::string_view name, const latency_sample& sample)
+{
+    fmt::print("{}: p50 {:.0f} us, p99 {:.0f} us, p99.9 {:.0f} us\n", name,
+               microseconds * sample.at(0.5), microseconds * sample.at(0.99),
+               microseconds * sample.at(0.999));
+}
+
+void check_path(call_path path, std::string_view name)
+{
+    (void)wait_until([] { return true; });
+    const auto target = standin_target::start({"dialer", "d1", {"127.0.0.1", 0}});
+    node_fixture nodes(path, (*target)->port());
+    latency_plan plan;
+    plan.direct_ = {"127.0.0.1", (*target)->port()};
+    plan.through_ = {"127.0.0.1", nodes.caller_port()};
+    plan.calls_ = calls_to_make();
+    plan.per_second_ = calls_per_second;
+    const auto seen = measure_added_latency(plan);
+    print(fmt::format("{} direct", name), seen.direct_);
+    print(fmt::format("{} through", name), seen.through_);
+    BOOST_TEST(seen.direct_.failed_ + seen.through_.failed_ == 0U);
+}
+
+/** Makes as many calls as a node carries and prints the rate. */
+void check_most(call_path path, std::string_view name)
+{
+    (void)wait_until([] { return true; });
+    const auto target = standin_target::start({"dialer", "d1", {"127.0.0.1", 0}});
+    node_fixture nodes(path, (*target)->port());
+    load_options options;
+    options.nodes_ = {{"127.0.0.1", nodes.caller_port()}};
+    options.calls_ = 10 * calls_to_make();
+    options.concurrency_ = 32;
+    load_outcome outcome;
+    bool done = false;
+    const auto began = monotonic_now();
+    const auto run = make_load(options, [&](const auto& result) {
+        outcome = result;
+        done = true;
+    });
+    BOOST_TEST(wait_until([&] { return done; }));
+    const auto taken = to_seconds(monotonic_now() - began);
+    fmt::print("{} most: {:.0f} calls/s, p50 {:.0f} us, p99 {:.0f} us\n", name,
+               static_cast<double>(options.calls_) / taken,
+               microseconds * quantile_of(outcome.seconds_, 0.5),
+               microseconds * quantile_of(outcome.seconds_, 0.99));
+    BOOST_TEST(outcome.by_status_[200] == options.calls_);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_call_through_one_node)
+{
+    check_path(call_path::local, "one node");
+}
+
+BOOST_AUTO_TEST_CASE(a_call_through_two_nodes)
+{
+    check_path(call_path::through_peer, "two nodes");
+}
+
+BOOST_AUTO_TEST_CASE(the_most_that_one_node_carries)
+{
+    check_most(call_path::local, "one node");
+}
+
+BOOST_AUTO_TEST_CASE(the_most_that_two_nodes_carry)
+{
+    check_most(call_path::through_peer, "two nodes");
+}
