--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -136,9 +136,9 @@
     peer_listener listener_;
     hub_server hub_;
     upstream_link link_;
+    QTimer progress_timer_;
     run_server runs_;
     run_uplink runs_up_;
-    QTimer progress_timer_;
 };
 
 } // namespace
--- a/libs/policy/service_state.cpp
+++ b/libs/policy/service_state.cpp
@@ -18,34 +18,47 @@
 
 } // namespace
 
-void service_state::count_refusal(refusal_reason reason)
+void service_state::count_refusal(refusal_reason reason, std::uint64_t amount)
 {
     const auto resolve = [this, reason]() -> counter& {
         return registry_.count("sycamorewinch_refusals_total",
                                "Calls refused, by reason and service.",
                                {{"reason", name_of(reason)}, {"service", service_}});
     };
-    resolved(refusals_.at(static_cast<std::size_t>(reason)), resolve).add();
+    resolved(refusals_.at(static_cast<std::size_t>(reason)), resolve).add(amount);
 }
 
-void service_state::count_retry(retry_reason reason)
+void service_state::count_retry(retry_reason reason, std::uint64_t amount)
 {
     const auto resolve = [this, reason]() -> counter& {
         return registry_.count("sycamorewinch_retries_total",
                                "Further attempts, by what ended the one before.",
                                {{"reason", name_of(reason)}, {"service", service_}});
     };
-    resolved(retries_.at(static_cast<std::size_t>(reason)), resolve).add();
+    resolved(retries_.at(static_cast<std::size_t>(reason)), resolve).add(amount);
 }
 
-void service_state::count_no_retry(retry_decision decision)
+void service_state::count_no_retry(retry_decision decision, std::uint64_t amount)
 {
     const auto resolve = [this, decision]() -> counter& {
         return registry_.count("sycamorewinch_not_retried_total",
                                "Calls not tried again after a refused attempt, by cause.",
                                {{"cause", name_of(decision)}, {"service", service_}});
     };
-    resolved(no_retries_.at(static_cast<std::size_t>(decision)), resolve).add();
+    resolved(no_retries_.at(static_cast<std::size_t>(decision)), resolve).add(amount);
+}
+
+void service_state::show_counters()
+{
+    for (std::size_t index = 0; index < refusal_reason_count; ++index) {
+        count_refusal(static_cast<refusal_reason>(index), 0);
+    }
+    for (std::size_t index = 0; index < retry_reason_count; ++index) {
+        count_retry(static_cast<retry_reason>(index), 0);
+    }
+    for (std::size_t index = 1; index < retry_decision_count; ++index) { // 0 is a retry
+        count_no_retry(static_cast<retry_decision>(index), 0);
+    }
 }
 
 void service_state::record_call(duration taken)
--- a/libs/policy/service_state.h
+++ b/libs/policy/service_state.h
@@ -24,12 +24,15 @@
     {
     }
 
-    void count_refusal(refusal_reason reason);
-    void count_retry(retry_reason reason);
+    void count_refusal(refusal_reason reason, std::uint64_t amount = 1);
+    void count_retry(retry_reason reason, std::uint64_t amount = 1);
     /** Counts a call that was not tried again, though one of its attempts was refused. */
-    void count_no_retry(retry_decision decision);
+    void count_no_retry(retry_decision decision, std::uint64_t amount = 1);
     void record_call(duration taken);
 
+    /** Makes every counter show from now on, so that a rate over it has its zero. */
+    void show_counters();
+
     [[nodiscard]] auto budget() -> retry_budget& { return budget_; }
 
   private:
