Shed a rush fairly between callers and leave out failing targets

Change: admission keeps the last quarter of the slots for callers below an even part; target_health ejects by what the node itself saw, never more than half; answer_refusal has its own file.

Ruled out: counting only callers with a request in flight (a lone rush then takes every slot).

--- a/libs/policy/admission.cpp
+++ b/libs/policy/admission.cpp
@@ -1,11 +1,18 @@
 #include "policy/admission.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/digest.h"
 
 namespace sycamorewinch {
 
+namespace {
+
+constexpr std::int64_t period_us = 1'000'000;
+
+} // namespace
+
 admission_ticket::admission_ticket(admission_ticket&& other) noexcept
     : from_(std::exchange(other.from_, nullptr)),
       caller_count_(std::exchange(other.caller_count_, nullptr))
@@ -21,12 +28,11 @@
 
 admission_ticket::~admission_ticket()
 {
-    if (from_ != nullptr) {
-        --from_->in_flight_;
-    }
-    if (caller_count_ != nullptr) {
-        --*caller_count_;
+    if (from_ == nullptr) {
+        return;
     }
+    --from_->in_flight_;
+    --*caller_count_;
 }
 
 auto admission::find_cell(std::string_view caller) -> caller_cell&
@@ -43,6 +49,34 @@
     return cells_.at(key % cell_count); // more callers than cells: they share
 }
 
+auto admission::take(caller_cell& cell) -> admission_ticket
+{
+    ++cell.in_flight_;
+    ++in_flight_;
+    return {*this, cell.in_flight_};
+}
+
+void admission::note_caller(caller_cell& cell, instant now)
+{
+    const auto period = now.time_since_epoch().count() / period_us;
+    auto current = period_.load();
+    if (current < period && period_.compare_exchange_strong(current, period)) {
+        callers_before_ = current + 1 == period ? callers_now_.exchange(0) : 0;
+    }
+    if (cell.last_period_.exchange(period) != period) {
+        ++callers_now_;
+    }
+}
+
+// An even part of the slots, rounded up. It binds only in the last quarter of them.
+auto admission::is_above_even_part(std::uint32_t held) const -> bool
+{
+    const auto slots = slots_.load();
+    const auto callers = std::max({1U, callers_now_.load(), callers_before_.load()});
+    const bool is_scarce = in_flight_ > slots - slots / 4;
+    return is_scarce && callers > 1 && held > (slots + callers - 1) / callers;
+}
+
 auto admission::admit(std::string_view caller, const limit_share& share, instant now)
     -> admission_result
 {
@@ -52,19 +86,17 @@
     if (!share.grants_) {
         return {{}, refusal_reason::concurrency_limited};
     }
-    if (in_flight_.fetch_add(1) >= slots_) {
-        --in_flight_;
+    auto& cell = find_cell(caller);
+    note_caller(cell, now);
+    auto ticket = take(cell); // gives all back if the request is refused below
+    if (in_flight_ > slots_) {
         return {{}, refusal_reason::target_full};
     }
-    admission_ticket ticket(this, nullptr);
-    auto& cell = find_cell(caller);
-    if (share.concurrency_ > 0) {
-        if (cell.in_flight_.fetch_add(1) >= share.concurrency_) {
-            --cell.in_flight_;
-            return {{}, refusal_reason::concurrency_limited};
-        }
-        ticket = admission_ticket(this, &cell.in_flight_);
-        ++in_flight_; // the ticket that was replaced gives one back
+    if (share.concurrency_ > 0 && cell.in_flight_ > share.concurrency_) {
+        return {{}, refusal_reason::concurrency_limited};
+    }
+    if (is_above_even_part(cell.in_flight_)) {
+        return {{}, refusal_reason::overloaded};
     }
     if (share.requests_per_second_ > 0 &&
         !cell.rate_.admit(share.requests_per_second_, share.burst_, now)) {
--- a/libs/policy/admission.h
+++ b/libs/policy/admission.h
@@ -3,8 +3,9 @@
  * caller's limits. What is refused here has not been run.
  *
  * A caller's limit in the table is for the whole system. This node grants its target's share of it
- * (policy/limit_share.h). Counts are atomics; callers are found in a fixed hash
- * table without a lock.
+ * (policy/limit_share.h). The last quarter of the slots is for callers that hold less than an even
+ * part of all: one that holds more is refused, so that a rush of one caller cannot crowd out the
+ * others. Counts are atomics; callers are found in a fixed hash table without a lock.
  */
 #pragma once
 
@@ -26,8 +27,9 @@
 class admission_ticket {
   public:
     admission_ticket() = default;
-    admission_ticket(admission* from, std::atomic<std::uint32_t>* caller_count)
-        : from_(from), caller_count_(caller_count)
+    /** Stands for one slot of \p from and one request of the caller counted in \p caller_count. */
+    admission_ticket(admission& from, std::atomic<std::uint32_t>& caller_count)
+        : from_(&from), caller_count_(&caller_count)
     {
     }
     admission_ticket(const admission_ticket&) = delete;
@@ -69,13 +71,20 @@
         std::atomic<std::uint64_t> key_{0};
         rate_limiter rate_;
         std::atomic<std::uint32_t> in_flight_{0};
+        std::atomic<std::int64_t> last_period_{-1}; ///< In which it was seen.
     };
     static constexpr std::size_t cell_count = 4096;
 
     [[nodiscard]] auto find_cell(std::string_view caller) -> caller_cell&;
+    [[nodiscard]] auto take(caller_cell& cell) -> admission_ticket;
+    [[nodiscard]] auto is_above_even_part(std::uint32_t held) const -> bool;
+    void note_caller(caller_cell& cell, instant now);
 
     std::atomic<std::uint32_t> slots_;
     std::atomic<std::uint32_t> in_flight_{0};
+    std::atomic<std::int64_t> period_{0}; ///< Callers are counted by periods of one second.
+    std::atomic<std::uint32_t> callers_now_{0};
+    std::atomic<std::uint32_t> callers_before_{0}; ///< In the period before.
     std::atomic<bool> draining_{false};
     std::array<caller_cell, cell_count> cells_;
 };
--- a/libs/policy/route_table.cpp
+++ b/libs/policy/route_table.cpp
@@ -38,7 +38,8 @@
     for (const auto* target : targets) {
         const auto weight = weight_of(*route.row_, *target, in_zone);
         if (weight > 0) {
-            route.targets_.push_back({*target, weight});
+            auto health = route.state_ ? route.state_->health_of(target->target_) : nullptr;
+            route.targets_.push_back({*target, weight, std::move(health)});
             route.total_weight_ += weight;
         }
     }
@@ -78,6 +79,20 @@
     return position ? &routes_[*position] : nullptr;
 }
 
+auto ejected_targets(const service_route& route, instant now) -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const auto& target : route.targets_) {
+        if (target.health_ && target.health_->is_ejected(now)) {
+            names.push_back(target.record_.target_);
+        }
+    }
+    if (names.size() * 2 > route.targets_.size()) {
+        names.clear();
+    }
+    return names;
+}
+
 auto choose_target(const service_route& route, const std::vector<std::string>& excluded,
                    const random_hook& random) -> const weighted_target*
 {
--- a/libs/policy/route_table.h
+++ b/libs/policy/route_table.h
@@ -15,6 +15,7 @@
 #include "membership/target_record.h"
 #include "policy/path_index.h"
 #include "policy/service_state.h"
+#include "policy/target_health.h"
 #include "table/table.h"
 
 namespace sycamorewinch {
@@ -23,6 +24,7 @@
 struct weighted_target {
     target_record record_;
     double weight_ = 1;
+    std::shared_ptr<target_health> health_; ///< Kept from one route table to the next; may be null.
 };
 
 /** The targets of one service. */
@@ -62,6 +64,11 @@
     path_index index_; ///< Positions in routes_ by path prefix.
 };
 
+/** Returns the names of the targets that this node leaves out now because they fail; never more
+ * than half of them. */
+[[nodiscard]] auto ejected_targets(const service_route& route, instant now)
+    -> std::vector<std::string>;
+
 /** Picks a target of \p route by weight, leaving out the names in \p excluded unless all are;
  * returns nullptr when there is none. */
 [[nodiscard]] auto choose_target(const service_route& route,
--- a/libs/policy/service_state.cpp
+++ b/libs/policy/service_state.cpp
@@ -71,6 +71,17 @@
     resolved(seconds_, resolve).record(to_seconds(taken));
 }
 
+auto service_state::health_of(const std::string& target) -> std::shared_ptr<target_health>
+{
+    std::erase_if(health_, [](const auto& each) { return each.second.expired(); });
+    auto health = health_[target].lock();
+    if (!health) {
+        health = std::make_shared<target_health>();
+        health_[target] = health;
+    }
+    return health;
+}
+
 auto service_states::of(const std::string& service) -> std::shared_ptr<service_state>
 {
     auto& state = states_[service];
--- a/libs/policy/service_state.h
+++ b/libs/policy/service_state.h
@@ -13,6 +13,7 @@
 
 #include "observability/metrics.h"
 #include "policy/retry_policy.h"
+#include "policy/target_health.h"
 
 namespace sycamorewinch {
 
@@ -33,6 +34,9 @@
     /** Makes every counter show from now on, so that a rate over it has its zero. */
     void show_counters();
 
+    /** Returns what this node saw of \p target. For the thread that publishes routes. */
+    auto health_of(const std::string& target) -> std::shared_ptr<target_health>;
+
     [[nodiscard]] auto budget() -> retry_budget& { return budget_; }
 
   private:
@@ -45,6 +49,7 @@
     std::array<handle, retry_reason_count> retries_{};
     std::array<handle, retry_decision_count> no_retries_{};
     std::atomic<histogram*> seconds_{nullptr};
+    std::map<std::string, std::weak_ptr<target_health>> health_; ///< Of the targets in any routes.
 };
 
 /** The states of all services that were ever in force. For one thread. */
--- /dev/null
+++ b/libs/policy/target_health.h
@@ -0,0 +1,39 @@
+/** \file
+ * What a node itself saw of a target, and whether it leaves the target out for a while.
+ *
+ * Only this outranks what a target says of itself. After failures_to_eject failures in a row a
+ * target is left out, for a time that doubles while it goes on failing. When more than half of a
+ * service's targets would be left out, none is: the fault then lies elsewhere.
+ */
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace sycamorewinch {
+
+/** One target as one node sees it. Safe from any thread. */
+class target_health {
+  public:
+    static constexpr std::uint32_t failures_to_eject = 5;
+    static constexpr duration first_ejection = std::chrono::seconds(1);
+    static constexpr duration longest_ejection = std::chrono::seconds(16);
+
+    /** An answer came, whatever it said. */
+    void on_answer() { failures_ = 0; }
+    /** It could not be reached, or broke off. */
+    void on_failure(instant now);
+
+    [[nodiscard]] auto is_ejected(instant now) const -> bool
+    {
+        return now.time_since_epoch().count() < ejected_until_us_;
+    }
+
+  private:
+    std::atomic<std::uint32_t> failures_{0}; ///< In a row.
+    std::atomic<std::int64_t> ejected_until_us_{0};
+};
+
+} // namespace sycamorewinch
--- a/libs/policy/test/correctness/admission.cpp
+++ b/libs/policy/test/correctness/admission.cpp
@@ -48,3 +48,32 @@
     BOOST_TEST(!gate.admit("shelter", limits, instant()).refusal_.has_value());
     BOOST_TEST(gate.in_flight() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(the_last_slots_are_kept_from_a_caller_above_its_even_part)
+{
+    admission gate(10);
+    const auto limits = share(0, 0, 0);
+    std::vector<admission_result> held;
+    held.push_back(gate.admit("desk", limits, instant()));
+    for (int call = 0; call < 7; ++call) {
+        held.push_back(gate.admit("rush", limits, instant()));
+    }
+    BOOST_TEST((gate.admit("rush", limits, instant()).refusal_ == refusal_reason::overloaded));
+    for (int call = 0; call < 2; ++call) {
+        held.push_back(gate.admit("desk", limits, instant()));
+        BOOST_TEST(!held.back().refusal_.has_value());
+    }
+    BOOST_TEST((gate.admit("ward", limits, instant()).refusal_ == refusal_reason::target_full));
+    held.clear();
+    BOOST_TEST(gate.in_flight() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lone_caller_may_take_every_slot)
+{
+    admission gate(10);
+    std::vector<admission_result> held;
+    for (int call = 0; call < 10; ++call) {
+        held.push_back(gate.admit("rush", share(0, 0, 0), instant()));
+        BOOST_TEST(!held.back().refusal_.has_value());
+    }
+}
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 
 #include <QTimer>
-#include <fmt/core.h>
 
 #include "policy/limit_share.h"
 #include "request_path/peer_headers.h"
@@ -101,13 +100,14 @@
 
     void attempt()
     {
-        const auto* target = choose_target(*route_, tried_, environment_.random_);
+        const auto* target = choose_target(*route_, excluded(), environment_.random_);
         if (target == nullptr) {
             refuse(make_refusal(refusal_reason::no_target));
             return;
         }
         const auto number = ++attempts_;
         request_.target_ = target->record_.target_;
+        health_ = target->health_;
         tried_.push_back(request_.target_);
         set_travelling_headers();
         const auto address = parse_peer_address(target->record_.node_address_);
@@ -150,6 +150,17 @@
         }
     }
 
+    /** The targets tried or without a share, and those that fail unless these are all the rest. */
+    [[nodiscard]] auto excluded() const -> std::vector<std::string>
+    {
+        auto names = tried_;
+        const auto ejected = ejected_targets(*route_, monotonic_now());
+        names.insert(names.end(), ejected.begin(), ejected.end());
+        std::ranges::sort(names);
+        names.erase(std::unique(names.begin(), names.end()), names.end());
+        return names.size() < route_->targets_.size() ? names : tried_;
+    }
+
     auto make_exchange_hooks(unsigned number) -> exchange_hooks
     {
         const auto self = shared_from_this();
@@ -183,6 +194,11 @@
             return;
         }
         ran_ = ran_ || refusal.outcome_ != request_outcome::not_run;
+        const bool has_failed = refusal.reason_ == refusal_reason::target_unreachable ||
+                                refusal.reason_ == refusal_reason::target_failed;
+        if (has_failed && health_) {
+            health_->on_failure(monotonic_now());
+        }
         const auto decision = decide_retry(question_of(refusal), state().budget());
         if (decision == retry_decision::retry) {
             state().count_retry(*retry_reason_of(refusal.reason_));
@@ -215,6 +231,9 @@
             return;
         }
         responded_ = true;
+        if (health_) {
+            health_->on_answer();
+        }
         remove_system_headers(head.headers_);
         connection->respond(std::move(head));
     }
@@ -349,6 +368,7 @@
     exchange_request request_;
     std::shared_ptr<const route_table> routes_;
     const service_route* route_ = nullptr;
+    std::shared_ptr<target_health> health_; ///< Of the target being tried.
     exchange_controls controls_;
     std::vector<std::string> tried_;
     std::string replay_;
@@ -372,26 +392,4 @@
     return call->make_request_hooks();
 }
 
-void answer_refusal(http1_server_connection& connection, const refusal& refusal,
-                    std::string_view service)
-{
-    const auto& description = describe(refusal.reason_);
-    const auto body = fmt::format(R"({{"refusal":"{}","outcome":"{}","service":"{}"}})"
-                                  "\n",
-                                  description.name_, name_of(refusal.outcome_), service);
-    message_head head;
-    head.status_ = description.status_;
-    head.has_body_ = true;
-    head.content_length_ = body.size();
-    head.headers_ = {{"content-type", "application/json"},
-                     {std::string(refusal_header), std::string(description.name_)},
-                     {std::string(outcome_header), std::string(name_of(refusal.outcome_))}};
-    if (description.retry_after_seconds_ > 0) {
-        head.headers_.push_back({"retry-after", std::to_string(description.retry_after_seconds_)});
-    }
-    connection.respond(std::move(head));
-    connection.write(body);
-    connection.finish();
-}
-
 } // namespace sycamorewinch
--- a/libs/request_path/caller_call.h
+++ b/libs/request_path/caller_call.h
@@ -9,6 +9,7 @@
 #include "request_path/local_exchange.h"
 #include "request_path/node_state.h"
 #include "request_path/peer_exchange.h"
+#include "request_path/refusal_answer.h"
 
 namespace sycamorewinch {
 
@@ -25,8 +26,4 @@
                                      const std::shared_ptr<http1_server_connection>& connection,
                                      message_head head) -> request_hooks;
 
-/** Answers the current request of \p connection with a refusal. */
-void answer_refusal(http1_server_connection& connection, const refusal& refusal,
-                    std::string_view service);
-
 } // namespace sycamorewinch
