--- a/libs/policy/service_state.h
+++ b/libs/policy/service_state.h
@@ -13,6 +13,7 @@
 
 #include "observability/metrics.h"
 #include "policy/retry_policy.h"
+#include "policy/target_health.h"
 
 namespace sycamorewinch {
 
@@ -24,24 +25,23 @@
     {
     }
 
-    void count_refusal(refusal_reason reason);
-    void count_retry(retry_reason reason);
+    void count_refusal(refusal_reason reason, std::uint64_t amount = 1);
+    void count_retry(retry_reason reason, std::uint64_t amount = 1);
     /** Counts a call that was not tried again, though one of its attempts was refused. */
-    void count_no_retry(retry_decision decision);
+    void count_no_retry(retry_decision decision, std::uint64_t amount = 1);
     void record_call(duration taken);
 
-    /** Shows every reason in the metrics at 0, so that a rate over the counters has its zero. */
-    void show_every_reason();
+    /** Makes every counter show from now on, so that a rate over it has its zero. */
+    void show_counters();
+
+    /** Returns what this node saw of \p target. For the thread that publishes routes. */
+    auto health_of(const std::string& target) -> std::shared_ptr<target_health>;
 
     [[nodiscard]] auto budget() -> retry_budget& { return budget_; }
 
   private:
     using handle = std::atomic<counter*>;
 
-    auto refusals(refusal_reason reason) -> counter&;
-    auto retries(retry_reason reason) -> counter&;
-    auto no_retries(retry_decision decision) -> counter&;
-
     metrics_registry& registry_;
     std::string service_;
     retry_budget budget_;
@@ -49,6 +49,7 @@
     std::array<handle, retry_reason_count> retries_{};
     std::array<handle, retry_decision_count> no_retries_{};
     std::atomic<histogram*> seconds_{nullptr};
+    std::map<std::string, std::weak_ptr<target_health>> health_; ///< Of the targets in any routes.
 };
 
 /** The states of all services that were ever in force. For one thread. */
