--- a/libs/policy/admission.h
+++ b/libs/policy/admission.h
@@ -2,9 +2,10 @@
  * The decision of the node beside a target whether a request may go to it: drain, slots, and the
  * caller's limits. What is refused here has not been run.
  *
- * A caller's limit in the table is for the whole system. This node grants its share: the target's
- * weight over the weight of all targets up. Counts are atomics; callers are found in a fixed hash
- * table without a lock.
+ * A caller's limit in the table is for the whole system. This node grants its target's share of it
+ * (policy/limit_share.h). The last quarter of the slots is for callers that hold less than an even
+ * part of all: one that holds more is refused, so that a rush of one caller cannot crowd out the
+ * others. Counts are atomics; callers are found in a fixed hash table without a lock.
  */
 #pragma once
 
@@ -14,9 +15,9 @@
 #include <optional>
 #include <string_view>
 
+#include "policy/limit_share.h"
 #include "policy/rate_limiter.h"
 #include "policy/refusal.h"
-#include "policy/route_table.h"
 
 namespace sycamorewinch {
 
@@ -26,8 +27,9 @@
 class admission_ticket {
   public:
     admission_ticket() = default;
-    admission_ticket(admission* from, std::atomic<std::uint32_t>* caller_count)
-        : from_(from), caller_count_(caller_count)
+    /** Stands for one slot of \p from and one request of the caller counted in \p caller_count. */
+    admission_ticket(admission& from, std::atomic<std::uint32_t>& caller_count)
+        : from_(&from), caller_count_(&caller_count)
     {
     }
     admission_ticket(const admission_ticket&) = delete;
@@ -53,9 +55,8 @@
     /** \p slots is how many requests the target runs at once. */
     explicit admission(std::uint32_t slots) : slots_(slots) {}
 
-    /** Decides on a request of \p caller under \p row, of which this target serves \p share
-     * (0 to 1]. */
-    [[nodiscard]] auto admit(const row& row, std::string_view caller, double share, instant now)
+    /** Decides on a request of \p caller, of whose limits \p share falls to this target. */
+    [[nodiscard]] auto admit(std::string_view caller, const limit_share& share, instant now)
         -> admission_result;
 
     /** From now on refuses all new work. */
@@ -70,13 +71,20 @@
         std::atomic<std::uint64_t> key_{0};
         rate_limiter rate_;
         std::atomic<std::uint32_t> in_flight_{0};
+        std::atomic<std::int64_t> last_period_{-1}; ///< In which it was seen.
     };
     static constexpr std::size_t cell_count = 4096;
 
     [[nodiscard]] auto find_cell(std::string_view caller) -> caller_cell&;
+    [[nodiscard]] auto take(caller_cell& cell) -> admission_ticket;
+    [[nodiscard]] auto is_above_even_part(std::uint32_t held) const -> bool;
+    void note_caller(caller_cell& cell, instant now);
 
     std::atomic<std::uint32_t> slots_;
     std::atomic<std::uint32_t> in_flight_{0};
+    std::atomic<std::int64_t> period_{0}; ///< Callers are counted by periods of one second.
+    std::atomic<std::uint32_t> callers_now_{0};
+    std::atomic<std::uint32_t> callers_before_{0}; ///< In the period before.
     std::atomic<bool> draining_{false};
     std::array<caller_cell, cell_count> cells_;
 };
--- a/libs/policy/route_table.cpp
+++ b/libs/policy/route_table.cpp
@@ -38,26 +38,18 @@
     for (const auto* target : targets) {
         const auto weight = weight_of(*route.row_, *target, in_zone);
         if (weight > 0) {
-            route.targets_.push_back({*target, weight});
+            auto health = route.state_ ? route.state_->health_of(target->target_) : nullptr;
+            route.targets_.push_back({*target, weight, std::move(health)});
             route.total_weight_ += weight;
         }
     }
 }
 
-auto starts_with_prefix(std::string_view path, std::string_view prefix) -> bool
-{
-    if (!path.starts_with(prefix)) {
-        return false;
-    }
-    const auto rest = path.substr(prefix.size());
-    return rest.empty() || prefix.ends_with('/') || rest.front() == '/' || rest.front() == '?';
-}
-
 } // namespace
 
 auto route_table::create(std::shared_ptr<const table> table,
-                         const std::vector<target_record>& targets)
-    -> std::shared_ptr<const route_table>
+                         const std::vector<target_record>& targets,
+                         const service_state_hook& state_of) -> std::shared_ptr<const route_table>
 {
     const std::shared_ptr<route_table> routes(new route_table());
     routes->table_ = std::move(table);
@@ -73,22 +65,32 @@
     for (const auto& row : routes->table_->rows_) {
         service_route route;
         route.row_ = &row;
+        route.state_ = state_of ? state_of(row.service_) : nullptr;
+        routes->index_.add(row.path_prefix_, routes->routes_.size());
         fill_targets(route, by_service[row.service_]);
         routes->routes_.push_back(std::move(route));
     }
-    std::ranges::stable_sort(routes->routes_, std::greater<>(),
-                             [](const auto& route) { return route.row_->path_prefix_.size(); });
     return routes;
 }
 
 auto route_table::match(std::string_view path) const -> const service_route*
 {
-    for (const auto& route : routes_) {
-        if (starts_with_prefix(path, route.row_->path_prefix_)) {
-            return &route;
+    const auto position = index_.find(path);
+    return position ? &routes_[*position] : nullptr;
+}
+
+auto ejected_targets(const service_route& route, instant now) -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const auto& target : route.targets_) {
+        if (target.health_ && target.health_->is_ejected(now)) {
+            names.push_back(target.record_.target_);
         }
     }
-    return nullptr;
+    if (names.size() * 2 > route.targets_.size()) {
+        names.clear();
+    }
+    return names;
 }
 
 auto choose_target(const service_route& route, const std::vector<std::string>& excluded,
--- /dev/null
+++ b/tutorial/lesson_05_routing/main.cpp
@@ -0,0 +1,68 @@
+/** \file
+ * Lesson 5: what a node does with a call. The path finds the row, the weights choose the target,
+ * and the node beside the target admits the request or says why not.
+ */
+#include "../lesson.h"
+#include "policy/admission.h"
+#include "policy/limit_share.h"
+#include "policy/route_table.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+auto make_target(const std::string& name, const std::string& zone) -> target_record
+{
+    target_record record{.service_ = "dialer", .target_ = name};
+    record.availability_zone_ = zone;
+    record.slots_ = 10;
+    return record;
+}
+
+} // namespace
+
+auto main() -> int
+{
+    row dialer{.service_ = "dialer", .path_prefix_ = "/dialer"};
+    dialer.timeout_ = std::chrono::milliseconds(500);
+    dialer.weights_ = {{weight_scope::availability_zone, "zone-a", 3},
+                       {weight_scope::availability_zone, "zone-b", 1}};
+    dialer.default_limit_ = {.requests_per_second_ = 10, .burst_ = 2, .concurrency_ = 0};
+    const auto accepted = std::make_shared<const table>(make_table(1, {dialer}));
+
+    // Routes join the table with the targets known at this moment.
+    const auto routes =
+        route_table::create(accepted, {make_target("d1", "zone-a"), make_target("d2", "zone-b")});
+    const auto* route = routes->match("/dialer/call/42");
+    lesson::shows("a path finds its row", route != nullptr && route->row_->service_ == "dialer");
+    lesson::shows("a path without a row finds none", routes->match("/elsewhere") == nullptr);
+
+    // Three in four calls go to zone-a. The random numbers are seeded, so this is repeatable.
+    const auto random = seeded_random(1);
+    int first = 0;
+    for (int call = 0; call < 1000; ++call) {
+        first += choose_target(*route, {}, random)->record_.target_ == "d1" ? 1 : 0;
+    }
+    lesson::shows("the weights hold", first > 700 && first < 800);
+    lesson::shows("a retry goes to another target",
+                  choose_target(*route, {"d1"}, random)->record_.target_ == "d2");
+
+    // A caller's limit is for the whole system; each target grants a share of it by its weight.
+    const auto shares = share_limit(*route, "desk", dialer.default_limit_);
+    const double whole = shares[0].requests_per_second_ + shares[1].requests_per_second_;
+    lesson::shows("the shares make up the limit", whole > 9.99 && whole < 10.01);
+
+    // The node beside the target enforces its share: of many requests at one moment, few get in.
+    admission gate(10);
+    const instant now{};
+    int admitted = 0;
+    auto last = gate.admit("desk", shares[0], now);
+    for (; !last.refusal_ && admitted < 10; ++admitted) {
+        last = gate.admit("desk", shares[0], now);
+    }
+    lesson::shows("some are admitted, and no more than the burst", admitted >= 1 && admitted <= 2);
+    lesson::shows("the next is refused, and so was not run",
+                  last.refusal_ == refusal_reason::rate_limited &&
+                      describe(*last.refusal_).outcome_ == request_outcome::not_run);
+    return EXIT_SUCCESS;
+}
