Measure convergence and control bytes under virtual time

Cause: no figure said how soon a change is in force or what it costs. Bytes include framing and 52 bytes of TCP/IP headers a message. Acceptance is the leader's commit; CPU time is not in the delays.

--- /dev/null
+++ b/libs/bench_kit/convergence_run.cpp
@@ -0,0 +1,532 @@
+#include "bench_kit/convergence_run.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+#include <fmt/core.h>
+
+#include "distribution/hub.h"
+#include "distribution/subscriber.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr duration tick_period = std::chrono::milliseconds(250);
+constexpr duration report_period = std::chrono::milliseconds(50);
+constexpr duration poll_period = std::chrono::seconds(1);
+constexpr duration retransmission = std::chrono::milliseconds(200);
+constexpr duration settling = std::chrono::seconds(20);
+constexpr duration idle_time = std::chrono::seconds(60);
+/** The channel's length, HTTP/2's frame header, and TCP's and IP's headers. */
+constexpr std::size_t overhead_bytes = 4 + 9 + 32 + 20;
+constexpr double links_bits_per_second = 1e9;
+
+using action = std::function<void()>;
+
+/** Actions in the order of their time. */
+class event_queue {
+  public:
+    void at(instant when, action act) { events_.push({when, next_++, std::move(act)}); }
+
+    void run_until(instant end)
+    {
+        while (!events_.empty() && events_.top().when_ <= end) {
+            const auto event = events_.top();
+            events_.pop();
+            now_ = event.when_;
+            event.act_();
+        }
+        now_ = end;
+    }
+
+    [[nodiscard]] auto now() const -> instant { return now_; }
+
+  private:
+    struct event {
+        instant when_;
+        std::uint64_t order_;
+        action act_;
+
+        auto operator<(const event& other) const -> bool
+        {
+            return std::tie(when_, order_) > std::tie(other.when_, other.order_);
+        }
+    };
+    std::priority_queue<event> events_;
+    std::uint64_t next_ = 0;
+    instant now_{};
+};
+
+/** One direction of a connection: in order, with a delay, a rate and losses. */
+struct pipe {
+    instant last_arrival_{};
+    instant free_at_{};
+};
+
+/** A node or a relay. */
+struct member {
+    std::optional<subscriber> subscriber_;
+    std::unique_ptr<hub> hub_; ///< A relay's.
+    std::size_t zone_ = 0;
+    std::uint64_t enforced_ = 0;
+    bool report_due_ = false;
+    pipe up_;
+    pipe down_;
+    std::size_t bytes_ = 0; ///< Both ways.
+    std::size_t upward_bytes_ = 0;
+    subscriber_id id_ = 0;
+};
+
+/** The whole run. */
+class convergence_run {
+  public:
+    explicit convergence_run(const convergence_options& options)
+        : options_(options), random_(seeded_random(options.seed_))
+    {
+        std::vector<row> rows;
+        for (std::size_t index = 0; index < options_.services_; ++index) {
+            row one{.service_ = fmt::format("service-{:04}", index),
+                    .path_prefix_ = fmt::format("/service-{:04}", index)};
+            one.weights_ = {{weight_scope::availability_zone, "zone-0", 1},
+                            {weight_scope::availability_zone, "zone-1", 1},
+                            {weight_scope::availability_zone, "zone-2", 2}};
+            one.timeout_ = std::chrono::milliseconds(2000);
+            rows.push_back(std::move(one));
+        }
+        newest_ = std::make_shared<const table>(make_table(1, std::move(rows)));
+        controls_.resize(options_.zones_);
+        relays_.resize(options_.zones_);
+        nodes_.resize(options_.zones_ * options_.nodes_per_zone_);
+    }
+
+    auto run() -> convergence_figures
+    {
+        start();
+        events_.run_until(events_.now() + settling);
+        convergence_figures figures;
+        if (options_.all_restart_) {
+            restart(figures);
+        }
+        const auto node_idle = bytes_of_nodes();
+        const auto relay_idle = bytes_of_relays();
+        events_.run_until(events_.now() + idle_time);
+        const auto nodes = static_cast<double>(nodes_.size());
+        const auto idle = (bytes_of_nodes() - node_idle) / nodes / to_seconds(idle_time);
+        const auto idle_up = (bytes_of_relays() - relay_idle) /
+                             static_cast<double>(relays_.size()) / to_seconds(idle_time);
+        figures.idle_bytes_per_second_ = idle;
+        change(figures, idle, idle_up);
+        return figures;
+    }
+
+  private:
+    void start()
+    {
+        for (auto& control : controls_) {
+            control = std::make_unique<hub>();
+            control->set_table(newest_);
+        }
+        for (std::size_t zone = 0; zone < relays_.size(); ++zone) {
+            auto& relay = relays_[zone];
+            relay.hub_ = std::make_unique<hub>();
+            start_member(relay, zone, true, zone);
+            tick_relay(zone);
+        }
+        for (std::size_t index = 0; index < nodes_.size(); ++index) {
+            start_member(nodes_[index], index / options_.nodes_per_zone_, false, index);
+            tick_node(index, random_phase(tick_period));
+        }
+    }
+
+    void start_member(member& one, std::size_t zone, bool is_relay, std::size_t index)
+    {
+        one.zone_ = zone;
+        node_by_id_.erase(one.id_);
+        one.id_ = next_id_++;
+        if (!is_relay) {
+            node_by_id_[one.id_] = index;
+        }
+        subscriber_options options{fmt::format("{}-{:05}", is_relay ? "relay" : "node", index),
+                                   fmt::format("zone-{}", zone), is_relay, random_};
+        options.proof_period_ = std::chrono::seconds(is_relay ? 1 : 2);
+        one.subscriber_.emplace(std::move(options));
+        one.subscriber_->on_connected(events_.now());
+        one.subscriber_->report_summary({});
+        run_member(one);
+    }
+
+    auto random_phase(duration period) -> duration
+    {
+        return uniform_between(random_, duration(0), period);
+    }
+
+    void tick_relay(std::size_t zone)
+    {
+        relays_[zone].subscriber_->tick(events_.now());
+        run_member(relays_[zone]);
+        events_.at(events_.now() + tick_period, [this, zone] { tick_relay(zone); });
+    }
+
+    void tick_node(std::size_t index, duration phase)
+    {
+        events_.at(events_.now() + phase, [this, index] {
+            auto& node = nodes_[index];
+            if (options_.spreading_ == spreading::polling) {
+                poll(index);
+                tick_node(index, poll_period);
+                return;
+            }
+            node.subscriber_->tick(events_.now());
+            run_member(node);
+            tick_node(index, tick_period);
+        });
+    }
+
+    // A question, and an answer that is the whole table when it is new.
+    void poll(std::size_t index)
+    {
+        auto& node = nodes_[index];
+        send(node, true, encode_message(subscribe{"", "", false, newest_->version_}),
+             [this, &node] {
+                 const auto& held = relays_[node.zone_].subscriber_->enforced();
+                 if (!held || held->version_.number_ == node.enforced_) {
+                     send(node, false, encode_message(currency_proof{1, 1}), [] {});
+                     return;
+                 }
+                 const table_update update{{}, held->version_, {held->rows_, {}}};
+                 const auto number = held->version_.number_;
+                 send(node, false, encode_message(update),
+                      [this, &node, number] { enforce(node, number); });
+             });
+    }
+
+    void send(member& one, bool is_up, std::string_view bytes, action arrive)
+    {
+        const auto size = bytes.size() + overhead_bytes;
+        one.bytes_ += size;
+        one.upward_bytes_ += is_up ? size : 0;
+        auto& pipe = is_up ? one.up_ : one.down_;
+        const duration sending(
+            static_cast<std::int64_t>(static_cast<double>(size) * 8 / links_bits_per_second * 1e6));
+        auto arrival = events_.now() + sending + options_.within_zone_;
+        if (!is_up && !one.hub_) {
+            // A relay's own link is shared by all its nodes.
+            auto& free_at = relays_[one.zone_].down_.free_at_;
+            free_at = std::max(free_at, events_.now()) + sending;
+            arrival = free_at + options_.within_zone_;
+        }
+        if (uniform_unit(random_) < options_.loss_) {
+            arrival += retransmission;
+        }
+        arrival = std::max(arrival, pipe.last_arrival_);
+        pipe.last_arrival_ = arrival;
+        below_relay_[one.zone_] += one.hub_ ? 0 : size;
+        peak_below_relay_ = std::max(peak_below_relay_, below_relay_[one.zone_]);
+        events_.at(arrival, [this, &one, size, arrive = std::move(arrive)] {
+            below_relay_[one.zone_] -= one.hub_ ? 0 : size;
+            arrive();
+        });
+    }
+
+    void send_up(member& one, const distribution_message& message)
+    {
+        const auto id = one.id_;
+        send(one, true, encode_message(message), [this, &one, id, message] {
+            if (id != one.id_) {
+                return; // from before a restart
+            }
+            auto& above = one.hub_ ? *controls_[one.zone_] : *relays_[one.zone_].hub_;
+            above.on_message(id, message);
+            if (one.hub_) {
+                const auto* report = std::get_if<progress_report>(&message);
+                const auto is_plain = options_.acknowledging_ == acknowledging::plain;
+                if (is_plain && report != nullptr && !is_acknowledgement(*report)) {
+                    return;
+                }
+                run_control(one.zone_);
+            }
+            else {
+                run_relay_hub(one.zone_);
+            }
+        });
+    }
+
+    /** Returns whether \p report is one node's, passed on as it came. */
+    [[nodiscard]] auto is_acknowledgement(const progress_report& report) const -> bool
+    {
+        return report.zones_.size() == 1 && report.zones_.front().behind_names_.size() == 1 &&
+               report.zones_.front().nodes_ == 1 &&
+               report.zones_.front().lowest_version_ == newest_->version_.number_;
+    }
+
+    void run_member(member& one)
+    {
+        const auto output = one.subscriber_->take_output();
+        for (const auto& message : output.messages_) {
+            send_up(one, message);
+        }
+        if (one.hub_) {
+            if (output.held_ && options_.spreading_ != spreading::polling) {
+                one.hub_->set_table(output.held_);
+            }
+            if (output.proof_) {
+                one.hub_->on_proof(*output.proof_);
+            }
+            if (output.held_) {
+                one.subscriber_->report_progress(one.hub_->progress());
+                run_member(one);
+            }
+            run_relay_hub(one.zone_);
+            return;
+        }
+        if (output.enforce_) {
+            enforce(one, output.enforce_->version_.number_);
+        }
+        if (output.held_ || output.enforce_) {
+            one.subscriber_->report_progress({{fmt::format("zone-{}", one.zone_),
+                                               1,
+                                               one.enforced_,
+                                               1,
+                                               {fmt::format("node-{:05}", one.id_)}}});
+            run_member(one);
+        }
+    }
+
+    void enforce(member& one, std::uint64_t number)
+    {
+        one.enforced_ = number;
+        if (number >= 2 && number == newest_->version_.number_) {
+            delays_.push_back(events_.now() - accepted_at_);
+        }
+    }
+
+    void run_relay_hub(std::size_t zone)
+    {
+        auto& relay = relays_[zone];
+        const auto output = relay.hub_->take_output();
+        for (const auto& message : output.messages_) {
+            const auto found = node_by_id_.find(message.to_);
+            if (found != node_by_id_.end()) {
+                deliver_down(nodes_[found->second], *message.bytes_);
+            }
+        }
+        if (output.proof_wanted_) {
+            relay.subscriber_->request_proof();
+            run_member(relay);
+        }
+        if (output.progress_changed_) {
+            report_soon(zone);
+        }
+    }
+
+    void report_soon(std::size_t zone)
+    {
+        auto& relay = relays_[zone];
+        if (options_.acknowledging_ == acknowledging::plain) {
+            relay.subscriber_->report_progress(
+                {{fmt::format("zone-{}", zone), 1, newest_->version_.number_, 1, {"node-00000"}}});
+            run_member(relay);
+            return;
+        }
+        if (std::exchange(relay.report_due_, true)) {
+            return;
+        }
+        events_.at(events_.now() + report_period, [this, zone] {
+            auto& relay = relays_[zone];
+            relay.report_due_ = false;
+            relay.subscriber_->report_progress(relay.hub_->progress());
+            run_member(relay);
+        });
+    }
+
+    void deliver_down(member& one, std::string bytes)
+    {
+        const auto id = one.id_;
+        const auto message = decode_distribution_message(bytes);
+        if (options_.spreading_ == spreading::whole_table &&
+            std::holds_alternative<table_update>(*message)) {
+            bytes = encode_message(table_update{{}, newest_->version_, {newest_->rows_, {}}});
+        }
+        send(one, false, bytes, [&one, id, message, this] {
+            if (id == one.id_ && one.subscriber_->on_message(*message)) {
+                run_member(one);
+            }
+        });
+    }
+
+    void run_control(std::size_t zone)
+    {
+        const auto output = controls_[zone]->take_output();
+        for (const auto& message : output.messages_) {
+            deliver_down(relays_[zone], *message.bytes_);
+        }
+        if (output.proof_wanted_) {
+            // Ask the leader, and the leader its quorum.
+            const auto wait = 4 * options_.between_zones_;
+            events_.at(events_.now() + wait, [this, zone] {
+                controls_[zone]->on_proof(newest_->version_.number_);
+                run_control(zone);
+            });
+        }
+        if (output.progress_changed_) {
+            events_.at(events_.now() + options_.between_zones_, [this] { look_at_progress(); });
+        }
+    }
+
+    // The leader hears from the other control processes; known once all nodes are there.
+    void look_at_progress()
+    {
+        const auto number = newest_->version_.number_;
+        if (known_ == number) {
+            return;
+        }
+        if (options_.acknowledging_ == acknowledging::plain) {
+            if (++acknowledgements_ == nodes_.size()) {
+                note_known();
+            }
+            return;
+        }
+        std::uint64_t nodes = 0;
+        for (const auto& control : controls_) {
+            for (const auto& zone : control->progress()) {
+                nodes += zone.lowest_version_ >= number ? zone.nodes_ : 0;
+            }
+        }
+        if (nodes == nodes_.size()) {
+            note_known();
+        }
+    }
+
+    void note_known()
+    {
+        known_ = newest_->version_.number_;
+        known_delays_.push_back(events_.now() - accepted_at_);
+    }
+
+    void restart(convergence_figures& figures)
+    {
+        peak_below_relay_ = 0;
+        const auto begin = events_.now();
+        for (std::size_t index = 0; index < options_.nodes_per_zone_; ++index) {
+            relays_[0].hub_->on_gone(nodes_[index].id_);
+            nodes_[index].enforced_ = 0;
+            start_member(nodes_[index], 0, false, index);
+        }
+        const auto is_back = [this] {
+            return std::all_of(nodes_.begin(),
+                               nodes_.begin() + static_cast<long>(options_.nodes_per_zone_),
+                               [](const auto& one) { return one.enforced_ > 0; });
+        };
+        while (!is_back() && events_.now() < begin + idle_time) {
+            events_.run_until(events_.now() + std::chrono::milliseconds(1));
+        }
+        figures.restart_time_ = events_.now() - begin;
+        figures.restart_peak_bytes_ = peak_below_relay_;
+        events_.run_until(events_.now() + settling);
+    }
+
+    void accept_change()
+    {
+        auto rows = newest_->rows_;
+        rows[uniform_below(random_, rows.size())].weights_.front().weight_ =
+            static_cast<std::uint32_t>(newest_->version_.number_ % 100);
+        newest_ = std::make_shared<const table>(
+            make_table(newest_->version_.number_ + 1, std::move(rows)));
+        accepted_at_ = events_.now();
+        acknowledgements_ = 0;
+        for (std::size_t zone = 0; zone < controls_.size(); ++zone) {
+            const auto delay = zone == 0 ? duration(0) : options_.between_zones_;
+            events_.at(events_.now() + delay, [this, zone, accepted = newest_] {
+                controls_[zone]->set_table(accepted);
+                run_control(zone);
+            });
+        }
+    }
+
+    void change(convergence_figures& figures, double idle, double idle_up)
+    {
+        delays_.clear();
+        known_delays_.clear();
+        const auto begin = events_.now();
+        const auto node_before = bytes_of_nodes();
+        const auto relay_before = bytes_of_relays();
+        for (std::size_t done = 0; done < options_.changes_; ++done) {
+            accept_change();
+            events_.run_until(events_.now() + options_.change_period_ / 2 +
+                              random_phase(options_.change_period_));
+        }
+        const auto seconds = to_seconds(events_.now() - begin);
+        const auto changes = static_cast<double>(options_.changes_);
+        const auto of_nodes = (bytes_of_nodes() - node_before) / static_cast<double>(nodes_.size());
+        const auto of_relays =
+            (bytes_of_relays() - relay_before) / static_cast<double>(relays_.size());
+        figures.bytes_per_second_ = of_nodes / seconds;
+        figures.bytes_per_change_ = (of_nodes - idle * seconds) / changes;
+        figures.upward_per_change_ = (of_relays - idle_up * seconds) / changes;
+        figures.p50_ = quantile(delays_, 0.5);
+        figures.p99_ = quantile(delays_, 0.99);
+        figures.max_ = quantile(delays_, 1);
+        figures.known_p50_ = quantile(known_delays_, 0.5);
+        figures.known_max_ = quantile(known_delays_, 1);
+    }
+
+    [[nodiscard]] static auto quantile(std::vector<duration>& values, double share) -> duration
+    {
+        if (values.empty()) {
+            return duration(0);
+        }
+        std::ranges::sort(values);
+        const auto last = static_cast<double>(values.size() - 1);
+        return values[static_cast<std::size_t>(last * share)];
+    }
+
+    [[nodiscard]] auto bytes_of_nodes() const -> double
+    {
+        double sum = 0;
+        for (const auto& node : nodes_) {
+            sum += static_cast<double>(node.bytes_);
+        }
+        return sum;
+    }
+
+    [[nodiscard]] auto bytes_of_relays() const -> double
+    {
+        double sum = 0;
+        for (const auto& relay : relays_) {
+            sum += static_cast<double>(relay.upward_bytes_);
+        }
+        return sum;
+    }
+
+    convergence_options options_;
+    random_hook random_;
+    event_queue events_;
+    table_pointer newest_;
+    std::vector<std::unique_ptr<hub>> controls_; ///< One in each zone; the first one leads.
+    std::vector<member> relays_;                 ///< One in each zone.
+    std::vector<member> nodes_;
+    std::unordered_map<subscriber_id, std::size_t> node_by_id_;
+    std::size_t acknowledgements_ = 0; ///< Of the newest version, with plain ones.
+    subscriber_id next_id_ = 1;
+    instant accepted_at_{};
+    std::uint64_t known_ = 0;
+    std::vector<duration> delays_;
+    std::vector<duration> known_delays_;
+    std::map<std::size_t, std::size_t> below_relay_; ///< Bytes on their way, by zone.
+    std::size_t peak_below_relay_ = 0;
+};
+
+} // namespace
+
+auto measure_convergence(const convergence_options& options) -> convergence_figures
+{
+    return convergence_run(options).run();
+}
+
+} // namespace sycamorewinch
