Compress whole tables and admit only so many at once

Cause: 500 nodes restarting below one relay put 133 MB on their way at once, half of what the relay's machine may have, and took 1 s of its link. Change: messages of 2 kB and more travel as a Zstandard frame, made once for each version; a hub has at most 32 whole tables on their way, a place is free again at the answer, when the subscriber leaves, or after 2 s; those who wait get the latest when their turn comes. Unpacked size is bounded before anything is unpacked. Conclusion: the first whole table is no longer what a herd waits for. Ruled out: sending those who wait away with a hint, as their connection stays.

--- a/libs/distribution/distribution_message.cpp
+++ b/libs/distribution/distribution_message.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
+#include "distribution/compressed_message.h"
 #include "table/row_codec.h"
 
 namespace sycamorewinch {
@@ -195,6 +196,32 @@
     read_subscribe, read_table_update, read_currency_request, read_currency_proof,
     read_progress,  read_targets,      read_target_summary,   read_target_sync};
 
+/** The kind that says: the body is a compressed message of another kind. */
+constexpr std::uint64_t compressed_kind = 63;
+
+auto read_plain(std::string_view bytes) -> result<distribution_message>
+{
+    cbor_reader reader(bytes);
+    reader.array(2);
+    const auto kind = reader.number();
+    if (kind >= readers.size()) {
+        reader.reject("unknown kind of message");
+        return tl::unexpected(reader.finish().error());
+    }
+    auto message = readers.at(kind)(reader);
+    if (auto done = reader.finish(); !done) {
+        return tl::unexpected(done.error());
+    }
+    return message;
+}
+
+auto is_compressed(std::string_view bytes) -> bool
+{
+    cbor_reader reader(bytes);
+    reader.array(2);
+    return reader.number() == compressed_kind;
+}
+
 } // namespace
 
 auto encode_message(const distribution_message& message) -> std::string
@@ -202,23 +229,28 @@
     cbor_writer writer;
     writer.array(2).number(message.index());
     std::visit(message_writer{writer}, message);
-    return writer.take();
+    auto bytes = writer.take();
+    if (bytes.size() < smallest_compressed_bytes) {
+        return bytes;
+    }
+    cbor_writer wrapper;
+    wrapper.array(2).number(compressed_kind).bytes(compress(bytes));
+    return wrapper.take();
 }
 
 auto decode_distribution_message(std::string_view bytes) -> result<distribution_message>
 {
+    if (!is_compressed(bytes)) {
+        return read_plain(bytes);
+    }
     cbor_reader reader(bytes);
     reader.array(2);
-    const auto kind = reader.number();
-    if (kind >= readers.size()) {
-        reader.reject("unknown kind of message");
-        return tl::unexpected(reader.finish().error());
-    }
-    auto message = readers.at(kind)(reader);
+    reader.number();
+    const auto frame = reader.bytes(max_unpacked_bytes);
     if (auto done = reader.finish(); !done) {
         return tl::unexpected(done.error());
     }
-    return message;
+    return decompress(frame).and_then(read_plain);
 }
 
 } // namespace sycamorewinch
--- a/libs/distribution/hub.cpp
+++ b/libs/distribution/hub.cpp
@@ -1,6 +1,7 @@
 #include "distribution/hub.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/invariant.h"
 
@@ -69,6 +70,7 @@
 void hub::tick(instant now, bool is_joined)
 {
     now_ = now;
+    end_late_whole_tables();
     targets_.forget_gone(now);
     const auto expired = leases_.tick(now, is_joined, targets_);
     if (expired.empty()) {
@@ -104,7 +106,12 @@
 
 void hub::on_gone(subscriber_id from)
 {
-    subscribers_.erase(from);
+    const auto found = subscribers_.find(from);
+    if (found != subscribers_.end()) {
+        whole_tables_on_their_way_ -= found->second.whole_table_since_ ? 1 : 0;
+        subscribers_.erase(found);
+    }
+    admit_whole_tables();
     leases_.on_holder_gone(from, now_);
     std::erase_if(waiting_, [from](const auto& one) { return one.from_ == from; });
     std::erase_if(asking_, [from](const auto& one) { return one.from_ == from; });
@@ -156,6 +163,10 @@
     auto& peer = subscribers_.at(from);
     peer.progress_ = report.zones_;
     peer.update_on_its_way_ = false;
+    if (std::exchange(peer.whole_table_since_, std::nullopt)) {
+        --whole_tables_on_their_way_;
+        admit_whole_tables();
+    }
     output_.progress_changed_ = true;
     send_update(from, peer);
 }
@@ -205,11 +216,49 @@
     if (peer.held_.number_ >= newest_->version_.number_) {
         return;
     }
+    if (needs_whole_table(peer.held_)) {
+        if (whole_tables_on_their_way_ >= max_whole_tables_on_their_way) {
+            waiting_for_whole_table_.push_back(to);
+            return;
+        }
+        ++whole_tables_on_their_way_;
+        peer.whole_table_since_ = now_;
+    }
     output_.messages_.push_back({to, encoded_update(peer.held_)});
     peer.held_ = newest_->version_;
     peer.update_on_its_way_ = true;
 }
 
+auto hub::needs_whole_table(const table_version& held) const -> bool
+{
+    return held.number_ == 0 || std::ranges::find(steps_, held, &step::from_) == steps_.end();
+}
+
+// A subscriber may stand in the queue twice or be served meanwhile; those are passed over.
+void hub::admit_whole_tables()
+{
+    while (whole_tables_on_their_way_ < max_whole_tables_on_their_way &&
+           !waiting_for_whole_table_.empty()) {
+        const auto next = waiting_for_whole_table_.front();
+        waiting_for_whole_table_.pop_front();
+        const auto found = subscribers_.find(next);
+        if (found != subscribers_.end() && !found->second.update_on_its_way_) {
+            send_update(next, found->second);
+        }
+    }
+}
+
+void hub::end_late_whole_tables()
+{
+    for (auto& [id, peer] : subscribers_) {
+        if (peer.whole_table_since_ && now_ - *peer.whole_table_since_ >= whole_table_timeout) {
+            peer.whole_table_since_.reset();
+            --whole_tables_on_their_way_;
+        }
+    }
+    admit_whole_tables();
+}
+
 auto hub::encoded_update(const table_version& held) -> std::shared_ptr<const std::string>
 {
     auto& encoded = encoded_[held];
@@ -218,7 +267,7 @@
     }
     table_update update{held, newest_->version_, {}};
     const auto start = std::ranges::find(steps_, held, &step::from_);
-    if (start == steps_.end() || held.number_ == 0) {
+    if (needs_whole_table(held)) {
         update.from_ = {};
         update.change_.upserts_ = newest_->rows_;
     }
--- a/libs/distribution/hub.h
+++ b/libs/distribution/hub.h
@@ -25,6 +25,12 @@
 /** Names one subscriber's connection. Never reused. */
 using subscriber_id = std::uint64_t;
 
+/** How many subscribers get a whole table at once; the others wait their turn. */
+constexpr std::size_t max_whole_tables_on_their_way = 32;
+
+/** A subscriber that has not answered a whole table for so long gives up its place. */
+constexpr duration whole_table_timeout = std::chrono::seconds(2);
+
 /** A message for one subscriber. */
 struct hub_message {
     subscriber_id to_ = 0;
@@ -94,6 +100,7 @@
         bool subscribed_ = false;
         table_version held_; ///< What it holds once the update on its way has arrived.
         bool update_on_its_way_ = false;
+        std::optional<instant> whole_table_since_; ///< Set while it has a place for a whole table.
         std::vector<zone_progress> progress_;
     };
     struct waiting_proof {
@@ -108,6 +115,9 @@
     void broadcast(const std::vector<target_record>& news, std::optional<subscriber_id> but);
     void send(subscriber_id to, const distribution_message& message);
     void send_update(subscriber_id to, peer& peer);
+    [[nodiscard]] auto needs_whole_table(const table_version& held) const -> bool;
+    void admit_whole_tables();
+    void end_late_whole_tables();
     [[nodiscard]] auto encoded_update(const table_version& held)
         -> std::shared_ptr<const std::string>;
     void ask_for_proof();
@@ -123,6 +133,8 @@
     std::map<subscriber_id, peer> subscribers_;
     target_directory targets_;
     target_leases leases_;
+    std::size_t whole_tables_on_their_way_ = 0;
+    std::deque<subscriber_id> waiting_for_whole_table_;
     instant now_{};
     std::vector<waiting_proof> asking_;  ///< Covered by the proof being fetched.
     std::vector<waiting_proof> waiting_; ///< For the next one.
