--- a/libs/bench/node_cost.cpp
+++ b/libs/bench/node_cost.cpp
@@ -60,11 +60,24 @@
                                     : 0;
 }
 
+/** What the node beside a target does to admit a call. */
+auto admit_one(admission& gate, const service_route& route, const std::string& caller, instant now)
+    -> bool
+{
+    const auto& limit = route.row_->limit_of(caller);
+    const auto share =
+        is_limited(limit) ? share_limit(route, caller, limit).front() : limit_share();
+    return !gate.admit(caller, share, now).refusal_;
+}
+
 /** Processor microseconds for admitting one call, over a number of different callers. */
 auto admission_cpu_per_call(std::uint64_t callers) -> double
 {
     const auto rows = sample_rows(1);
     const auto gate = std::make_unique<admission>(1'000);
+    service_route route;
+    route.row_ = &rows.front();
+    route.targets_ = {{{.target_ = "t0"}, 1}, {{.target_ = "t1"}, 1}, {{.target_ = "t2"}, 1}};
     std::vector<std::string> names;
     for (std::uint64_t caller = 0; caller < callers; ++caller) {
         names.push_back(fmt::format("caller-{}", caller));
@@ -72,7 +85,7 @@
     const auto spent = cpu_seconds_of([&] {
         for (std::uint64_t call = 0; call < calls_measured; ++call) {
             const auto now = instant(std::chrono::milliseconds(call));
-            static_cast<void>(gate->admit(rows.front(), names[call % callers], 1, now));
+            static_cast<void>(admit_one(*gate, route, names[call % callers], now));
         }
     });
     return spent * microseconds / static_cast<double>(calls_measured);
