Do not read the table in force before there is one

Cause: the message of an invariant named the version in force also when none was; the undefined-behaviour sanitizer reports a member access through a null pointer. Change: the number is taken beforehand, 0 when there is none. Figures: build/asan/bin/distribution_test: one report before, none after. Conclusion: distribution_test and membership_test are clean under asan.

--- a/libs/distribution/subscriber.cpp
+++ b/libs/distribution/subscriber.cpp
@@ -153,9 +153,9 @@
     if (!proved_version_ || held_->version_.number_ < *proved_version_ || enforced_ == held_) {
         return;
     }
-    invariant(!enforced_ || held_->version_.number_ > enforced_->version_.number_,
-              "version in force would go from {} to {}", enforced_->version_.number_,
-              held_->version_.number_);
+    const auto before = enforced_ ? enforced_->version_.number_ : 0;
+    const auto next = held_->version_.number_;
+    invariant(!enforced_ || next > before, "version in force would go from {} to {}", before, next);
     enforced_ = held_;
     output_.enforce_ = enforced_;
 }
