Let the thread sanitizer follow read-copy-update

Cause: Under the tsan preset concurrency_test reported races in every run: the sanitizer does not see the barriers inside liburcu, neither those of the pointer exchange nor those of the grace period. No suppression file is needed, so nothing else is hidden. Ruled out: a suppression file naming liburcu, because the reported frames are those of the cell and its users, so it would have hidden real races there.

--- a/libs/concurrency/rcu_cell.h
+++ b/libs/concurrency/rcu_cell.h
@@ -10,6 +10,7 @@
  */
 #pragma once
 
+#include <atomic>
 #include <memory>
 
 namespace sycamorewinch {
@@ -31,7 +32,7 @@
 
   private:
     struct holder;
-    holder* current_;
+    std::atomic<holder*> current_;
 };
 
 } // namespace internal
