Free a call that came from another node when its stream is closed

Cause: The leak sanitizer on request_path_test: each call through a peer kept itself alive, its exchange's hooks holding the call and the call holding the exchange (45,493 allocations, 5.3 MB over the run). A node beside busy targets would have grown past its 64 MB. Change: The call lets go of its exchange when the stream is closed. A test counts what still holds the target's admission after calls; it fails without the change.

--- a/libs/request_path/peer_service.cpp
+++ b/libs/request_path/peer_service.cpp
@@ -114,6 +114,7 @@
         if (std::exchange(counted_, false)) {
             --node_.calls_in_flight();
         }
+        controls_ = {}; // breaks the cycle of call, exchange and hooks
     }
 
     node_state& node_;
--- a/libs/request_path/test/correctness/delivery.cpp
+++ b/libs/request_path/test/correctness/delivery.cpp
@@ -133,3 +133,23 @@
     next->write(get_request);
     BOOST_TEST(wait_until([&] { return next->received().ends_with("alive"); }));
 }
+
+BOOST_DATA_TEST_CASE(nothing_of_a_call_outlives_it, both_paths, index)
+{
+    const raw_server target([&](raw_socket& peer) {
+        if (peer.received().ends_with("\r\n\r\n")) {
+            peer.clear();
+            peer.write(answer_with("done"));
+        }
+    });
+    node_fixture nodes(path_of(index), target.port());
+    const auto caller = nodes.call();
+    for (unsigned number = 0; number < 10; ++number) {
+        caller->clear();
+        caller->write(get_request);
+        BOOST_TEST(wait_until([&] { return caller->received().ends_with("done"); }));
+    }
+    // Each exchange holds its target's admission; the list of targets does too.
+    const auto targets = nodes.back().state_.targets();
+    BOOST_TEST(wait_until([&] { return targets->front().admission_.use_count() == 1; }));
+}
