--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -8,6 +8,7 @@
 #include "daemon/hub_server.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_listener.h"
+#include "daemon/progress_board.h"
 #include "daemon/replica_links.h"
 #include "daemon/run_leader.h"
 #include "observability/log.h"
@@ -17,6 +18,7 @@
 
 namespace {
 
+constexpr std::uint64_t disk_reserve_bytes = 64U * 1024 * 1024;
 constexpr auto tick_period = std::chrono::milliseconds(10);
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
 /** Operators send whole tables. */
@@ -42,6 +44,7 @@
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
                   [this](const auto& from, const auto& message) { on_peer(from, message); },
                   [this](const auto& to) { on_peer_connected(to); },
+                  [this](const auto& to) { others_progress_.on_disconnected(to, monotonic_now()); },
                   [this](const auto& from, auto bytes) {
                       runs_.receive(from, bytes);
                   }}),
@@ -61,9 +64,12 @@
         });
         add_operator_api(admin_, {[this]() -> control_replica& { return *replica_; },
                                   [this] { return total_progress(); },
+                                  [this] { return others_progress_.silent(monotonic_now()); },
                                   [this] {
                                       return hub_.logic().targets().records();
                                   }});
+        QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
+                         [this] { tell_others(progress_report{hub_.logic().progress()}); });
         QObject::connect(&ticker_, &QTimer::timeout, &ticker_,
                          [this] { replica_->tick(monotonic_now()); });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_, [this] {
@@ -79,7 +85,12 @@
 
     auto start() -> result<void>
     {
-        auto store = open_file_system(settings_.data_dir_).and_then(replica_store::open);
+        auto files = open_file_system(settings_.data_dir_);
+        if (!files) {
+            return tl::unexpected(files.error());
+        }
+        files_ = std::move(*files);
+        auto store = replica_store::open(files_);
         if (!store) {
             return tl::unexpected(store.error());
         }
@@ -98,6 +109,7 @@
         }
         links_.start();
         ticker_.start(tick_period);
+        progress_timer_.start(progress_period);
         lease_timer_.start(lease_check_period);
         return {};
     }
@@ -125,6 +137,23 @@
         hooks.append_ = [this](const std::vector<log_entry>& entries) {
             return store_->append(entries);
         };
+        hooks.switch_to_ = [this](const log_snapshot& snapshot,
+                                  const std::vector<log_entry>& entries) {
+            log_event(log_level::info, "snapshot", {{"index", snapshot.index_}});
+            return store_->switch_to(snapshot, entries);
+        };
+        hooks.reload_ = [this]() -> result<durable_state> {
+            auto store = replica_store::open(files_);
+            if (!store) {
+                return tl::unexpected(store.error());
+            }
+            store_.emplace(std::move(*store));
+            log_event(log_level::info, "disk_read_again", {});
+            return store_->take_recovered();
+        };
+        hooks.has_room_ = [this] {
+            return files_.free_bytes_() >= disk_reserve_bytes;
+        };
         hooks.send_ = [this](const raft_message& message) {
             links_.send(message);
         };
@@ -203,7 +232,7 @@
             hub_.run();
         }
         else if (const auto* progress = std::get_if<progress_report>(&message)) {
-            others_progress_[from] = progress->zones_;
+            others_progress_.report(from, progress->zones_, monotonic_now());
         }
     }
 
@@ -234,11 +263,7 @@
 
     auto total_progress() -> std::vector<zone_progress>
     {
-        auto sum = hub_.logic().progress();
-        for (const auto& [name, zones] : others_progress_) {
-            fold_progress(sum, zones);
-        }
-        return sum;
+        return others_progress_.total(hub_.logic().progress(), monotonic_now());
     }
 
     daemon_settings settings_;
@@ -249,9 +274,11 @@
     hub_server hub_;
     replica_links links_;
     run_leader runs_;
+    file_system files_;
     std::optional<replica_store> store_;
     std::optional<control_replica> replica_;
-    std::map<std::string, std::vector<zone_progress>> others_progress_;
+    progress_board others_progress_;
+    QTimer progress_timer_;
     QTimer ticker_;
     QTimer lease_timer_;
     QTimer proof_timer_;
