Split the HTTP/2 connection into its interface, its state and nghttp2's callbacks

Change: h2_callbacks (what nghttp2 calls), h2_state (streams, session, socket), h2_connection (the public side). No behaviour changes.

--- /dev/null
+++ b/libs/transport/h2_callbacks.cpp
@@ -0,0 +1,160 @@
+#include "transport/h2_callbacks.h"
+
+#include <algorithm>
+
+#include "transport/h2_state.h"
+
+namespace sycamorewinch::internal {
+
+namespace {
+
+/** The functions that nghttp2 calls; each one finds the connection's state and delegates. */
+struct h2_callbacks {
+    using state = h2_connection::state;
+
+    static auto on_begin_headers(nghttp2_session*, const nghttp2_frame* frame, void* data) -> int
+    {
+        auto& self = *static_cast<state*>(data);
+        if (self.ended_) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
+        if (frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+            self.streams_[frame->hd.stream_id] = std::make_unique<stream_state>();
+        }
+        return 0;
+    }
+
+    static auto on_header(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
+                          std::size_t name_length, const std::uint8_t* value,
+                          std::size_t value_length, std::uint8_t, void* data) -> int
+    {
+        auto& self = *static_cast<state*>(data);
+        auto* stream = self.find(frame->hd.stream_id);
+        if (stream == nullptr) {
+            return 0;
+        }
+        stream->header_bytes_ += name_length + value_length;
+        if (stream->header_bytes_ > self.limits_.header_bytes_) {
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE; // resets the stream
+        }
+        stream->headers_.push_back(
+            {std::string(name, name + name_length), std::string(value, value + value_length)});
+        return 0;
+    }
+
+    static auto on_frame(nghttp2_session*, const nghttp2_frame* frame, void* data) -> int
+    {
+        auto& self = *static_cast<state*>(data);
+        auto* stream = self.find(frame->hd.stream_id);
+        const bool last = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+        if (self.ended_) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
+        if (stream == nullptr ||
+            (frame->hd.type != NGHTTP2_HEADERS && frame->hd.type != NGHTTP2_DATA)) {
+            return 0;
+        }
+        stream->peer_done_ = stream->peer_done_ || last;
+        if (frame->hd.type == NGHTTP2_HEADERS) {
+            deliver_headers(self, frame->hd.stream_id, last);
+        }
+        stream = self.find(frame->hd.stream_id); // a hook may have ended the stream
+        if (stream != nullptr && last && stream->hooks_.on_end_) {
+            stream->hooks_.on_end_();
+        }
+        return 0;
+    }
+
+    static void deliver_headers(state& self, stream_id id, bool last)
+    {
+        auto* stream = self.find(id);
+        const auto headers = std::move(stream->headers_);
+        stream->headers_.clear();
+        if (self.side_ == h2_connection::side::server && !stream->announced_) {
+            stream->announced_ = true;
+            auto hooks = self.hooks_.on_request_(id, headers, last);
+            if (auto* still = self.find(id)) {
+                still->hooks_ = std::move(hooks);
+            }
+        }
+        else if (stream->hooks_.on_headers_) {
+            stream->hooks_.on_headers_(headers, last);
+        }
+    }
+
+    static auto on_data(nghttp2_session* session, std::uint8_t, std::int32_t id,
+                        const std::uint8_t* bytes, std::size_t length, void* data) -> int
+    {
+        auto& self = *static_cast<state*>(data);
+        auto* stream = self.find(id);
+        if (stream == nullptr || !stream->hooks_.on_data_) {
+            nghttp2_session_consume(session, id, length);
+            return 0;
+        }
+        stream->hooks_.on_data_({reinterpret_cast<const char*>(bytes), length});
+        return self.ended_ ? NGHTTP2_ERR_CALLBACK_FAILURE : 0;
+    }
+
+    static auto on_stream_close(nghttp2_session*, std::int32_t id, std::uint32_t code, void* data)
+        -> int
+    {
+        auto& self = *static_cast<state*>(data);
+        const auto* stream = self.find(id);
+        const bool whole = stream != nullptr && code == NGHTTP2_NO_ERROR && stream->peer_done_;
+        self.close_stream(id, whole, code == NGHTTP2_REFUSED_STREAM);
+        return 0;
+    }
+
+    static auto on_frame_sent(nghttp2_session*, const nghttp2_frame* frame, void* data) -> int
+    {
+        if (frame->hd.type == NGHTTP2_HEADERS) {
+            auto* stream = static_cast<state*>(data)->find(frame->hd.stream_id);
+            if (stream != nullptr) {
+                stream->handed_over_ = true;
+            }
+        }
+        return 0;
+    }
+};
+
+} // namespace
+
+auto make_h2_callbacks() -> nghttp2_session_callbacks*
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks,
+                                                            h2_callbacks::on_begin_headers);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, h2_callbacks::on_header);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, h2_callbacks::on_frame);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, h2_callbacks::on_data);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
+                                                           h2_callbacks::on_stream_close);
+    nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, h2_callbacks::on_frame_sent);
+    return callbacks;
+}
+
+auto read_stream_body(nghttp2_session*, std::int32_t, std::uint8_t* out, std::size_t room,
+                      std::uint32_t* flags, nghttp2_data_source* source, void*) -> ssize_t
+{
+    auto& stream = *static_cast<stream_state*>(source->ptr);
+    const auto left = stream.outgoing_.size() - stream.outgoing_sent_;
+    if (left == 0 && !stream.outgoing_last_) {
+        stream.deferred_ = true;
+        return NGHTTP2_ERR_DEFERRED;
+    }
+    const auto count = std::min(left, room);
+    std::copy_n(stream.outgoing_.data() + stream.outgoing_sent_, count, out);
+    stream.outgoing_sent_ += count;
+    if (stream.outgoing_sent_ == stream.outgoing_.size()) {
+        stream.outgoing_.clear();
+        stream.outgoing_sent_ = 0;
+        if (stream.outgoing_last_) {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+            stream.our_side_done_ = true;
+        }
+    }
+    return static_cast<ssize_t>(count);
+}
+
+} // namespace sycamorewinch::internal
