Answer an edit at once when the replica cannot store it

Cause: the operator interface dropped the error that a replica gives at once (failed or full disk) and answered 202 pending, so the tool asked again until its timeout. Change: the error is the answer. Test: an_edit_that_cannot_be_stored_is_answered_at_once.

--- a/libs/daemon/operator_api.cpp
+++ b/libs/daemon/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "daemon/operator_api.h"
 
+#include <optional>
 #include <set>
 
 #include <fmt/core.h>
@@ -43,7 +44,9 @@
             if (!command) {
                 return error_answer(command.error());
             }
-            propose(replica, *command);
+            if (const auto problem = propose(replica, *command)) {
+                return error_answer(*problem);
+            }
         }
         if (const auto outcome = replica.state().outcome_of(edit_id)) {
             return json_answer(to_json(*outcome), status_of(*outcome));
@@ -54,13 +57,19 @@
   private:
     static constexpr int pending_status = 202;
 
-    void propose(control_replica& replica, const accept_command& command)
+    /** Returns why the replica cannot take the edit, if it says so at once. */
+    auto propose(control_replica& replica, const accept_command& command) -> std::optional<error>
     {
         pending_.insert(command.edit_id_);
-        const auto forget = [this, id = command.edit_id_](const result<accept_outcome>&) {
+        const auto problem = std::make_shared<std::optional<error>>();
+        const auto note = [this, problem, id = command.edit_id_](const auto& outcome) {
             pending_.erase(id);
+            if (!outcome) {
+                *problem = outcome.error();
+            }
         };
-        replica.accept(command, forget, monotonic_now());
+        replica.accept(command, note, monotonic_now());
+        return *problem;
     }
 
     operator_api_hooks hooks_;
--- a/libs/daemon/test/correctness/operator_api.cpp
+++ b/libs/daemon/test/correctness/operator_api.cpp
@@ -27,8 +27,8 @@
         hooks.truncate_after_ = [](auto) {
             return result<void>();
         };
-        hooks.append_ = [](const auto&) {
-            return result<void>();
+        hooks.append_ = [this](const auto&) {
+            return disk_is_full_ ? failure(error_kind::io, "no space left") : result<void>();
         };
         hooks.send_ = [](const auto&) {
         };
@@ -80,7 +80,11 @@
 
     auto current() -> table_version { return replica_->state().current()->version_; }
 
+    /** From now on every write to the disk fails. */
+    void fill_disk() { disk_is_full_ = true; }
+
   private:
+    bool disk_is_full_ = false;
     metrics_registry metrics_;
     std::unique_ptr<control_replica> replica_;
     std::unique_ptr<admin_server> server_;
@@ -131,3 +135,12 @@
     BOOST_TEST(has(system.ask("POST /v1/table/accept", "{\"edit_id\":\"\"}"), " 400 "));
     BOOST_TEST(has(system.ask("GET /v1/nothing"), " 404 "));
 }
+
+BOOST_AUTO_TEST_CASE(an_edit_that_cannot_be_stored_is_answered_at_once)
+{
+    lone_replica system;
+    system.fill_disk();
+    const auto answer = system.accept("e1", system.current(), "a,/a,,0,0,0,,1,0,no,\n");
+    BOOST_TEST(has(answer, " 503 "));
+    BOOST_TEST(has(answer, "unavailable"));
+}
