Stop a request that ends the targets it is given to

Cause: nothing counted the targets that one request ended, so a caller's resends could end them all. Change: crash_record library; the node beside a target tells of a connection that broke before an answer, hubs spread it once, and after 3 different targets no further one is given the request; an answer clears it everywhere. A call's own attempts stop after 3 broken ones. Ruled out: stopping by method and path alone (one bad body would stop a whole path); counting in the quorum's log (a commit for each broken connection, and nothing while no quorum answers).

--- a/apps/sycamorewinch-standin/main.cpp
+++ b/apps/sycamorewinch-standin/main.cpp
@@ -31,6 +31,8 @@
     add("slots", po::value<std::uint32_t>()->default_value(10), "requests at once");
     add("journal", po::value<std::string>()->default_value(""),
         "file that gets the key of each request that arrived whole");
+    add("crash-path", po::value<std::string>()->default_value(""),
+        "path whose request ends the process");
     add("delay-ms", po::value<int>()->default_value(0), "time before each answer");
     return options;
 }
@@ -69,6 +71,7 @@
     options.service_ = values["service"].as<std::string>();
     options.target_ = values["target"].as<std::string>();
     options.listen_ = parse_peer_address(values["listen"].as<std::string>()).value();
+    options.crash_path_ = values["crash-path"].as<std::string>();
     options.slots_ = values["slots"].as<std::uint32_t>();
     options.delay_ = std::chrono::milliseconds(values["delay-ms"].as<int>());
     if (const auto node = values["node-admin"].as<std::string>(); !node.empty()) {
--- /dev/null
+++ b/libs/crash_record/crash_records.cpp
@@ -0,0 +1,73 @@
+#include "crash_record/crash_records.h"
+
+#include <algorithm>
+
+namespace sycamorewinch {
+
+auto crash_view::is_suspect(request_head_hash head) const -> bool
+{
+    return heads_.contains(head);
+}
+
+auto crash_view::crashed_targets(const digest& fingerprint) const -> std::size_t
+{
+    const auto found = counts_.find(fingerprint);
+    return found == counts_.end() ? 0 : found->second;
+}
+
+auto crash_records::merge(const crash_record& record, instant now) -> bool
+{
+    if (record.event_ == crash_event::answered) {
+        return entries_.erase(record.fingerprint_) > 0;
+    }
+    if (!entries_.contains(record.fingerprint_)) {
+        make_room();
+    }
+    auto& entry = entries_[record.fingerprint_];
+    entry.head_ = record.head_;
+    entry.latest_ = now;
+    // Targets beyond the cap would change nothing.
+    return entry.targets_.size() < max_crashed_targets &&
+           entry.targets_.insert(record.target_).second;
+}
+
+void crash_records::make_room()
+{
+    if (entries_.size() < max_crash_fingerprints) {
+        return;
+    }
+    const auto oldest = std::ranges::min_element(
+        entries_, {}, [](const auto& item) { return item.second.latest_; });
+    entries_.erase(oldest);
+}
+
+auto crash_records::expire(instant now) -> bool
+{
+    const auto is_over = [now](const auto& item) {
+        return now - item.second.latest_ >= crash_window;
+    };
+    return std::erase_if(entries_, is_over) > 0;
+}
+
+auto crash_records::records() const -> std::vector<crash_record>
+{
+    std::vector<crash_record> all;
+    for (const auto& [fingerprint, entry] : entries_) {
+        for (const auto& target : entry.targets_) {
+            all.push_back({crash_event::crashed, entry.head_, fingerprint, target});
+        }
+    }
+    return all;
+}
+
+auto crash_records::view() const -> std::shared_ptr<const crash_view>
+{
+    auto view = std::make_shared<crash_view>();
+    for (const auto& [fingerprint, entry] : entries_) {
+        view->heads_.insert(entry.head_);
+        view->counts_[fingerprint] = entry.targets_.size();
+    }
+    return view;
+}
+
+} // namespace sycamorewinch
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -37,8 +37,9 @@
           listener_(secrets.key_, metrics_),
           hub_(metrics_,
                {[this] { ask_for_proof(); }, [this](const auto& news) { tell_others(news); },
-                [this] {
-                    tell_others(progress_report{hub_.logic().progress()});
+                [this] { tell_others(progress_report{hub_.logic().progress()}); },
+                [this](const auto& news) {
+                    tell_others(crash_report{news});
                 }}),
           links_(settings.name_, settings.control_peers_, secrets.key_,
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
@@ -220,6 +221,10 @@
         else if (const auto* proof = std::get_if<currency_proof>(&message)) {
             finish_proof(proof->nonce_, proof->version_);
         }
+        else if (const auto* crashes = std::get_if<crash_report>(&message)) {
+            hub_.logic().merge_crashes(crashes->crashes_);
+            hub_.run();
+        }
         else if (const auto* targets = std::get_if<target_report>(&message)) {
             hub_.logic().merge_targets(*targets);
             hub_.run();
--- a/libs/daemon/hub_server.cpp
+++ b/libs/daemon/hub_server.cpp
@@ -73,6 +73,9 @@
     for (const auto& news : output.news_) {
         hooks_.on_target_news_(news);
     }
+    if (!output.crashes_.empty()) {
+        hooks_.on_crash_news_(output.crashes_);
+    }
     if (output.progress_changed_) {
         hooks_.on_progress_();
     }
--- a/libs/daemon/hub_server.h
+++ b/libs/daemon/hub_server.h
@@ -18,6 +18,7 @@
     std::function<void()> on_proof_wanted_;
     std::function<void(const target_report& news)> on_target_news_;
     std::function<void()> on_progress_;
+    std::function<void(const std::vector<crash_record>& news)> on_crash_news_;
 };
 
 /** The path of the channel between a subscriber and its hub. */
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -107,6 +107,7 @@
             runs_.tick(monotonic_now());
             send_runs();
         });
+        state_.set_crash_port([this](auto record) { post_crash(std::move(record)); });
         state_.set_run_port({[this](auto operation, auto reply) {
                                  post_reservation(std::move(operation), std::move(reply));
                              },
@@ -175,8 +176,43 @@
         return json_answer({{"lease_ms", lease}});
     }
 
+    // Called on worker threads.
+    void post_crash(crash_record record)
+    {
+        QMetaObject::invokeMethod(
+            &lease_timer_,
+            [this, record = std::move(record)] {
+                if (!crashes_.merge(record, monotonic_now())) {
+                    return;
+                }
+                log_event(
+                    log_level::warning,
+                    record.event_ == crash_event::crashed ? "request_broke_target"
+                                                          : "request_cleared",
+                    {{"fingerprint", to_hex(record.fingerprint_)}, {"target", record.target_}});
+                state_.publish_crashes(crashes_.view());
+                link_.logic().report_crashes({record});
+                link_.run();
+            },
+            Qt::QueuedConnection);
+    }
+
+    void take_crashes(const std::vector<crash_record>& news)
+    {
+        bool changed = false;
+        for (const auto& record : news) {
+            changed = crashes_.merge(record, monotonic_now()) || changed;
+        }
+        if (changed) {
+            state_.publish_crashes(crashes_.view());
+        }
+    }
+
     void check_leases()
     {
+        if (crashes_.expire(monotonic_now())) {
+            state_.publish_crashes(crashes_.view());
+        }
         const auto changed = registry_.expire(monotonic_now());
         if (!changed.empty()) {
             publish_local_targets();
@@ -258,6 +294,7 @@
         if (output.proof_) {
             last_proof_.set(static_cast<std::uint64_t>(QDateTime::currentSecsSinceEpoch()));
         }
+        take_crashes(output.crashes_);
         auto news = output.targets_;
         for (const auto& record : output.targets_) {
             directory_.merge(record);
@@ -311,6 +348,7 @@
     node_state state_;
     target_registry registry_;
     target_directory directory_;
+    crash_records crashes_;
     std::map<std::pair<std::string, std::string>, std::shared_ptr<admission>> admissions_;
     admin_server admin_;
     upstream_link link_;
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -27,8 +27,9 @@
           listener_(secrets.key_, metrics_),
           hub_(metrics_,
                {[this] { ask_for_proof(); }, [this](const auto& news) { report_targets(news); },
-                [this] {
-                    report_progress_soon();
+                [this] { report_progress_soon(); },
+                [this](const auto& news) {
+                    report_crashes(news);
                 }}),
           link_(settings.upstreams_, secrets.key_,
                 {settings.name_, settings.availability_zone_, true, system_random(),
@@ -102,6 +103,12 @@
         link_.run();
     }
 
+    void report_crashes(const std::vector<crash_record>& news)
+    {
+        link_.logic().report_crashes(news);
+        link_.run();
+    }
+
     void report_targets(const target_report& news)
     {
         link_.logic().report_targets(news);
@@ -129,6 +136,7 @@
         if (!output.targets_.empty()) {
             hub_.logic().merge_targets({output.targets_, false});
         }
+        hub_.logic().merge_crashes(output.crashes_);
         if (output.sync_) {
             hub_.logic().merge_sync(*output.sync_, output.sync_replaces_);
         }
--- a/libs/distribution/distribution_message.cpp
+++ b/libs/distribution/distribution_message.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t max_zones = 256;
+constexpr std::size_t max_crashes = 16'384;
 constexpr std::size_t max_names = 64;
 constexpr std::size_t max_targets = 100'000;
 
@@ -105,6 +106,14 @@
         }
         write_targets(writer_, message.contents_.targets_);
     }
+
+    void operator()(const crash_report& message) const
+    {
+        writer_.array(message.crashes_.size());
+        for (const auto& crash : message.crashes_) {
+            write_crash(writer_, crash);
+        }
+    }
 };
 
 auto read_subscribe(cbor_reader& reader) -> distribution_message
@@ -189,12 +198,21 @@
     return message;
 }
 
+auto read_crashes(cbor_reader& reader) -> distribution_message
+{
+    crash_report message;
+    for (auto left = reader.list(max_crashes); left > 0 && reader.good(); --left) {
+        message.crashes_.push_back(read_crash(reader));
+    }
+    return message;
+}
+
 using message_reader = distribution_message (*)(cbor_reader&);
 
 /** The readers in the order of the variant's alternatives. */
 constexpr std::array<message_reader, std::variant_size_v<distribution_message>> readers{
-    read_subscribe, read_table_update, read_currency_request, read_currency_proof,
-    read_progress,  read_targets,      read_target_summary,   read_target_sync};
+    read_subscribe, read_table_update,   read_currency_request, read_currency_proof, read_progress,
+    read_targets,   read_target_summary, read_target_sync,      read_crashes};
 
 /** The kind that says: the body is a compressed message of another kind. */
 constexpr std::uint64_t compressed_kind = 63;
--- a/libs/distribution/distribution_message.h
+++ b/libs/distribution/distribution_message.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/result.h"
+#include "crash_record/crash_record.h"
 #include "membership/target_directory.h"
 #include "membership/target_record.h"
 #include "table/table_change.h"
@@ -78,10 +79,15 @@
     bucket_contents contents_;
 };
 
+/** News of requests that ended targets, in either direction. */
+struct crash_report {
+    std::vector<crash_record> crashes_;
+};
+
 /** Any message of the protocol. */
 using distribution_message =
     std::variant<subscribe, table_update, currency_request, currency_proof, progress_report,
-                 target_report, target_summary, target_sync>;
+                 target_report, target_summary, target_sync, crash_report>;
 
 /** Returns \p message as bytes. */
 [[nodiscard]] auto encode_message(const distribution_message& message) -> std::string;
--- a/libs/distribution/hub.cpp
+++ b/libs/distribution/hub.cpp
@@ -67,9 +67,38 @@
     }
 }
 
+void hub::merge_crashes(const std::vector<crash_record>& crashes)
+{
+    static_cast<void>(take_crash_news(crashes, std::nullopt));
+}
+
+auto hub::take_crash_news(const std::vector<crash_record>& crashes,
+                          std::optional<subscriber_id> but) -> std::vector<crash_record>
+{
+    crash_report news;
+    for (const auto& crash : crashes) {
+        if (crashes_.merge(crash, now_)) {
+            news.crashes_.push_back(crash);
+        }
+    }
+    for (const auto& [id, peer] : subscribers_) {
+        if (!news.crashes_.empty() && peer.subscribed_ && id != but) {
+            send(id, news);
+        }
+    }
+    return std::move(news.crashes_);
+}
+
+void hub::on_crashes(subscriber_id from, const crash_report& report)
+{
+    auto news = take_crash_news(report.crashes_, from);
+    std::ranges::move(news, std::back_inserter(output_.crashes_));
+}
+
 void hub::tick(instant now, bool is_joined)
 {
     now_ = now;
+    crashes_.expire(now);
     end_late_whole_tables();
     targets_.forget_gone(now);
     const auto expired = leases_.tick(now, is_joined, targets_);
@@ -141,6 +170,9 @@
     else if (const auto* summary = std::get_if<target_summary>(&message)) {
         on_summary(from, *summary);
     }
+    else if (const auto* crashes = std::get_if<crash_report>(&message)) {
+        on_crashes(from, *crashes);
+    }
     else {
         output_.drop_.push_back(from);
     }
@@ -155,6 +187,9 @@
     peer.held_ = message.held_;
     peer.subscribed_ = true;
     send_update(from, peer);
+    if (auto crashes = crashes_.records(); !crashes.empty()) {
+        send(from, crash_report{std::move(crashes)});
+    }
 }
 
 // A report of progress also says that the update on its way has arrived.
--- a/libs/distribution/hub.h
+++ b/libs/distribution/hub.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "crash_record/crash_records.h"
 #include "distribution/distribution_message.h"
 #include "distribution/subscriber.h"
 #include "membership/target_directory.h"
@@ -43,6 +44,7 @@
     bool proof_wanted_ = false;         ///< Ask upstream for a proof, then call on_proof().
     std::vector<target_report> news_;   ///< News of targets from here and below, for upstream.
     std::vector<subscriber_id> drop_;   ///< Subscribers that broke the protocol.
+    std::vector<crash_record> crashes_; ///< News of requests that ended targets, for upstream.
     bool progress_changed_ = false;     ///< progress() has something new.
 };
 
@@ -62,6 +64,9 @@
      * out as news. When it \p replaces, all that is known from elsewhere is forgotten first. */
     void merge_sync(const bucket_contents& contents, bool replaces);
 
+    /** Takes news, from upstream or from a peer, of requests that ended targets. */
+    void merge_crashes(const std::vector<crash_record>& crashes);
+
     /** Lets time pass for the leases of targets; call it a few times a second. \p is_joined says
      * whether this process is in touch with the rest of the system. */
     void tick(instant now, bool is_joined);
@@ -112,6 +117,9 @@
     void on_progress(subscriber_id from, const progress_report& report);
     void on_targets(subscriber_id from, const target_report& report);
     void on_summary(subscriber_id from, const target_summary& summary);
+    void on_crashes(subscriber_id from, const crash_report& report);
+    auto take_crash_news(const std::vector<crash_record>& crashes, std::optional<subscriber_id> but)
+        -> std::vector<crash_record>;
     void broadcast(const std::vector<target_record>& news, std::optional<subscriber_id> but);
     void send(subscriber_id to, const distribution_message& message);
     void send_update(subscriber_id to, peer& peer);
@@ -133,6 +141,7 @@
     std::map<subscriber_id, peer> subscribers_;
     target_directory targets_;
     target_leases leases_;
+    crash_records crashes_;
     std::size_t whole_tables_on_their_way_ = 0;
     std::deque<subscriber_id> waiting_for_whole_table_;
     instant now_{};
--- a/libs/distribution/subscriber.cpp
+++ b/libs/distribution/subscriber.cpp
@@ -65,6 +65,11 @@
     output_.messages_.emplace_back(currency_request{nonce_});
 }
 
+void subscriber::report_crashes(std::vector<crash_record> crashes)
+{
+    output_.messages_.emplace_back(crash_report{std::move(crashes)});
+}
+
 void subscriber::report_targets(target_report report)
 {
     output_.messages_.emplace_back(std::move(report));
@@ -90,6 +95,11 @@
         on_currency_proof(*proof);
         return {};
     }
+    if (const auto* report = std::get_if<crash_report>(&message)) {
+        output_.crashes_.insert(output_.crashes_.end(), report->crashes_.begin(),
+                                report->crashes_.end());
+        return {};
+    }
     if (const auto* report = std::get_if<target_report>(&message)) {
         output_.targets_.insert(output_.targets_.end(), report->targets_.begin(),
                                 report->targets_.end());
--- a/libs/distribution/subscriber.h
+++ b/libs/distribution/subscriber.h
@@ -42,6 +42,7 @@
     table_pointer held_;                         ///< Set when a newer table is held.
     table_pointer enforce_;                      ///< Set when a newer table is to be enforced.
     std::vector<target_record> targets_;         ///< News of targets from upstream.
+    std::vector<crash_record> crashes_;          ///< News of requests that ended targets.
     std::optional<bucket_contents> sync_;        ///< The upstream's answer to report_summary().
     bool sync_replaces_ = false;                 ///< Forget first what was known from elsewhere.
     std::optional<std::uint64_t> proof_;         ///< Set when a version number was proved current.
@@ -72,6 +73,9 @@
     /** Queues news of targets for the upstream. */
     void report_targets(target_report report);
 
+    /** Queues news, for the upstream, of requests that ended targets. */
+    void report_crashes(std::vector<crash_record> crashes);
+
     /** Queues what is known of targets, in short. After so long without a connection that targets
      * which have gone may be forgotten above, everything is asked for instead. */
     void report_summary(target_digests digests);
--- a/libs/policy/refusal.h
+++ b/libs/policy/refusal.h
@@ -12,30 +12,31 @@
 
 /** The reasons for refusing a call. */
 enum class refusal_reason : std::uint8_t {
-    no_route,            ///< No row's path prefix matches.
-    table_not_proved,    ///< This node has not yet proved its table current.
-    no_target,           ///< No target of the service may take work now.
-    target_draining,     ///< The chosen target is leaving.
-    target_full,         ///< All slots of the chosen target are taken.
-    rate_limited,        ///< The caller's rate is used up.
-    concurrency_limited, ///< The caller has as many requests in flight as it may.
-    target_unreachable,  ///< The target, or the node beside it, could not be reached.
-    target_failed,       ///< The target broke off after it was given the request.
-    deadline_passed,     ///< The deadline came first.
-    bad_request,         ///< The request is malformed.
-    header_too_large,    ///< The request's header passes the limit.
-    body_too_large,      ///< The request's body passes the limit.
-    shutting_down,       ///< This node is leaving.
-    overloaded,          ///< This node sheds load.
-    record_unreachable,  ///< No quorum could say whether the request may run.
-    record_full,         ///< There is no room to record another unrepeatable request.
-    run_in_progress,     ///< The same idempotency key is being run.
-    run_outcome_unknown, ///< The key may have run; its outcome will never be known.
-    run_outcome_dropped, ///< The key has run; its answer is no longer kept.
-    key_reused,          ///< The idempotency key belongs to another request.
+    no_route,                ///< No row's path prefix matches.
+    table_not_proved,        ///< This node has not yet proved its table current.
+    no_target,               ///< No target of the service may take work now.
+    target_draining,         ///< The chosen target is leaving.
+    target_full,             ///< All slots of the chosen target are taken.
+    rate_limited,            ///< The caller's rate is used up.
+    concurrency_limited,     ///< The caller has as many requests in flight as it may.
+    target_unreachable,      ///< The target, or the node beside it, could not be reached.
+    target_failed,           ///< The target broke off after it was given the request.
+    deadline_passed,         ///< The deadline came first.
+    bad_request,             ///< The request is malformed.
+    header_too_large,        ///< The request's header passes the limit.
+    body_too_large,          ///< The request's body passes the limit.
+    shutting_down,           ///< This node is leaving.
+    overloaded,              ///< This node sheds load.
+    record_unreachable,      ///< No quorum could say whether the request may run.
+    record_full,             ///< There is no room to record another unrepeatable request.
+    run_in_progress,         ///< The same idempotency key is being run.
+    run_outcome_unknown,     ///< The key may have run; its outcome will never be known.
+    run_outcome_dropped,     ///< The key has run; its answer is no longer kept.
+    key_reused,              ///< The idempotency key belongs to another request.
+    request_crashes_targets, ///< It has ended as many targets as one request may.
 };
 
-constexpr std::size_t refusal_reason_count = 21;
+constexpr std::size_t refusal_reason_count = 22;
 
 /** What is known of a refused request. */
 enum class request_outcome : std::uint8_t {
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -199,6 +199,11 @@
         if (has_failed && health_) {
             health_->on_failure(monotonic_now());
         }
+        crashes_ += refusal.reason_ == refusal_reason::target_failed ? 1 : 0;
+        if (crashes_ >= max_crashed_targets) {
+            refuse(make_refusal(refusal_reason::request_crashes_targets));
+            return;
+        }
         const auto decision = decide_retry(question_of(refusal), state().budget());
         if (decision == retry_decision::retry) {
             state().count_retry(*retry_reason_of(refusal.reason_));
@@ -374,6 +379,7 @@
     std::string replay_;
     QTimer deadline_;
     unsigned attempts_ = 0;
+    unsigned crashes_ = 0; ///< Attempts that broke at the target.
     bool replay_lost_ = false;
     bool body_ended_ = false;
     bool responded_ = false;
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -1,9 +1,11 @@
 #include "request_path/local_exchange.h"
 
 #include <algorithm>
+#include <optional>
 
 #include <QTimer>
 
+#include "request_path/crash_guard.h"
 #include "request_path/unrepeatable_run.h"
 
 namespace sycamorewinch {
@@ -68,13 +70,14 @@
         is_repeatable_ = route->row_->repeatable_;
         head_ = request.head_;
         time_left_ = request.time_left_;
-        const auto key = find_header(head_.headers_, idempotency_key_header);
-        if (is_repeatable_ || key.empty()) {
-            send();
-        }
-        else {
-            reserve(node, request);
+        guard_.emplace(node.crashes(), node.crash_news(), request);
+        if (guard_->needs_body()) {
+            held_ = [self = shared_from_this(), &node, request] {
+                self->proceed(node, request);
+            };
+            return;
         }
+        proceed(node, request);
     }
 
     auto controls() -> exchange_controls
@@ -94,6 +97,30 @@
     }
 
   private:
+    void proceed(node_state& node, const exchange_request& request)
+    {
+        if (guard_->is_refused()) {
+            ticket_ = admission_ticket();
+            refuse(make_refusal(refusal_reason::request_crashes_targets));
+            return;
+        }
+        const auto key = find_header(head_.headers_, idempotency_key_header);
+        if (is_repeatable_ || key.empty()) {
+            send();
+        }
+        else {
+            reserve(node, request);
+        }
+    }
+
+    /** Lets a held request go on once its body tells which one it is. */
+    void let_go()
+    {
+        if (const auto go_on = std::exchange(held_, nullptr)) {
+            go_on();
+        }
+    }
+
     void reserve(node_state& node, const exchange_request& request)
     {
         run_ = std::make_unique<unrepeatable_run>(node.runs(), connections_.runs(), request);
@@ -145,11 +172,17 @@
 
     void write(std::string_view bytes)
     {
+        if (guard_) {
+            guard_->on_body(bytes);
+        }
         if (connection_) {
             connection_->write(bytes);
         }
-        else if (run_) {
-            early_body_ += bytes; // until the reservation is granted
+        else if (run_ || held_) {
+            early_body_ += bytes; // until the request is known, or its reservation granted
+        }
+        if (held_ && guard_->is_decided()) {
+            let_go();
         }
     }
 
@@ -159,6 +192,7 @@
         if (connection_) {
             connection_->finish();
         }
+        let_go();
     }
 
     [[nodiscard]] auto queued_bytes() const -> std::size_t
@@ -172,6 +206,7 @@
         client_exchange_hooks hooks;
         hooks.on_response_ = [self](message_head head) {
             self->responded_ = true;
+            self->guard_->on_answered();
             if (self->run_) {
                 self->run_->on_response(head);
             }
@@ -208,6 +243,11 @@
         connection_.reset();
         ticket_ = admission_ticket();
         const bool was_sent = failure != exchange_failure::not_sent;
+        const bool has_broken =
+            failure == exchange_failure::broken || failure == exchange_failure::cut_short;
+        if (has_broken && !responded_) {
+            guard_->on_crashed();
+        }
         if (run_ && was_sent) {
             run_->lose();
         }
@@ -232,6 +272,7 @@
             return;
         }
         run_.reset();
+        held_ = nullptr;
         if (connection_) {
             connection_->cancel();
             connection_.reset();
@@ -276,6 +317,8 @@
     std::shared_ptr<http1_client_connection> connection_;
     message_head head_;
     std::chrono::milliseconds time_left_{0};
+    std::optional<crash_guard> guard_;
+    std::function<void()> held_;            ///< Goes on once the request is known.
     std::unique_ptr<unrepeatable_run> run_; ///< Unrepeatable requests with an idempotency key.
     std::string early_body_;                ///< Arrived before the reservation was granted.
     bool is_repeatable_ = false;
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -13,9 +13,11 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "concurrency/rcu_cell.h"
+#include "crash_record/crash_records.h"
 #include "observability/metrics.h"
 #include "policy/admission.h"
 #include "policy/route_table.h"
+#include "request_path/crash_guard.h"
 #include "request_path/run_gateway.h"
 #include "transport/peer_connection.h"
 
@@ -69,6 +71,20 @@
     void set_run_port(run_port port) { run_port_ = std::move(port); }
     [[nodiscard]] auto runs() const -> const run_port& { return run_port_; }
 
+    /** The way to the news of requests that end targets; set before the workers start. */
+    void set_crash_port(crash_port port) { crash_port_ = std::move(port); }
+    [[nodiscard]] auto crash_news() const -> const crash_port& { return crash_port_; }
+
+    /** Returns the requests known to end targets. */
+    [[nodiscard]] auto crashes() const -> std::shared_ptr<const crash_view>
+    {
+        return crashes_.read();
+    }
+    void publish_crashes(std::shared_ptr<const crash_view> crashes)
+    {
+        crashes_.publish(std::move(crashes));
+    }
+
     /** From now on callers are refused; requests in flight go on. */
     void begin_shutdown() { shutting_down_ = true; }
     [[nodiscard]] auto is_shutting_down() const -> bool { return shutting_down_; }
@@ -83,6 +99,8 @@
     service_states states_;
     std::shared_ptr<service_state> unrouted_;
     run_port run_port_;
+    crash_port crash_port_;
+    rcu_cell<crash_view> crashes_{std::make_shared<const crash_view>()};
     std::atomic<bool> shutting_down_{false};
     std::atomic<std::int64_t> in_flight_{0};
 };
--- a/libs/request_path/test/node_fixture.cpp
+++ b/libs/request_path/test/node_fixture.cpp
@@ -1,5 +1,7 @@
 #include "node_fixture.h"
 
+#include <algorithm>
+
 #include <fmt/core.h>
 
 #include "base/invariant.h"
@@ -26,6 +28,10 @@
 {
     auto node = std::make_unique<test_node>(own_address);
     node->state_.set_run_port(granting_port());
+    node->state_.set_crash_port([raw = node.get()](const crash_record& record) {
+        const std::lock_guard guard(raw->mutex_);
+        raw->crashes_.push_back(record);
+    });
     const auto key = cluster_key::create("0123456789abcdef0123456789abcdef");
     auto worker = node_worker::start(node->state_, *key, {{"127.0.0.1", 0}, {"127.0.0.1", 0}});
     invariant(worker.has_value(), "a test node cannot listen");
@@ -46,6 +52,12 @@
 
 } // namespace
 
+auto test_node::news_of(crash_event event) -> std::size_t
+{
+    const std::lock_guard guard(mutex_);
+    return static_cast<std::size_t>(std::ranges::count(crashes_, event, &crash_record::event_));
+}
+
 auto test_row() -> row
 {
     row row;
--- a/libs/request_path/test/node_fixture.h
+++ b/libs/request_path/test/node_fixture.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <memory>
+#include <mutex>
 #include <string>
+#include <vector>
 
 #include "request_path/node_worker.h"
 #include "standin/raw_socket.h"
@@ -21,8 +23,13 @@
 struct test_node {
     metrics_registry metrics_;
     node_state state_;
+    std::mutex mutex_;
+    std::vector<crash_record> crashes_; ///< News of this node; under mutex_.
     std::unique_ptr<node_worker> worker_;
 
+    /** Returns how many pieces of news of \p event this node had. */
+    auto news_of(crash_event event) -> std::size_t;
+
     explicit test_node(const std::string& own_address) : state_(own_address, metrics_) {}
 };
 
--- a/libs/standin/standin_target.cpp
+++ b/libs/standin/standin_target.cpp
@@ -1,5 +1,6 @@
 #include "standin/standin_target.h"
 
+#include <cstdlib>
 #include <optional>
 #include <set>
 
@@ -66,6 +67,9 @@
 
     void on_whole(const std::shared_ptr<standin_request>& request)
     {
+        if (!options_.crash_path_.empty() && request->head_.path_ == options_.crash_path_) {
+            std::_Exit(EXIT_FAILURE); // as a target that a request ends
+        }
         const auto key = find_header(request->head_.headers_, "idempotency-key");
         const auto name = key.empty() ? request->head_.path_ : std::string(key);
         ++runs_[name];
--- a/libs/standin/standin_target.h
+++ b/libs/standin/standin_target.h
@@ -21,6 +21,7 @@
     std::string target_;
     peer_address listen_;                ///< Port 0 takes a free one.
     std::chrono::milliseconds delay_{0}; ///< Before each answer.
+    std::string crash_path_;             ///< A request for it ends the process; empty: none does.
     std::uint32_t slots_ = 10;
     std::chrono::milliseconds lease_{2'000};
     /** The admin address of the node beside it; without one it does not announce itself. */
