--- a/apps/sycamorewinch/main.cpp
+++ b/apps/sycamorewinch/main.cpp
@@ -11,6 +11,7 @@
 #include <QCoreApplication>
 #include <boost/program_options.hpp>
 
+#include "base/split.h"
 #include "cli/commands.h"
 
 namespace {
@@ -53,16 +54,6 @@
     return options;
 }
 
-auto split_commas(const std::string& text) -> std::vector<std::string>
-{
-    std::vector<std::string> parts;
-    std::istringstream stream(text);
-    for (std::string part; std::getline(stream, part, ',');) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
 /** Reads the token file; no file is no token. */
 auto read_token(const std::string& path) -> result<std::string>
 {
--- /dev/null
+++ b/libs/consensus/log_entry_codec.h
@@ -0,0 +1,20 @@
+/** \file
+ * Log entries as CBOR, for messages between replicas and for the stored log.
+ */
+#pragma once
+
+#include "codec/cbor_reader.h"
+#include "codec/cbor_writer.h"
+#include "consensus/log_entry.h"
+
+namespace sycamorewinch {
+
+/** The largest payload of one entry, in bytes. */
+constexpr std::size_t max_entry_payload_bytes = 32U * 1024 * 1024;
+
+/** Appends \p entry to \p writer as one array. */
+void write_entry(cbor_writer& writer, const log_entry& entry);
+/** Takes one entry from \p reader; check the reader afterwards. */
+[[nodiscard]] auto read_entry(cbor_reader& reader) -> log_entry;
+
+} // namespace sycamorewinch
--- a/libs/consensus/raft_message.cpp
+++ b/libs/consensus/raft_message.cpp
@@ -3,6 +3,7 @@
 #include "base/enum_names.h"
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
+#include "consensus/log_entry_codec.h"
 
 namespace sycamorewinch {
 
@@ -13,25 +14,9 @@
      "pre_vote_reply", "snapshot_request", "snapshot_reply", "recovery_request", "recovery_reply"}};
 
 constexpr std::size_t message_fields = 14;
-constexpr std::size_t entry_fields = 4;
 constexpr std::size_t max_replica_name_bytes = 64;
 constexpr std::size_t max_entries_per_message = 4096;
-constexpr std::size_t max_payload_bytes = 32U * 1024 * 1024;
-
-auto read_entry(cbor_reader& reader) -> log_entry
-{
-    log_entry entry;
-    reader.array(entry_fields);
-    entry.index_ = reader.number();
-    entry.term_ = reader.number();
-    const auto kind = reader.number();
-    if (kind > static_cast<std::uint64_t>(entry_kind::membership)) {
-        reader.reject("unknown kind of log entry");
-    }
-    entry.kind_ = static_cast<entry_kind>(kind);
-    entry.payload_ = reader.bytes(max_payload_bytes);
-    return entry;
-}
+constexpr std::size_t max_payload_bytes = max_entry_payload_bytes;
 
 } // namespace
 
@@ -49,8 +34,7 @@
     writer.number(message.round_).boolean(message.recovering_).boolean(message.accepted_);
     writer.array(message.entries_.size());
     for (const auto& entry : message.entries_) {
-        writer.array(entry_fields).number(entry.index_).number(entry.term_);
-        writer.number(static_cast<std::uint64_t>(entry.kind_)).bytes(entry.payload_);
+        write_entry(writer, entry);
     }
     writer.number(message.offset_).number(message.total_).bytes(message.data_);
     return writer.take();
--- a/libs/settings/settings_reader.cpp
+++ b/libs/settings/settings_reader.cpp
@@ -6,22 +6,14 @@
 
 #include <fmt/format.h>
 
+#include "base/split.h"
+
 namespace sycamorewinch::internal {
 
 namespace {
 
 constexpr std::size_t max_name_length = 64;
 
-auto split_commas(const std::string& text) -> std::vector<std::string>
-{
-    std::vector<std::string> parts;
-    std::istringstream stream(text);
-    for (std::string part; std::getline(stream, part, ',');) {
-        parts.push_back(part);
-    }
-    return parts;
-}
-
 } // namespace
 
 auto settings_reader::has(const std::string& name) const -> bool
--- a/libs/storage/replica_store.cpp
+++ b/libs/storage/replica_store.cpp
@@ -7,6 +7,7 @@
 #include "base/digest.h"
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
+#include "consensus/log_entry_codec.h"
 
 namespace sycamorewinch {
 
@@ -70,24 +71,14 @@
 auto encode_entry(const log_entry& entry) -> std::string
 {
     cbor_writer writer;
-    writer.array(4).number(entry.index_).number(entry.term_);
-    writer.number(static_cast<std::uint64_t>(entry.kind_)).bytes(entry.payload_);
+    write_entry(writer, entry);
     return writer.take();
 }
 
 auto decode_entry(std::string_view bytes) -> result<log_entry>
 {
-    log_entry entry;
     cbor_reader reader(bytes);
-    reader.array(4);
-    entry.index_ = reader.number();
-    entry.term_ = reader.number();
-    const auto kind = reader.number();
-    if (kind > static_cast<std::uint64_t>(entry_kind::membership)) {
-        reader.reject("unknown kind of log entry");
-    }
-    entry.kind_ = static_cast<entry_kind>(kind);
-    entry.payload_ = reader.bytes(max_record_bytes);
+    auto entry = read_entry(reader);
     if (auto done = reader.finish(); !done) {
         return tl::unexpected(done.error());
     }
