--- a/libs/http1/http1_client_connection.cpp
+++ b/libs/http1/http1_client_connection.cpp
@@ -51,6 +51,7 @@
     bool informational_ = false; ///< The head just parsed is a 1xx; another follows.
     int end_probe_ = -1;         ///< A second descriptor, to tell a proper end from a reset.
     http1_client_limits limits_;
+    std::optional<std::chrono::seconds> keep_alive_time_;
     std::function<void()> on_silent_;
     QTimer connect_timer_;
     QTimer stall_timer_; ///< Runs while an answer is not whole.
@@ -190,6 +191,7 @@
         return;
     }
     reusable_ = reusable_ && head.keep_alive_;
+    keep_alive_time_ = head.keep_alive_time_ ? head.keep_alive_time_ : keep_alive_time_;
     if (head.has_body_ && !head.content_length_ && connected_) {
         end_probe_ = ::dup(static_cast<int>(socket_->socketDescriptor()));
     }
@@ -435,6 +437,11 @@
            (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+auto http1_client_connection::keep_alive_time() const -> std::optional<std::chrono::seconds>
+{
+    return state_->keep_alive_time_;
+}
+
 auto http1_client_connection::idle_time() const -> std::chrono::milliseconds
 {
     return std::chrono::milliseconds(state_->idle_.elapsed());
--- a/libs/http1/http1_client_connection.h
+++ b/libs/http1/http1_client_connection.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -70,6 +71,8 @@
     [[nodiscard]] auto queued_bytes() const -> std::size_t;
     /** Returns whether another exchange may be started here. */
     [[nodiscard]] auto is_reusable() const -> bool;
+    /** Returns how long the target keeps an idle connection, as far as it said. */
+    [[nodiscard]] auto keep_alive_time() const -> std::optional<std::chrono::seconds>;
     /** Returns how long the connection has been without an exchange, or in the current one. */
     [[nodiscard]] auto idle_time() const -> std::chrono::milliseconds;
 
--- a/libs/http1/http1_parser.cpp
+++ b/libs/http1/http1_parser.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <utility>
 #include <vector>
 
@@ -51,6 +52,20 @@
     return (target[path] == '?' ? "/" : "") + std::string(target.substr(path));
 }
 
+/** Reads the parameter `timeout` of a Keep-Alive field. */
+auto keep_alive_time_of(std::string_view field) -> std::optional<std::chrono::seconds>
+{
+    constexpr std::string_view name = "timeout=";
+    const auto start = field.find(name);
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    field.remove_prefix(start + name.size());
+    std::uint32_t seconds = 0;
+    const auto [stop, problem] = std::from_chars(field.data(), field.data() + field.size(), seconds);
+    return problem == std::errc() ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
 /** Hands Beast's callbacks on as events. */
 template <bool IsRequest>
 class event_parser final : public http::basic_parser<IsRequest> {
@@ -107,6 +122,7 @@
         head_.has_body_ = !is_bodyless && (this->chunked() || length.value_or(0) > 0 ||
                                            (!IsRequest && this->need_eof()));
         head_.keep_alive_ = this->keep_alive() && !head_.is_http_1_0_;
+        head_.keep_alive_time_ = keep_alive_time_of(find_header(head_.headers_, "keep-alive"));
         remove_hop_headers(head_.headers_);
         remove_header(head_.headers_, "expect");
         events_.on_head_(std::move(head_));
--- a/libs/http1/http1_parser.h
+++ b/libs/http1/http1_parser.h
@@ -31,6 +31,8 @@
     bool has_body_ = false;
     std::optional<std::uint64_t> content_length_; ///< Unset: chunked, or until the end.
     bool keep_alive_ = true;
+    /** Responses: how long the other end keeps an idle connection, where it says so. */
+    std::optional<std::chrono::seconds> keep_alive_time_;
     bool is_http_1_0_ = false;      ///< Requests: the caller speaks HTTP/1.0.
     bool expects_continue_ = false; ///< Requests: the caller waits for 100 before its body.
 };
--- a/libs/http1/http1_server_connection.cpp
+++ b/libs/http1/http1_server_connection.cpp
@@ -341,6 +341,11 @@
     self.later(&state::next_request); // not from inside the parser that reports this very request
 }
 
+void http1_server_connection::set_limits(const http1_limits& limits)
+{
+    state_->limits_ = limits;
+}
+
 void http1_server_connection::abort()
 {
     state_->end();
--- a/libs/http1/http1_server_connection.h
+++ b/libs/http1/http1_server_connection.h
@@ -50,6 +50,9 @@
     auto operator=(http1_server_connection&&) -> http1_server_connection& = delete;
     ~http1_server_connection();
 
+    /** Changes the limits, from the next request on. */
+    void set_limits(const http1_limits& limits);
+
     /** Starts the answer to the current request. Without content_length_ a body is chunked. */
     void respond(message_head head);
     /** Writes a part of the answer's body. */
--- a/libs/policy/admission.h
+++ b/libs/policy/admission.h
@@ -62,6 +62,7 @@
     /** From now on refuses all new work. */
     void set_draining(bool draining) { draining_ = draining; }
     void set_slots(std::uint32_t slots) { slots_ = slots; }
+    [[nodiscard]] auto slots() const -> std::uint32_t { return slots_; }
     [[nodiscard]] auto in_flight() const -> std::uint32_t { return in_flight_; }
 
   private:
--- a/libs/policy/retry_policy.cpp
+++ b/libs/policy/retry_policy.cpp
@@ -82,13 +82,17 @@
     if (is_limit(*reason) && (question.attempts_ > 1 || !question.untried_)) {
         return retry_decision::no_use;
     }
-    if (!is_limit(*reason) && question.attempts_ > question.retries_) {
+    if (!question.reached_target_ && !question.untried_) {
+        return retry_decision::no_use;
+    }
+    const bool is_counted = question.reached_target_ && !is_limit(*reason);
+    if (is_counted && question.attempts_ > question.retries_) {
         return retry_decision::attempts_used;
     }
     if (question.time_left_ < least_time_for_retry) {
         return retry_decision::deadline;
     }
-    if (!is_free(*reason) && !budget.spend()) {
+    if (question.reached_target_ && !is_free(*reason) && !budget.spend()) {
         return retry_decision::budget_spent;
     }
     return retry_decision::retry;
--- a/libs/policy/retry_policy.h
+++ b/libs/policy/retry_policy.h
@@ -63,6 +63,8 @@
     bool replayable_ = true;  ///< The body is still held.
     bool untried_ = true;     ///< There is a target that was not tried and may grant.
     bool marked_ = false;     ///< The call itself belongs to a retried call.
+    /** The refused attempt may have reached its target, and so counts as one. */
+    bool reached_target_ = true;
     unsigned attempts_ = 1;   ///< Made so far.
     unsigned retries_ = 0;    ///< The row's number of further tries.
     duration time_left_{0};
@@ -84,9 +86,10 @@
 [[nodiscard]] auto name_of(retry_decision decision) -> std::string_view;
 
 /** Decides, and takes what a retry costs from \p budget. A target that is draining, or whose node
- * has only just started, costs nothing: the news of it is on its way to every node. A limit is
- * asked for at one further target, whatever the row's retries: it is one limit, of which each
- * target holds a share. */
+ * has only just started, costs nothing: the news of it is on its way to every node. Nor does an
+ * attempt that the node beside the target refused: no target had it. A limit is asked for at one
+ * further target, whatever the row's retries: it is one limit, of which each target holds a share.
+ */
 [[nodiscard]] auto decide_retry(const retry_question& question, retry_budget& budget)
     -> retry_decision;
 
--- a/libs/policy/route_table.cpp
+++ b/libs/policy/route_table.cpp
@@ -1,6 +1,7 @@
 #include "policy/route_table.h"
 
 #include <algorithm>
+#include <cctype>
 #include <map>
 
 namespace sycamorewinch {
@@ -29,14 +30,19 @@
     return 0;
 }
 
+using targets_by_service = std::map<std::string, std::vector<const target_record*>>;
+using parts_by_service = std::map<std::string, std::shared_ptr<const service_route>>;
+
 void fill_targets(service_route& route, const std::vector<const target_record*>& targets)
 {
+    static const row alike; // the targets of a part all weigh the same
+    const auto& row = route.row_ != nullptr ? *route.row_ : alike;
     zone_counts in_zone;
     for (const auto* target : targets) {
         ++in_zone[target->availability_zone_];
     }
     for (const auto* target : targets) {
-        const auto weight = weight_of(*route.row_, *target, in_zone);
+        const auto weight = weight_of(row, *target, in_zone);
         if (weight > 0) {
             auto health = route.state_ ? route.state_->health_of(target->target_) : nullptr;
             route.targets_.push_back({*target, weight, std::move(health)});
@@ -45,6 +51,30 @@
     }
 }
 
+auto make_part(const std::string& service, const targets_by_service& targets,
+               const service_state_hook& state_of) -> std::shared_ptr<const service_route>
+{
+    auto part = std::make_shared<service_route>();
+    part->service_ = service;
+    part->state_ = state_of ? state_of(service) : nullptr;
+    if (const auto found = targets.find(service); found != targets.end()) {
+        fill_targets(*part, found->second);
+    }
+    return part;
+}
+
+void fill_parts(service_route& route, parts_by_service& parts, const targets_by_service& targets,
+                const service_state_hook& state_of)
+{
+    for (const auto& share : route.row_->split_) {
+        auto& part = parts[share.service_];
+        if (!part) {
+            part = make_part(share.service_, targets, state_of);
+        }
+        route.parts_.push_back({share.weight_, part});
+    }
+}
+
 } // namespace
 
 auto route_table::create(std::shared_ptr<const table> table,
@@ -56,7 +86,8 @@
     if (!routes->table_) {
         return routes;
     }
-    std::map<std::string, std::vector<const target_record*>> by_service;
+    targets_by_service by_service;
+    parts_by_service parts;
     for (const auto& target : targets) {
         if (target.state_ == target_state::up) {
             by_service[target.service_].push_back(&target);
@@ -65,18 +96,68 @@
     for (const auto& row : routes->table_->rows_) {
         service_route route;
         route.row_ = &row;
-        route.state_ = state_of ? state_of(row.service_) : nullptr;
-        routes->index_.add(row.path_prefix_, routes->routes_.size());
-        fill_targets(route, by_service[row.service_]);
+        route.service_ = row.service_;
+        routes->by_host_[row.host_].add(row.path_prefix_, routes->routes_.size());
+        if (row.split_.empty()) {
+            route.state_ = state_of ? state_of(row.service_) : nullptr;
+            fill_targets(route, by_service[row.service_]);
+        }
+        else {
+            fill_parts(route, parts, by_service, state_of);
+        }
         routes->routes_.push_back(std::move(route));
     }
     return routes;
 }
 
-auto route_table::match(std::string_view path) const -> const service_route*
+auto route_table::match(std::string_view path, std::string_view host) const -> const service_route*
+{
+    for (const auto& name : {host_name_of(host), std::string()}) {
+        const auto found = by_host_.find(name);
+        const auto position = found != by_host_.end() ? found->second.find(path) : std::nullopt;
+        if (position) {
+            return &routes_[*position];
+        }
+    }
+    return nullptr;
+}
+
+auto host_name_of(std::string_view host) -> std::string
 {
-    const auto position = index_.find(path);
-    return position ? &routes_[*position] : nullptr;
+    const auto bracket = host.rfind(']'); // an IPv6 number holds colons of its own
+    const auto colon = host.find(':', bracket == std::string_view::npos ? 0 : bracket);
+    std::string name(host.substr(0, colon));
+    std::ranges::transform(name, name.begin(), [](unsigned char letter) {
+        return static_cast<char>(std::tolower(letter));
+    });
+    return name;
+}
+
+auto choose_part(const service_route& route, const random_hook& random) -> const service_route&
+{
+    std::uint64_t total = 0;
+    for (const auto& part : route.parts_) {
+        total += part.weight_;
+    }
+    if (total == 0) {
+        return route;
+    }
+    auto point = uniform_below(random, total);
+    for (const auto& part : route.parts_) {
+        if (point < part.weight_) {
+            return *part.route_;
+        }
+        point -= part.weight_;
+    }
+    return *route.parts_.back().route_;
+}
+
+auto leads_to(const service_route& route, std::string_view service) -> bool
+{
+    return route.parts_.empty() ? route.service_ == service
+                                : std::ranges::any_of(route.parts_, [service](const auto& part) {
+                                      return part.route_->service_ == service;
+                                  });
 }
 
 auto ejected_targets(const service_route& route, instant now) -> std::vector<std::string>
@@ -93,6 +174,26 @@
     return names;
 }
 
+auto choose_near_target(const service_route& route, std::string_view zone,
+                        const std::vector<std::string>& excluded, const random_hook& random)
+    -> const weighted_target*
+{
+    const bool has_weights = route.row_ != nullptr && !route.row_->weights_.empty();
+    if (zone.empty() || has_weights) {
+        return choose_target(route, excluded, random);
+    }
+    auto left_out = excluded;
+    for (const auto& target : route.targets_) {
+        if (target.record_.availability_zone_ != zone) {
+            left_out.push_back(target.record_.target_);
+        }
+    }
+    const bool is_any_near = std::ranges::any_of(route.targets_, [&left_out](const auto& target) {
+        return std::ranges::find(left_out, target.record_.target_) == left_out.end();
+    });
+    return choose_target(route, is_any_near ? left_out : excluded, random);
+}
+
 auto choose_target(const service_route& route, const std::vector<std::string>& excluded,
                    const random_hook& random) -> const weighted_target*
 {
--- a/libs/policy/route_table.h
+++ b/libs/policy/route_table.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/random.h"
@@ -27,12 +28,22 @@
     std::shared_ptr<target_health> health_; ///< Kept from one route table to the next; may be null.
 };
 
+struct service_route;
+
+/** One service of a row whose calls are split over several. */
+struct route_part {
+    std::uint32_t weight_ = 0;
+    std::shared_ptr<const service_route> route_; ///< Shared by all rows that name the service.
+};
+
 /** The targets of one service. */
 struct service_route {
-    const row* row_ = nullptr;             ///< Points into the table that the routes keep.
+    const row* row_ = nullptr; ///< Points into the table that the routes keep; null in a part.
+    std::string service_;
     std::vector<weighted_target> targets_; ///< Those that are up and have a weight above zero.
     double total_weight_ = 0;
     std::shared_ptr<service_state> state_; ///< Outlives the table; null where no hook gave one.
+    std::vector<route_part> parts_;        ///< Not empty: the calls go to these, not to targets_.
 };
 
 /** Returns the state of a service, kept from one route table to the next. */
@@ -47,8 +58,10 @@
                                      const service_state_hook& state_of = {})
         -> std::shared_ptr<const route_table>;
 
-    /** Returns the route with the longest path prefix that \p path starts with, or nullptr. */
-    [[nodiscard]] auto match(std::string_view path) const -> const service_route*;
+    /** Returns the route with the longest path prefix that \p path starts with, of the rows for
+     * \p host or else of those for any host; or nullptr. */
+    [[nodiscard]] auto match(std::string_view path, std::string_view host = {}) const
+        -> const service_route*;
 
     /** Returns the table in force, or nullptr. */
     [[nodiscard]] auto table_in_force() const -> const std::shared_ptr<const table>&
@@ -61,9 +74,20 @@
 
     std::shared_ptr<const table> table_;
     std::vector<service_route> routes_;
-    path_index index_; ///< Positions in routes_ by path prefix.
+    std::unordered_map<std::string, path_index> by_host_; ///< Positions in routes_; "": any host.
 };
 
+/** Returns \p host without its port and in lower case, as rows name it. */
+[[nodiscard]] auto host_name_of(std::string_view host) -> std::string;
+
+/** Returns the part of \p route that takes one call, chosen by weight; \p route itself when it is
+ * not split. */
+[[nodiscard]] auto choose_part(const service_route& route, const random_hook& random)
+    -> const service_route&;
+
+/** Returns whether \p route may lead to \p service. */
+[[nodiscard]] auto leads_to(const service_route& route, std::string_view service) -> bool;
+
 /** Returns the names of the targets that this node leaves out now because they fail; never more
  * than half of them. */
 [[nodiscard]] auto ejected_targets(const service_route& route, instant now)
@@ -75,4 +99,10 @@
                                  const std::vector<std::string>& excluded,
                                  const random_hook& random) -> const weighted_target*;
 
+/** The same, but chooses among the targets in \p zone first, where the row has no weights of its
+ * own and \p zone is not empty. */
+[[nodiscard]] auto choose_near_target(const service_route& route, std::string_view zone,
+                                      const std::vector<std::string>& excluded,
+                                      const random_hook& random) -> const weighted_target*;
+
 } // namespace sycamorewinch
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -1,7 +1,8 @@
 #include "request_path/caller_call.h"
 
 #include <algorithm>
-#include <charconv>
+#include <cstdint>
+#include <optional>
 
 #include <QTimer>
 
@@ -14,16 +15,14 @@
 
 constexpr std::size_t max_replay_bytes = 64U * 1024;
 constexpr std::size_t high_water_bytes = 256U * 1024;
-constexpr std::string_view default_caller = "anonymous";
+/** A longer answer is passed on as it comes, and cannot be tried for again once it has begun. */
+constexpr std::size_t max_held_answer_bytes = 64U * 1024;
 
-auto time_left_of(const message_head& head, const row& row) -> std::chrono::milliseconds
-{
-    const auto text = find_header(head.headers_, deadline_header);
-    std::int64_t stated = 0;
-    const auto [stop, problem] = std::from_chars(text.data(), text.data() + text.size(), stated);
-    const bool is_stated = !text.empty() && problem == std::errc();
-    return is_stated ? std::min(row.timeout_, std::chrono::milliseconds(stated)) : row.timeout_;
-}
+/** While other targets are left to try, a request waits for a slot at most this part of the time in
+ * which its answer is expected. */
+constexpr int patience_with_others = 6;
+/** The same when no other target is left. */
+constexpr int patience_at_last = 2;
 
 class caller_call : public std::enable_shared_from_this<caller_call> {
   public:
@@ -42,13 +41,16 @@
             return;
         }
         routes_ = environment_.node_.routes();
-        route_ = routes_->match(request_.head_.path_);
-        if (route_ == nullptr) {
+        const auto terms = environment_.node_.dialect().read_terms_(request_.head_);
+        const auto* matched = routes_->match(request_.head_.path_, terms.host_);
+        if (matched == nullptr) {
             refuse(make_refusal(routes_->table_in_force() ? refusal_reason::no_route
                                                           : refusal_reason::table_not_proved));
             return;
         }
-        prepare_request();
+        row_ = matched->row_;
+        route_ = &choose_part(*matched, environment_.random_);
+        prepare_request(terms);
         arm_deadline();
         attempt();
     }
@@ -65,17 +67,18 @@
     }
 
   private:
-    void prepare_request()
+    void prepare_request(const call_terms& terms)
     {
-        const auto caller = find_header(request_.head_.headers_, caller_header);
-        request_.caller_ = caller.empty() ? default_caller : caller;
-        request_.service_ = route_->row_->service_;
-        time_allowed_ = time_left_of(request_.head_, *route_->row_);
-        marked_ = !find_header(request_.head_.headers_, retry_mark_header).empty();
+        request_.caller_ = terms.caller_;
+        request_.service_ = route_->service_;
+        request_.priority_ = row_->priority_;
+        request_.repeatable_ = row_->repeatable_;
+        time_allowed_ = std::min(row_->timeout_, terms.time_allowed_.value_or(row_->timeout_));
+        marked_ = terms.is_retry_;
         state().budget().earn();
         // A caller with small limits may only use some of the targets.
-        tried_ = targets_without_share(*route_, request_.caller_,
-                                       route_->row_->limit_of(request_.caller_));
+        tried_ =
+            targets_without_share(*route_, request_.caller_, row_->limit_of(request_.caller_));
         remove_system_headers(request_.head_.headers_);
     }
 
@@ -100,7 +103,9 @@
 
     void attempt()
     {
-        const auto* target = choose_target(*route_, excluded(), environment_.random_);
+        const auto* target =
+            choose_near_target(*route_, environment_.node_.preferred_zone(), excluded(),
+                               environment_.random_);
         if (target == nullptr) {
             refuse(make_refusal(refusal_reason::no_target));
             return;
@@ -109,7 +114,7 @@
         request_.target_ = target->record_.target_;
         health_ = target->health_;
         tried_.push_back(request_.target_);
-        set_travelling_headers();
+        set_travelling_terms();
         const auto address = parse_peer_address(target->record_.node_address_);
         auto hooks = make_exchange_hooks(number);
         controls_ = {};
@@ -138,16 +143,18 @@
         }
     }
 
-    // What the target passes on when it makes calls of its own.
-    void set_travelling_headers()
+    void set_travelling_terms()
     {
         request_.time_left_ =
             std::chrono::milliseconds(std::max<std::int64_t>(to_milliseconds(time_left()), 0));
-        set_header(request_.head_.headers_, deadline_header,
-                   std::to_string(request_.time_left_.count()));
-        if (attempts_ > 1) {
-            set_header(request_.head_.headers_, retry_mark_header, "1");
-        }
+        const auto patience = is_untried_left() ? patience_with_others : patience_at_last;
+        request_.patience_ = row_->target_latency_ / patience;
+        request_.is_retry_ = marked_ || attempts_ > 1;
+    }
+
+    [[nodiscard]] auto is_untried_left() const -> bool
+    {
+        return tried_.size() < route_->targets_.size();
     }
 
     /** The targets tried or without a share, and those that fail unless these are all the rest. */
@@ -194,6 +201,8 @@
             return;
         }
         ran_ = ran_ || refusal.outcome_ != request_outcome::not_run;
+        reached_ += refusal.reached_target_ ? 1 : 0;
+        drop_held_answer();
         const bool has_failed = refusal.reason_ == refusal_reason::target_unreachable ||
                                 refusal.reason_ == refusal_reason::target_failed;
         if (has_failed && health_) {
@@ -212,20 +221,24 @@
         }
         state().count_no_retry(decision);
         // An earlier attempt may have run, whatever is known of the last one.
-        const bool is_in_doubt = ran_ && refusal.outcome_ == request_outcome::not_run;
-        refuse({refusal.reason_, is_in_doubt ? request_outcome::unknown : refusal.outcome_});
+        auto last = refusal;
+        if (ran_ && last.outcome_ == request_outcome::not_run) {
+            last.outcome_ = request_outcome::unknown;
+        }
+        refuse(last);
     }
 
     [[nodiscard]] auto question_of(const refusal& refusal) const -> retry_question
     {
         return {.reason_ = refusal.reason_,
                 .outcome_ = refusal.outcome_,
-                .repeatable_ = route_->row_->repeatable_,
+                .repeatable_ = row_->repeatable_,
                 .replayable_ = !replay_lost_,
-                .untried_ = tried_.size() < route_->targets_.size(),
+                .untried_ = is_untried_left(),
                 .marked_ = marked_,
-                .attempts_ = attempts_,
-                .retries_ = route_->row_->retries_,
+                .reached_target_ = refusal.reached_target_,
+                .attempts_ = refusal.reached_target_ ? reached_ : attempts_,
+                .retries_ = row_->retries_,
                 .time_left_ = time_left()};
     }
 
@@ -235,20 +248,46 @@
         if (ended_ || !connection) {
             return;
         }
-        responded_ = true;
         if (health_) {
             health_->on_answer();
         }
-        remove_system_headers(head.headers_);
+        environment_.node_.dialect().clean_answer_(head.headers_);
+        const bool is_short =
+            !head.has_body_ || head.content_length_.value_or(UINT64_MAX) <= max_held_answer_bytes;
+        if (is_short) {
+            held_answer_ = std::move(head);
+            return;
+        }
+        responded_ = true;
         connection->respond(std::move(head));
     }
 
+    // An answer is held until it is whole, so that one that breaks off can be tried for again.
+    void drop_held_answer()
+    {
+        held_answer_.reset();
+        held_body_.clear();
+    }
+
+    void send_held_answer(http1_server_connection& connection)
+    {
+        if (held_answer_) {
+            responded_ = true;
+            connection.respond(std::move(*held_answer_));
+            connection.write(held_body_);
+        }
+    }
+
     void on_response_body(std::string_view bytes)
     {
         const auto connection = connection_.lock();
         if (ended_ || !connection) {
             return;
         }
+        if (held_answer_) {
+            held_body_ += bytes;
+            return;
+        }
         connection->write(bytes);
         if (connection->queued_bytes() > high_water_bytes && controls_.pause_) {
             controls_.pause_(true);
@@ -263,6 +302,7 @@
         end();
         state().record_call(monotonic_now() - started_);
         if (const auto connection = connection_.lock()) {
+            send_held_answer(*connection);
             connection->finish();
         }
     }
@@ -272,6 +312,10 @@
         if (ended_) {
             return;
         }
+        if (!responded_) {
+            on_refused(attempts_, make_refusal(refusal_reason::target_failed));
+            return;
+        }
         end();
         state().count_refusal(refusal_reason::target_failed);
         if (const auto connection = connection_.lock()) {
@@ -351,7 +395,7 @@
         end();
         state().count_refusal(refusal.reason_);
         if (const auto connection = connection_.lock()) {
-            answer_refusal(*connection, refusal, request_.service_);
+            answer_refusal(*connection, environment_.node_.dialect(), refusal, request_.service_);
         }
     }
 
@@ -372,13 +416,17 @@
     bool marked_ = false;                       ///< The call belongs to a retried call.
     exchange_request request_;
     std::shared_ptr<const route_table> routes_;
-    const service_route* route_ = nullptr;
+    const row* row_ = nullptr;
+    const service_route* route_ = nullptr; ///< The targets of the service that takes the call.
     std::shared_ptr<target_health> health_; ///< Of the target being tried.
     exchange_controls controls_;
     std::vector<std::string> tried_;
     std::string replay_;
     QTimer deadline_;
+    std::optional<message_head> held_answer_;
+    std::string held_body_;
     unsigned attempts_ = 0;
+    unsigned reached_ = 0; ///< Attempts that a target had, or may have had.
     unsigned crashes_ = 0; ///< Attempts that broke at the target.
     bool replay_lost_ = false;
     bool body_ended_ = false;
--- a/libs/request_path/exchange.h
+++ b/libs/request_path/exchange.h
@@ -24,18 +24,26 @@
     std::string target_;
     std::string caller_;
     std::chrono::milliseconds time_left_{0}; ///< Until the call's deadline.
+    std::chrono::milliseconds patience_{0};  ///< The longest wait for a slot of the target.
+    std::uint32_t priority_ = 0;             ///< 0 gets the next free slot.
+    bool repeatable_ = false;                ///< It may run twice.
+    bool is_retry_ = false;                  ///< It is a further attempt, or belongs to one.
 };
 
 /** A refusal and what is known of the request. */
 struct refusal {
     refusal_reason reason_ = refusal_reason::no_target;
     request_outcome outcome_ = request_outcome::unknown;
+    bool reached_target_ = false; ///< The target itself had the request, or may have had it.
+    /** When another try makes sense; zero: as the reason says. */
+    std::chrono::milliseconds retry_after_{0};
 };
 
 /** Returns a refusal with the outcome that \p reason usually has. */
 [[nodiscard]] inline auto make_refusal(refusal_reason reason) -> refusal
 {
-    return {reason, describe(reason).outcome_};
+    const auto outcome = describe(reason).outcome_;
+    return {reason, outcome, outcome != request_outcome::not_run, {}};
 }
 
 /** What the starter of an exchange hears. */
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -15,14 +15,9 @@
 /** A target may take at least this long after its caller has gone. */
 constexpr std::chrono::milliseconds detached_time{10'000};
 
-/** The part of a caller's limits that falls to one target. A target that is new to this node's
- * routes grants as if it were one more alike. */
-auto share_of(const service_route& route, const exchange_request& request) -> limit_share
+auto share_of_target(const service_route& route, const exchange_request& request,
+                     const caller_limit& limit) -> limit_share
 {
-    const auto& limit = route.row_->limit_of(request.caller_);
-    if (!is_limited(limit)) {
-        return {};
-    }
     const auto shares = share_limit(route, request.caller_, limit);
     for (std::size_t index = 0; index < shares.size(); ++index) {
         if (route.targets_[index].record_.target_ == request.target_) {
@@ -33,51 +28,53 @@
     return {true, limit.requests_per_second_ / parts, 1, limit.concurrency_ == 0 ? 0U : 1U};
 }
 
+/** The part of a caller's limits that falls to one target. A target that is new to this node's
+ * routes grants as if it were one more alike. A row that this node does not know, or knows
+ * otherwise than the caller's node, limits nothing: the two enforce different versions for a
+ * moment. */
+auto share_of(const service_route* route, const exchange_request& request) -> limit_share
+{
+    const bool is_known = route != nullptr && leads_to(*route, request.service_);
+    const auto limit = is_known ? route->row_->limit_of(request.caller_) : caller_limit();
+    if (!is_limited(limit)) {
+        return {};
+    }
+    return share_of_target(*route, request, limit);
+}
 /** One exchange; kept alive by the connection's hooks and the controls. */
 class local_exchange : public std::enable_shared_from_this<local_exchange> {
   public:
-    local_exchange(target_connections& connections, exchange_hooks hooks)
-        : connections_(connections), hooks_(std::move(hooks))
+    local_exchange(node_state& node, target_connections& connections, exchange_request request,
+                   exchange_hooks hooks)
+        : node_(node), connections_(connections), request_(std::move(request)),
+          hooks_(std::move(hooks)), started_(monotonic_now())
     {
     }
 
-    void start(node_state& node, const exchange_request& request)
+    void start()
     {
-        const auto targets = node.targets();
-        const auto target = std::ranges::find_if(*targets, [&request](const auto& one) {
-            return one.service_ == request.service_ && one.target_ == request.target_;
+        const auto targets = node_.targets();
+        const auto target = std::ranges::find_if(*targets, [this](const auto& one) {
+            return one.service_ == request_.service_ && one.target_ == request_.target_;
         });
         if (target == targets->end()) {
             refuse(make_refusal(refusal_reason::no_target));
             return;
         }
-        const auto routes = node.routes();
-        const auto* route = routes->match(request.head_.path_);
-        if (route == nullptr || route->row_->service_ != request.service_) {
-            refuse(make_refusal(routes->table_in_force() ? refusal_reason::no_route
-                                                         : refusal_reason::table_not_proved));
-            return;
-        }
-        auto decision =
-            target->admission_->admit(request.caller_, share_of(*route, request), monotonic_now());
-        if (decision.refusal_) {
-            refuse(make_refusal(*decision.refusal_));
+        const auto routes = node_.routes();
+        if (!routes->table_in_force()) {
+            refuse(make_refusal(refusal_reason::table_not_proved));
             return;
         }
+        const auto terms = node_.dialect().read_terms_(request_.head_);
+        share_ = share_of(routes->match(request_.head_.path_, terms.host_), request_);
         admission_ = target->admission_;
-        ticket_ = std::move(decision.ticket_);
         address_ = target->address_;
-        is_repeatable_ = route->row_->repeatable_;
-        head_ = request.head_;
-        time_left_ = request.time_left_;
-        guard_.emplace(node.crashes(), node.crash_news(), request);
-        if (guard_->needs_body()) {
-            held_ = [self = shared_from_this(), &node, request] {
-                self->proceed(node, request);
-            };
+        if (const auto refusal = try_to_admit()) {
+            wait_or_refuse(*refusal);
             return;
         }
-        proceed(node, request);
+        on_admitted();
     }
 
     auto controls() -> exchange_controls
@@ -97,33 +94,119 @@
     }
 
   private:
-    void proceed(node_state& node, const exchange_request& request)
+    /** Takes a slot, or returns why there is none. */
+    auto try_to_admit() -> std::optional<refusal_reason>
     {
-        if (guard_->is_refused()) {
+        auto decision = admission_->admit(request_.caller_, share_, monotonic_now());
+        ticket_ = std::move(decision.ticket_);
+        return decision.refusal_;
+    }
+
+    [[nodiscard]] auto line() -> waiting_line& { return connections_.line_of(address_); }
+
+    [[nodiscard]] auto time_left() const -> duration
+    {
+        return request_.time_left_ - (monotonic_now() - started_);
+    }
+
+    /** Only a slot is worth waiting for, and only as long as the request is worth it. */
+    void wait_or_refuse(refusal_reason reason)
+    {
+        const auto wait = line().expected_wait(request_.priority_, admission_->slots());
+        if (reason != refusal_reason::target_full || wait >= request_.patience_) {
+            refuse_not_run(reason, wait);
+            return;
+        }
+        const auto self = shared_from_this();
+        place_ = line().join(request_.priority_, [self] { return self->on_turn(); });
+        patience_timer_.setSingleShot(true);
+        QObject::connect(&patience_timer_, &QTimer::timeout, &patience_timer_, [self] {
+            self->leave_line();
+            self->refuse_not_run(refusal_reason::target_full,
+                                 self->line().expected_wait(self->request_.priority_,
+                                                            self->admission_->slots()));
+        });
+        patience_timer_.start(request_.patience_);
+    }
+
+    /** Called by the line when a slot may be free. */
+    auto on_turn() -> bool
+    {
+        const auto refusal = try_to_admit();
+        if (refusal == refusal_reason::target_full) {
+            return false;
+        }
+        const auto self = shared_from_this(); // the line lets go of this
+        leave_line();
+        if (refusal) {
+            refuse_not_run(*refusal, {});
+        }
+        else {
+            on_admitted();
+        }
+        return true;
+    }
+
+    void leave_line()
+    {
+        patience_timer_.stop();
+        patience_timer_.disconnect();
+        if (const auto place = std::exchange(place_, std::nullopt)) {
+            line().leave(*place);
+        }
+    }
+
+    void release_slot()
+    {
+        if (admission_) {
             ticket_ = admission_ticket();
+            line().on_slot_free();
+        }
+    }
+
+    void on_admitted()
+    {
+        if (time_left() <= duration(0)) {
+            release_slot();
+            refuse_not_run(refusal_reason::deadline_passed, {});
+            return;
+        }
+        guard_.emplace(node_.crashes(), node_.crash_news(), request_);
+        guard_->on_body(early_body_);
+        if (guard_->needs_body() && !body_ended_ && !guard_->is_decided()) {
+            is_held_ = true;
+            return;
+        }
+        proceed();
+    }
+
+    void proceed()
+    {
+        if (guard_->is_refused()) {
+            release_slot();
             refuse(make_refusal(refusal_reason::request_crashes_targets));
             return;
         }
-        const auto key = find_header(head_.headers_, idempotency_key_header);
-        if (is_repeatable_ || key.empty()) {
+        const auto key = find_header(request_.head_.headers_, idempotency_key_header);
+        if (request_.repeatable_ || key.empty()) {
             send();
         }
         else {
-            reserve(node, request);
+            reserve();
         }
     }
 
     /** Lets a held request go on once its body tells which one it is. */
     void let_go()
     {
-        if (const auto go_on = std::exchange(held_, nullptr)) {
-            go_on();
+        if (std::exchange(is_held_, false)) {
+            proceed();
         }
     }
 
-    void reserve(node_state& node, const exchange_request& request)
+    void reserve()
     {
-        run_ = std::make_unique<unrepeatable_run>(node.runs(), connections_.runs(), request);
+        run_ = std::make_unique<unrepeatable_run>(node_.runs(), connections_.runs(), request_);
         const auto self = shared_from_this();
         run_->reserve([self](const run_result& result) { self->on_reserved(result); });
     }
@@ -134,7 +217,7 @@
             send();
             return;
         }
-        ticket_ = admission_ticket();
+        release_slot();
         const auto answer = decode_answer(result.outcome_);
         if (const auto reason = refusal_of(result.verdict_)) {
             refuse(make_refusal(*reason));
@@ -159,13 +242,19 @@
 
     void send()
     {
-        connection_ = connections_.take(address_, !is_repeatable_);
+        sent_at_ = monotonic_now();
+        connection_ = connections_.take(address_, !request_.repeatable_);
         const auto connection = connection_; // a failure at once resets the member
-        connection->start(head_, make_hooks());
+        request_.time_left_ =
+            std::chrono::milliseconds(std::max<std::int64_t>(to_milliseconds(time_left()), 1));
+        started_ = sent_at_;
+        auto head = request_.head_;
+        node_.dialect().address_target_(head.headers_, request_);
+        connection->start(std::move(head), make_hooks());
         if (connection_ && !early_body_.empty()) {
             connection_->write(std::exchange(early_body_, {}));
         }
-        if (connection_ && body_ended_ && head_.has_body_) {
+        if (connection_ && body_ended_ && request_.head_.has_body_) {
             connection_->finish();
         }
     }
@@ -178,10 +267,10 @@
         if (connection_) {
             connection_->write(bytes);
         }
-        else if (run_ || held_) {
-            early_body_ += bytes; // until the request is known, or its reservation granted
+        else if (!ended_) {
+            early_body_ += bytes; // until a slot is free, the request known, the run granted
         }
-        if (held_ && guard_->is_decided()) {
+        if (is_held_ && guard_->is_decided()) {
             let_go();
         }
     }
@@ -205,27 +294,19 @@
         const auto self = shared_from_this();
         client_exchange_hooks hooks;
         hooks.on_response_ = [self](message_head head) {
-            self->responded_ = true;
-            self->guard_->on_answered();
-            if (self->run_) {
-                self->run_->on_response(head);
-            }
-            self->hooks_.on_response_(std::move(head));
+            self->on_response(std::move(head));
         };
         hooks.on_body_ = [self](std::string_view bytes) {
+            if (self->is_rejected_) {
+                return;
+            }
             if (self->run_) {
                 self->run_->on_body(bytes);
             }
             self->hooks_.on_body_(bytes);
         };
         hooks.on_end_ = [self] {
-            auto connection = std::move(self->connection_);
-            self->ticket_ = admission_ticket();
-            if (self->run_) {
-                self->run_->finish();
-            }
-            self->connections_.give_back(self->address_, std::move(connection));
-            self->hooks_.on_end_();
+            self->on_end();
         };
         hooks.on_failed_ = [self](exchange_failure failure) {
             self->on_failed(failure);
@@ -238,10 +319,60 @@
         return hooks;
     }
 
+    void on_response(message_head head)
+    {
+        const auto verdict = node_.dialect().judge_answer_(request_, head);
+        if (verdict == answer_verdict::foreign) {
+            connection_->cancel();
+            on_failed(exchange_failure::malformed);
+            return;
+        }
+        is_rejected_ = verdict == answer_verdict::not_run;
+        if (is_rejected_) {
+            return; // the rest of it is of no interest
+        }
+        responded_ = true;
+        guard_->on_answered();
+        if (run_) {
+            run_->on_response(head);
+        }
+        hooks_.on_response_(std::move(head));
+    }
+
+    void on_end()
+    {
+        connections_.give_back(address_, std::move(connection_));
+        if (is_rejected_) {
+            on_rejected();
+            return;
+        }
+        line().note_service_time(monotonic_now() - sent_at_);
+        release_slot();
+        if (run_) {
+            run_->finish();
+        }
+        ended_ = true;
+        hooks_.on_end_();
+    }
+
+    /** The target says that it has not run the request. */
+    void on_rejected()
+    {
+        release_slot();
+        if (run_) {
+            run_->release();
+        }
+        refuse({refusal_reason::target_full, request_outcome::not_run, true, {}});
+    }
+
     void on_failed(exchange_failure failure)
     {
         connection_.reset();
-        ticket_ = admission_ticket();
+        if (is_rejected_) {
+            on_rejected();
+            return;
+        }
+        release_slot();
         const bool was_sent = failure != exchange_failure::not_sent;
         const bool has_broken =
             failure == exchange_failure::broken || failure == exchange_failure::cut_short;
@@ -255,6 +386,7 @@
             run_->release();
         }
         if (responded_) {
+            ended_ = true;
             hooks_.on_broken_();
         }
         else {
@@ -263,21 +395,33 @@
         }
     }
 
-    void refuse(const refusal& refusal) { hooks_.on_refused_(refusal); }
+    void refuse(const refusal& refusal)
+    {
+        ended_ = true;
+        hooks_.on_refused_(refusal);
+    }
+
+    void refuse_not_run(refusal_reason reason, duration retry_after)
+    {
+        refuse({reason, request_outcome::not_run, false,
+                std::chrono::duration_cast<std::chrono::milliseconds>(retry_after)});
+    }
 
     void cancel()
     {
-        if (run_ && connection_ && (body_ended_ || !head_.has_body_)) {
+        if (run_ && connection_ && (body_ended_ || !request_.head_.has_body_)) {
             detach();
             return;
         }
+        ended_ = true;
+        leave_line();
         run_.reset();
-        held_ = nullptr;
+        is_held_ = false;
         if (connection_) {
             connection_->cancel();
             connection_.reset();
         }
-        ticket_ = admission_ticket();
+        release_slot();
     }
 
     // The caller has gone, but the target has the whole request: its outcome is kept for the
@@ -297,7 +441,8 @@
         hooks_.on_writable_ = nullptr;
         connection_->pause_reading(false);
         const auto self = shared_from_this();
-        QTimer::singleShot(std::max(time_left_, detached_time), [self] { self->abandon(); });
+        QTimer::singleShot(std::max(request_.time_left_, detached_time),
+                           [self] { self->abandon(); });
     }
 
     void abandon()
@@ -306,24 +451,30 @@
         if (const auto connection = std::exchange(connection_, nullptr)) {
             connection->cancel();
         }
-        ticket_ = admission_ticket();
+        release_slot();
     }
 
+    node_state& node_;
     target_connections& connections_;
+    exchange_request request_;
     exchange_hooks hooks_;
+    instant started_; ///< Since when time_left_ runs.
+    instant sent_at_{};
+    limit_share share_;
     std::shared_ptr<admission> admission_; ///< Outlives the ticket.
     admission_ticket ticket_;
     peer_address address_;
     std::shared_ptr<http1_client_connection> connection_;
-    message_head head_;
-    std::chrono::milliseconds time_left_{0};
+    std::optional<line_place> place_; ///< Set while it waits for a slot.
+    QTimer patience_timer_;
     std::optional<crash_guard> guard_;
-    std::function<void()> held_;            ///< Goes on once the request is known.
     std::unique_ptr<unrepeatable_run> run_; ///< Unrepeatable requests with an idempotency key.
-    std::string early_body_;                ///< Arrived before the reservation was granted.
-    bool is_repeatable_ = false;
+    std::string early_body_;                ///< Arrived before the request could be sent.
+    bool is_held_ = false;                  ///< Until its body tells which request it is.
+    bool is_rejected_ = false;              ///< The target says that it does not run it.
     bool body_ended_ = false;
     bool responded_ = false;
+    bool ended_ = false;
 };
 
 } // namespace
@@ -332,8 +483,9 @@
                           const exchange_request& request, exchange_hooks hooks)
     -> exchange_controls
 {
-    const auto exchange = std::make_shared<local_exchange>(connections, std::move(hooks));
-    exchange->start(node, request);
+    const auto exchange =
+        std::make_shared<local_exchange>(node, connections, request, std::move(hooks));
+    exchange->start();
     return exchange->controls();
 }
 
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -17,6 +17,7 @@
 #include "observability/metrics.h"
 #include "policy/admission.h"
 #include "policy/route_table.h"
+#include "request_path/call_dialect.h"
 #include "request_path/crash_guard.h"
 #include "request_path/run_gateway.h"
 #include "transport/peer_connection.h"
@@ -67,6 +68,15 @@
     /** Returns the state of calls that match no service. */
     [[nodiscard]] auto unrouted() -> service_state& { return *unrouted_; }
 
+    /** How callers and targets speak of what concerns the system; set before the workers start. */
+    void set_dialect(call_dialect dialect) { dialect_ = std::move(dialect); }
+    [[nodiscard]] auto dialect() const -> const call_dialect& { return dialect_; }
+
+    /** Targets in this zone are chosen before others; empty: all alike. Set before the workers start.
+     */
+    void prefer_zone(std::string zone) { preferred_zone_ = std::move(zone); }
+    [[nodiscard]] auto preferred_zone() const -> const std::string& { return preferred_zone_; }
+
     /** The way to the record of unrepeatable requests; set before the workers start. */
     void set_run_port(run_port port) { run_port_ = std::move(port); }
     [[nodiscard]] auto runs() const -> const run_port& { return run_port_; }
@@ -98,6 +108,8 @@
     rcu_cell<local_targets> targets_;
     service_states states_;
     std::shared_ptr<service_state> unrouted_;
+    call_dialect dialect_ = own_dialect();
+    std::string preferred_zone_;
     run_port run_port_;
     crash_port crash_port_;
     rcu_cell<crash_view> crashes_{std::make_shared<const crash_view>()};
--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -84,21 +84,43 @@
         const auto self = std::make_shared<std::weak_ptr<http1_server_connection>>();
         server_connection_hooks hooks;
         hooks.on_request_ = [this, self](message_head head) {
-            return start_caller_call(environment_, self->lock(), std::move(head));
+            const auto connection = self->lock();
+            connection->set_limits(caller_limits());
+            return start_caller_call(environment_, connection, std::move(head));
         };
         hooks.on_bad_request_ = [this, self](http1_problem problem) {
             const auto refusal = make_refusal(reason_of(problem));
             node_.unrouted().count_refusal(refusal.reason_);
-            answer_refusal(*self->lock(), refusal, "");
+            answer_refusal(*self->lock(), node_.dialect(), refusal, "");
         };
         hooks.on_closed_ = [this, self] {
             caller_connections_.erase(self->lock());
         };
-        auto connection = http1_server_connection::create(std::move(socket), {}, std::move(hooks));
+        auto connection =
+            http1_server_connection::create(std::move(socket), caller_limits(), std::move(hooks));
         *self = connection;
         caller_connections_.insert(std::move(connection));
     }
 
+    /** Returns the bounds of the table in force, where it has any, on callers' connections. */
+    [[nodiscard]] auto caller_limits() const -> http1_limits
+    {
+        http1_limits limits;
+        const auto table = node_.routes()->table_in_force();
+        if (!table) {
+            return limits;
+        }
+        const auto& bounds = table->bounds_;
+        const auto unless_zero = [](auto wanted, auto usual) {
+            return wanted == decltype(wanted)() ? usual : wanted;
+        };
+        limits.header_bytes_ = unless_zero(bounds.header_bytes_, limits.header_bytes_);
+        limits.body_bytes_ = unless_zero(bounds.body_bytes_, limits.body_bytes_);
+        limits.header_timeout_ = unless_zero(bounds.header_timeout_, limits.header_timeout_);
+        limits.idle_timeout_ = unless_zero(bounds.idle_timeout_, limits.idle_timeout_);
+        return limits;
+    }
+
     void accept_peer(std::unique_ptr<QTcpSocket> socket)
     {
         const auto self = std::make_shared<std::weak_ptr<h2_connection>>();
--- /dev/null
+++ b/libs/request_path/own_dialect.cpp
@@ -0,0 +1,57 @@
+#include <charconv>
+
+#include "request_path/call_dialect.h"
+#include "request_path/peer_headers.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+constexpr std::string_view default_caller = "anonymous";
+
+auto parse_milliseconds(std::string_view text) -> std::optional<std::chrono::milliseconds>
+{
+    std::int64_t value = 0;
+    const auto [stop, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || problem != std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(value);
+}
+
+auto read_terms(const message_head& request) -> call_terms
+{
+    const auto caller = find_header(request.headers_, caller_header);
+    return {std::string(find_header(request.headers_, "host")),
+            std::string(caller.empty() ? default_caller : caller),
+            parse_milliseconds(find_header(request.headers_, deadline_header)),
+            !find_header(request.headers_, retry_mark_header).empty()};
+}
+
+// What the target passes on when it makes calls of its own.
+void address_target(header_list& fields, const exchange_request& request)
+{
+    set_header(fields, deadline_header, std::to_string(request.time_left_.count()));
+    if (request.is_retry_) {
+        set_header(fields, retry_mark_header, "1");
+    }
+}
+
+void mark_refusal(message_head& answer, const refusal& refusal)
+{
+    answer.headers_.push_back(
+        {std::string(refusal_header), std::string(name_of(refusal.reason_))});
+    answer.headers_.push_back(
+        {std::string(outcome_header), std::string(name_of(refusal.outcome_))});
+}
+
+} // namespace
+
+auto own_dialect() -> call_dialect
+{
+    return {read_terms, address_target,
+            [](const exchange_request&, const message_head&) { return answer_verdict::genuine; },
+            remove_system_headers, mark_refusal};
+}
+
+} // namespace sycamorewinch
--- a/libs/request_path/peer_exchange.cpp
+++ b/libs/request_path/peer_exchange.cpp
@@ -179,9 +179,8 @@
         if (ended_) {
             return;
         }
-        const auto reason = parse_refusal_reason(find_header(headers, refusal_header));
-        if (reason) {
-            end_with({*reason, parse_request_outcome(find_header(headers, outcome_header))});
+        if (const auto refusal = from_peer_refusal(headers)) {
+            end_with(*refusal);
             return;
         }
         responded_ = true;
@@ -224,7 +223,7 @@
         }
         if (!responded_) {
             // The other node may have given the request to its target before it was lost.
-            end_with({refusal_reason::target_failed, request_outcome::unknown});
+            end_with(make_refusal(refusal_reason::target_failed));
             return;
         }
         ended_ = true;
--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -10,6 +10,12 @@
 constexpr std::string_view target_header = "sycamorewinch-target";
 constexpr std::string_view peer_caller_header = "sycamorewinch-peer-caller";
 constexpr std::string_view time_left_header = "sycamorewinch-time-left-ms";
+constexpr std::string_view patience_header = "sycamorewinch-patience-ms";
+constexpr std::string_view priority_header = "sycamorewinch-priority";
+constexpr std::string_view repeatable_header = "sycamorewinch-repeatable";
+constexpr std::string_view peer_retry_header = "sycamorewinch-peer-retry";
+constexpr std::string_view reached_header = "sycamorewinch-reached-target";
+constexpr std::string_view retry_after_header = "sycamorewinch-retry-after-ms";
 
 auto parse_count(std::string_view text) -> std::optional<std::uint64_t>
 {
@@ -58,6 +64,14 @@
     put(headers, target_header, request.target_);
     put(headers, peer_caller_header, request.caller_);
     put(headers, time_left_header, std::to_string(request.time_left_.count()));
+    put(headers, patience_header, std::to_string(request.patience_.count()));
+    put(headers, priority_header, std::to_string(request.priority_));
+    if (request.repeatable_) {
+        put(headers, repeatable_header, "1");
+    }
+    if (request.is_retry_) {
+        put(headers, peer_retry_header, "1");
+    }
     return headers;
 }
 
@@ -71,10 +85,18 @@
     request.service_ = find_header(headers, service_header);
     request.target_ = find_header(headers, target_header);
     request.caller_ = find_header(headers, peer_caller_header);
-    const auto time_left = parse_count(find_header(headers, time_left_header)).value_or(0);
-    request.time_left_ = std::chrono::milliseconds(time_left);
+    const auto count_of = [&headers](std::string_view name) {
+        return parse_count(find_header(headers, name)).value_or(0);
+    };
+    request.time_left_ = std::chrono::milliseconds(count_of(time_left_header));
+    request.patience_ = std::chrono::milliseconds(count_of(patience_header));
+    request.priority_ = static_cast<std::uint32_t>(count_of(priority_header));
+    request.repeatable_ = !find_header(headers, repeatable_header).empty();
+    request.is_retry_ = !find_header(headers, peer_retry_header).empty();
     request.head_.headers_ = ordinary_fields(headers);
-    for (const auto name : {service_header, target_header, peer_caller_header, time_left_header}) {
+    for (const auto name :
+         {service_header, target_header, peer_caller_header, time_left_header, patience_header,
+          priority_header, repeatable_header, peer_retry_header}) {
         remove_header(request.head_.headers_, name);
     }
     return request;
@@ -97,7 +119,21 @@
 {
     return {{":status", std::to_string(describe(refusal.reason_).status_)},
             {std::string(refusal_header), std::string(name_of(refusal.reason_))},
-            {std::string(outcome_header), std::string(name_of(refusal.outcome_))}};
+            {std::string(outcome_header), std::string(name_of(refusal.outcome_))},
+            {std::string(reached_header), refusal.reached_target_ ? "1" : "0"},
+            {std::string(retry_after_header), std::to_string(refusal.retry_after_.count())}};
+}
+
+auto from_peer_refusal(const header_list& headers) -> std::optional<refusal>
+{
+    const auto reason = parse_refusal_reason(find_header(headers, refusal_header));
+    if (!reason) {
+        return std::nullopt;
+    }
+    const auto retry_after = parse_count(find_header(headers, retry_after_header)).value_or(0);
+    return refusal{*reason, parse_request_outcome(find_header(headers, outcome_header)),
+                   find_header(headers, reached_header) != "0",
+                   std::chrono::milliseconds(retry_after)};
 }
 
 auto from_peer_response(const header_list& headers, bool last) -> message_head
--- a/libs/request_path/peer_headers.h
+++ b/libs/request_path/peer_headers.h
@@ -3,6 +3,8 @@
  */
 #pragma once
 
+#include <optional>
+
 #include "request_path/exchange.h"
 #include "transport/header_list.h"
 
@@ -29,6 +31,8 @@
 [[nodiscard]] auto to_peer_response(const message_head& head) -> header_list;
 /** Returns the fields of a refusal. */
 [[nodiscard]] auto to_peer_refusal(const refusal& refusal) -> header_list;
+/** Reads a refusal back; nothing when the fields are those of an answer. */
+[[nodiscard]] auto from_peer_refusal(const header_list& headers) -> std::optional<refusal>;
 /** Reads an answer back. */
 [[nodiscard]] auto from_peer_response(const header_list& headers, bool last) -> message_head;
 
--- a/libs/request_path/refusal_answer.cpp
+++ b/libs/request_path/refusal_answer.cpp
@@ -2,26 +2,49 @@
 
 #include <fmt/core.h>
 
-#include "request_path/peer_headers.h"
-
 namespace sycamorewinch {
 
-void answer_refusal(http1_server_connection& connection, const refusal& refusal,
-                    std::string_view service)
+namespace {
+
+constexpr unsigned too_many_requests_status = 429;
+constexpr unsigned bad_gateway_status = 502;
+constexpr unsigned unavailable_status = 503;
+
+/** Returns how long to wait before another try, in seconds; empty: it would be of no use. */
+auto retry_after_of(const refusal& refusal) -> std::string
+{
+    constexpr double milliseconds_in_second = 1000;
+    const auto usual = describe(refusal.reason_).retry_after_seconds_;
+    if (refusal.retry_after_.count() > 0) {
+        const auto milliseconds = static_cast<double>(refusal.retry_after_.count());
+        return fmt::format("{:.3f}", milliseconds / milliseconds_in_second);
+    }
+    return usual > 0 ? std::to_string(usual) : std::string();
+}
+
+} // namespace
+
+auto status_of(const refusal& refusal) -> unsigned
+{
+    const auto usual = describe(refusal.reason_).status_;
+    const bool promises = usual == too_many_requests_status || usual == unavailable_status;
+    return promises && refusal.outcome_ != request_outcome::not_run ? bad_gateway_status : usual;
+}
+
+void answer_refusal(http1_server_connection& connection, const call_dialect& dialect,
+                    const refusal& refusal, std::string_view service)
 {
-    const auto& description = describe(refusal.reason_);
     const auto body = fmt::format(R"({{"refusal":"{}","outcome":"{}","service":"{}"}})"
                                   "\n",
-                                  description.name_, name_of(refusal.outcome_), service);
+                                  name_of(refusal.reason_), name_of(refusal.outcome_), service);
     message_head head;
-    head.status_ = description.status_;
+    head.status_ = status_of(refusal);
     head.has_body_ = true;
     head.content_length_ = body.size();
-    head.headers_ = {{"content-type", "application/json"},
-                     {std::string(refusal_header), std::string(description.name_)},
-                     {std::string(outcome_header), std::string(name_of(refusal.outcome_))}};
-    if (description.retry_after_seconds_ > 0) {
-        head.headers_.push_back({"retry-after", std::to_string(description.retry_after_seconds_)});
+    head.headers_ = {{"content-type", "application/json"}};
+    dialect.mark_refusal_(head, refusal);
+    if (const auto retry_after = retry_after_of(refusal); !retry_after.empty()) {
+        head.headers_.push_back({"retry-after", retry_after});
     }
     connection.respond(std::move(head));
     connection.write(body);
--- a/libs/request_path/refusal_answer.h
+++ b/libs/request_path/refusal_answer.h
@@ -6,12 +6,16 @@
 #include <string_view>
 
 #include "http1/http1_server_connection.h"
-#include "request_path/exchange.h"
+#include "request_path/call_dialect.h"
 
 namespace sycamorewinch {
 
+/** Returns the HTTP status for \p refusal. One that promises that the request has not run is only
+ * used where that is known. */
+[[nodiscard]] auto status_of(const refusal& refusal) -> unsigned;
+
 /** Answers the current request of \p connection with a refusal. */
-void answer_refusal(http1_server_connection& connection, const refusal& refusal,
-                    std::string_view service);
+void answer_refusal(http1_server_connection& connection, const call_dialect& dialect,
+                    const refusal& refusal, std::string_view service);
 
 } // namespace sycamorewinch
--- a/libs/request_path/target_connections.cpp
+++ b/libs/request_path/target_connections.cpp
@@ -1,5 +1,7 @@
 #include "request_path/target_connections.h"
 
+#include <algorithm>
+
 namespace sycamorewinch {
 
 namespace {
@@ -7,6 +9,15 @@
 constexpr std::chrono::milliseconds longest_idle{30'000};
 constexpr std::chrono::milliseconds longest_idle_unrepeatable{500};
 constexpr std::size_t max_idle_per_target = 32;
+/** A request on its way when the target closes an idle connection is lost. */
+constexpr std::chrono::milliseconds close_margin{500};
+
+/** Returns how long \p connection may be idle before its target closes it. */
+auto kept(const http1_client_connection& connection) -> std::chrono::milliseconds
+{
+    const auto stated = connection.keep_alive_time();
+    return stated ? std::chrono::milliseconds(*stated) - close_margin : longest_idle;
+}
 
 } // namespace
 
@@ -18,7 +29,7 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (connection->is_reusable() && connection->idle_time() < limit) {
+        if (connection->is_reusable() && connection->idle_time() < std::min(limit, kept(*connection))) {
             return connection;
         }
     }
--- a/libs/request_path/target_connections.h
+++ b/libs/request_path/target_connections.h
@@ -9,6 +9,7 @@
 
 #include "http1/http1_client_connection.h"
 #include "request_path/run_gateway.h"
+#include "request_path/waiting_line.h"
 #include "transport/peer_connection.h"
 
 namespace sycamorewinch {
@@ -32,6 +33,12 @@
     /** Returns how many connections to \p address wait for reuse. */
     [[nodiscard]] auto idle_count(const peer_address& address) const -> std::size_t;
 
+    /** Returns the line of this thread's requests that wait for the target at \p address. */
+    [[nodiscard]] auto line_of(const peer_address& address) -> waiting_line&
+    {
+        return lines_[address];
+    }
+
     /** Returns this thread's way to the record of unrepeatable requests. */
     [[nodiscard]] auto runs() -> run_gateway& { return runs_; }
 
@@ -40,6 +47,7 @@
 
     http1_client_limits limits_;
     run_gateway runs_;
+    std::map<peer_address, waiting_line> lines_;
     std::map<peer_address, std::vector<std::shared_ptr<http1_client_connection>>> idle_;
 };
 
--- /dev/null
+++ b/libs/request_path/waiting_line.cpp
@@ -0,0 +1,53 @@
+#include "request_path/waiting_line.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamorewinch {
+
+namespace {
+
+/** One part in so many of the average is the latest value. */
+constexpr std::int64_t average_over = 16;
+
+} // namespace
+
+auto waiting_line::expected_wait(std::uint32_t priority, std::uint32_t slots) const -> duration
+{
+    const auto before = std::ranges::count_if(
+        waiting_, [priority](const auto& one) { return one.first.priority_ <= priority; });
+    return service_time_ * (before + 1) / std::max<std::uint32_t>(slots, 1);
+}
+
+auto waiting_line::join(std::uint32_t priority, start_hook start) -> line_place
+{
+    const line_place place{priority, next_arrival_++};
+    waiting_.emplace(place, std::move(start));
+    return place;
+}
+
+void waiting_line::on_slot_free()
+{
+    if (std::exchange(is_serving_, true)) {
+        return; // a request that ended at once while another was being started
+    }
+    while (!waiting_.empty()) {
+        const auto front = waiting_.begin();
+        const auto place = front->first;
+        const auto start = front->second;
+        if (!start()) {
+            break;
+        }
+        waiting_.erase(place);
+    }
+    is_serving_ = false;
+}
+
+void waiting_line::note_service_time(duration taken)
+{
+    service_time_ = service_time_ == duration(0)
+                        ? taken
+                        : service_time_ + (taken - service_time_) / average_over;
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/request_path/waiting_line.h
@@ -0,0 +1,64 @@
+/** \file
+ * The requests of one thread that wait for a free slot of one target.
+ *
+ * The most urgent goes first, and of equally urgent ones the earliest. How long a newcomer would
+ * wait is estimated from the requests before it and the time that the target lately took for one;
+ * whoever would wait longer than its patience is refused at once, so that it may be tried elsewhere
+ * while there is time.
+ *
+ * \code
+ * if (line.has_room_for(priority, patience, slots)) place = line.join(priority, try_to_start);
+ * ...
+ * line.on_slot_free(); // after each request of this thread that ended
+ * \endcode
+ */
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "base/time.h"
+
+namespace sycamorewinch {
+
+/** Where a request stands in a line. */
+struct line_place {
+    std::uint32_t priority_ = 0;
+    std::uint64_t arrival_ = 0;
+
+    [[nodiscard]] auto operator<=>(const line_place&) const = default;
+};
+
+/** One line. For one thread. */
+class waiting_line {
+  public:
+    /** Tries to start a request; returns whether it left the line: it was started or given up. */
+    using start_hook = std::function<bool()>;
+
+    /** Returns the estimated wait of a newcomer with \p priority at a target of \p slots slots. */
+    [[nodiscard]] auto expected_wait(std::uint32_t priority, std::uint32_t slots) const -> duration;
+
+    /** Adds a request. */
+    [[nodiscard]] auto join(std::uint32_t priority, start_hook start) -> line_place;
+    /** Removes a request that is no longer waited for. */
+    void leave(const line_place& place) { waiting_.erase(place); }
+
+    /** A slot may be free: starts those in front until one cannot be started. */
+    void on_slot_free();
+
+    /** Notes how long the target took for one request. */
+    void note_service_time(duration taken);
+    [[nodiscard]] auto service_time() const -> duration { return service_time_; }
+
+    [[nodiscard]] auto size() const -> std::size_t { return waiting_.size(); }
+
+  private:
+    std::map<line_place, start_hook> waiting_;
+    std::uint64_t next_arrival_ = 1;
+    duration service_time_{0}; ///< Moving average.
+    bool is_serving_ = false;
+};
+
+} // namespace sycamorewinch
--- a/libs/table/row.h
+++ b/libs/table/row.h
@@ -40,16 +40,28 @@
     [[nodiscard]] auto operator<=>(const named_limit&) const = default;
 };
 
-/** One service's row. Rows compare by content. */
-struct row {
+/** One service's part of a row's calls, relative to the other parts. */
+struct service_share {
     std::string service_;
-    std::string path_prefix_;             ///< Calls whose path starts with it belong here.
+    std::uint32_t weight_ = 0;
+
+    [[nodiscard]] auto operator<=>(const service_share&) const = default;
+};
+
+/** One row: how calls are routed, shared and limited. Rows compare by content. */
+struct row {
+    std::string service_;     ///< Names the row; its calls go to this service unless split_ is set.
+    std::string host_;        ///< Calls for this host belong here; empty: for any host.
+    std::string path_prefix_; ///< Calls whose path starts with it belong here.
+    std::vector<service_share> split_;    ///< The services that the calls go to, by weight.
     std::vector<traffic_weight> weights_; ///< Empty: every target alike.
     caller_limit default_limit_;
     std::vector<named_limit> named_limits_; ///< Callers that differ from the default.
     std::chrono::milliseconds timeout_{0};
     std::uint32_t retries_ = 0;           ///< Further tries after the first.
     bool repeatable_ = false;             ///< Whether running a request twice does no harm.
+    std::uint32_t priority_ = 0;          ///< 0 is served first when a target is short of room.
+    std::chrono::milliseconds target_latency_{0}; ///< An answer is expected within it; 0: unstated.
     std::vector<std::string> depends_on_; ///< Services its targets call.
 
     [[nodiscard]] auto operator==(const row&) const -> bool = default;
--- a/libs/table/row_codec.cpp
+++ b/libs/table/row_codec.cpp
@@ -4,7 +4,9 @@
 
 namespace {
 
-constexpr std::size_t row_fields = 9;
+constexpr std::size_t row_fields = 13;
+constexpr std::size_t bounds_fields = 4;
+constexpr std::size_t change_fields = 3;
 
 void write_limit(cbor_writer& writer, const caller_limit& limit)
 {
@@ -57,7 +59,11 @@
 
 void write_row(cbor_writer& writer, const row& value)
 {
-    writer.array(row_fields).text(value.service_).text(value.path_prefix_);
+    writer.array(row_fields).text(value.service_).text(value.host_).text(value.path_prefix_);
+    writer.array(value.split_.size());
+    for (const auto& share : value.split_) {
+        writer.array(2).text(share.service_).number(share.weight_);
+    }
     writer.array(value.weights_.size());
     for (const auto& weight : value.weights_) {
         writer.array(3);
@@ -72,7 +78,8 @@
         write_limit(writer, named.limit_);
     }
     writer.number(static_cast<std::uint64_t>(value.timeout_.count()));
-    writer.number(value.retries_).boolean(value.repeatable_);
+    writer.number(value.retries_).boolean(value.repeatable_).number(value.priority_);
+    writer.number(static_cast<std::uint64_t>(value.target_latency_.count()));
     writer.array(value.depends_on_.size());
     for (const auto& service : value.depends_on_) {
         writer.text(service);
@@ -84,7 +91,13 @@
     row value;
     reader.array(row_fields);
     value.service_ = reader.text(max_name_bytes);
+    value.host_ = reader.text(max_path_bytes);
     value.path_prefix_ = reader.text(max_path_bytes);
+    for (auto left = reader.list(max_list_items); left > 0 && reader.good(); --left) {
+        reader.array(2);
+        auto service = reader.text(max_name_bytes);
+        value.split_.push_back({std::move(service), read_number32(reader)});
+    }
     for (auto left = reader.list(max_list_items); left > 0 && reader.good(); --left) {
         value.weights_.push_back(read_weight(reader));
     }
@@ -95,6 +108,8 @@
     value.timeout_ = std::chrono::milliseconds(read_number32(reader));
     value.retries_ = read_number32(reader);
     value.repeatable_ = reader.boolean();
+    value.priority_ = read_number32(reader);
+    value.target_latency_ = std::chrono::milliseconds(read_number32(reader));
     for (auto left = reader.list(max_list_items); left > 0 && reader.good(); --left) {
         value.depends_on_.push_back(reader.text(max_name_bytes));
     }
@@ -108,9 +123,34 @@
     return writer.take();
 }
 
+auto encode_bounds(const connection_bounds& bounds) -> std::string
+{
+    cbor_writer writer;
+    write_bounds(writer, bounds);
+    return writer.take();
+}
+
+void write_bounds(cbor_writer& writer, const connection_bounds& bounds)
+{
+    writer.array(bounds_fields).number(bounds.header_bytes_).number(bounds.body_bytes_);
+    writer.number(static_cast<std::uint64_t>(bounds.header_timeout_.count()));
+    writer.number(static_cast<std::uint64_t>(bounds.idle_timeout_.count()));
+}
+
+auto read_bounds(cbor_reader& reader) -> connection_bounds
+{
+    connection_bounds bounds;
+    reader.array(bounds_fields);
+    bounds.header_bytes_ = read_number32(reader);
+    bounds.body_bytes_ = reader.number();
+    bounds.header_timeout_ = std::chrono::milliseconds(read_number32(reader));
+    bounds.idle_timeout_ = std::chrono::milliseconds(read_number32(reader));
+    return bounds;
+}
+
 void write_change(cbor_writer& writer, const table_change& change)
 {
-    writer.array(2).array(change.upserts_.size());
+    writer.array(change_fields).array(change.upserts_.size());
     for (const auto& row : change.upserts_) {
         write_row(writer, row);
     }
@@ -118,18 +158,25 @@
     for (const auto& service : change.removals_) {
         writer.text(service);
     }
+    writer.array(change.bounds_ ? 1 : 0);
+    if (change.bounds_) {
+        write_bounds(writer, *change.bounds_);
+    }
 }
 
 auto read_change(cbor_reader& reader) -> table_change
 {
     table_change change;
-    reader.array(2);
+    reader.array(change_fields);
     for (auto left = reader.list(max_table_rows); left > 0 && reader.good(); --left) {
         change.upserts_.push_back(read_row(reader));
     }
     for (auto left = reader.list(max_table_rows); left > 0 && reader.good(); --left) {
         change.removals_.push_back(reader.text(max_name_bytes));
     }
+    if (reader.list(1) == 1) {
+        change.bounds_ = read_bounds(reader);
+    }
     return change;
 }
 
--- a/libs/table/row_codec.h
+++ b/libs/table/row_codec.h
@@ -27,6 +27,13 @@
 /** Returns \p value alone as bytes; equal rows have equal bytes. */
 [[nodiscard]] auto encode_row(const row& value) -> std::string;
 
+/** Returns \p bounds as bytes; equal bounds have equal bytes. */
+[[nodiscard]] auto encode_bounds(const connection_bounds& bounds) -> std::string;
+/** Appends \p bounds to \p writer as one array. */
+void write_bounds(cbor_writer& writer, const connection_bounds& bounds);
+/** Takes bounds from \p reader; check the reader afterwards. */
+[[nodiscard]] auto read_bounds(cbor_reader& reader) -> connection_bounds;
+
 /** Appends \p change to \p writer as one array. */
 void write_change(cbor_writer& writer, const table_change& change);
 /** Takes one change from \p reader; check the reader afterwards. */
--- a/libs/table/table.cpp
+++ b/libs/table/table.cpp
@@ -35,11 +35,30 @@
     return {sum.high_ - one.high_, sum.low_ - one.low_};
 }
 
-auto make_table(std::uint64_t number, std::vector<row> rows) -> table
+auto add_bounds_digest(digest sum, const connection_bounds& bounds) -> digest
+{
+    if (bounds == connection_bounds()) {
+        return sum;
+    }
+    const auto one = digest_of(encode_bounds(bounds));
+    return {sum.high_ + one.high_, sum.low_ + one.low_};
+}
+
+auto subtract_bounds_digest(digest sum, const connection_bounds& bounds) -> digest
+{
+    if (bounds == connection_bounds()) {
+        return sum;
+    }
+    const auto one = digest_of(encode_bounds(bounds));
+    return {sum.high_ - one.high_, sum.low_ - one.low_};
+}
+
+auto make_table(std::uint64_t number, std::vector<row> rows, const connection_bounds& bounds)
+    -> table
 {
     std::ranges::sort(rows, {}, &row::service_);
-    const auto digest = digest_of_rows(rows);
-    return {{number, digest}, std::move(rows)};
+    const auto digest = add_bounds_digest(digest_of_rows(rows), bounds);
+    return {{number, digest}, std::move(rows), bounds};
 }
 
 auto to_text(const table_version& version) -> std::string
--- a/libs/table/table_change.cpp
+++ b/libs/table/table_change.cpp
@@ -36,6 +36,9 @@
             change.removals_.push_back(row.service_);
         }
     }
+    if (from.bounds_ != to.bounds_) {
+        change.bounds_ = to.bounds_;
+    }
     return change;
 }
 
@@ -47,6 +50,11 @@
     put(outcomes, change);
     table next;
     next.version_ = {number, base.version_.digest_};
+    next.bounds_ = change.bounds_.value_or(base.bounds_);
+    if (change.bounds_) {
+        const auto rows_only = subtract_bounds_digest(next.version_.digest_, base.bounds_);
+        next.version_.digest_ = add_bounds_digest(rows_only, next.bounds_);
+    }
     next.rows_.reserve(base.rows_.size() + change.upserts_.size());
     auto outcome = outcomes.begin();
     const auto take_outcome = [&] {
@@ -79,6 +87,7 @@
     put(outcomes, earlier);
     put(outcomes, later);
     table_change change;
+    change.bounds_ = later.bounds_ ? later.bounds_ : earlier.bounds_;
     for (auto& [service, outcome] : outcomes) {
         if (outcome) {
             change.upserts_.push_back(std::move(*outcome));
--- a/libs/table/table_change.h
+++ b/libs/table/table_change.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,8 +15,12 @@
 struct table_change {
     std::vector<row> upserts_;
     std::vector<std::string> removals_;
+    std::optional<connection_bounds> bounds_; ///< Unset: they stay as they are.
 
-    [[nodiscard]] auto empty() const -> bool { return upserts_.empty() && removals_.empty(); }
+    [[nodiscard]] auto empty() const -> bool
+    {
+        return upserts_.empty() && removals_.empty() && !bounds_;
+    }
     [[nodiscard]] auto operator==(const table_change&) const -> bool = default;
 };
 
--- a/libs/table/table_check.cpp
+++ b/libs/table/table_check.cpp
@@ -90,6 +90,20 @@
     return {};
 }
 
+/** Returns what is wrong with a host; empty: nothing. */
+auto host_problem(std::string_view host) -> std::string_view
+{
+    if (host.size() > max_path_bytes) {
+        return "is longer than 256 bytes";
+    }
+    if (!std::ranges::all_of(host, is_printable_ascii) ||
+        host.find_first_of(" /,;\"") != std::string_view::npos) {
+        return "holds a space, '/', ',', ';', a quote, a control character or a letter outside "
+               "ASCII";
+    }
+    return {};
+}
+
 /** Walks one table and notes what is wrong. */
 class checker {
   public:
@@ -104,6 +118,7 @@
         for (const auto& row : rows_) {
             check_names(row);
             check_weights(row);
+            check_split(row);
             check_limits(row);
             check_timing(row);
         }
@@ -136,8 +151,13 @@
             note(value.service_, table_column::path_prefix,
                  fmt::format("'{}' {}", printable(value.path_prefix_), problem));
         }
-        if (!prefixes_.insert(value.path_prefix_).second) {
-            note(value.service_, table_column::path_prefix, "another service has this path prefix");
+        if (const auto problem = host_problem(value.host_); !problem.empty()) {
+            note(value.service_, table_column::host,
+                 fmt::format("'{}' {}", printable(value.host_), problem));
+        }
+        if (!places_.emplace(value.host_, value.path_prefix_).second) {
+            note(value.service_, table_column::path_prefix,
+                 "another service has this host and path prefix");
         }
     }
 
@@ -162,6 +182,34 @@
         }
     }
 
+    void check_split(const row& value)
+    {
+        if (value.split_.empty()) {
+            return;
+        }
+        if (!value.weights_.empty()) {
+            note(value.service_, table_column::split,
+                 "a row with a split has no weights of targets or zones");
+        }
+        std::uint64_t sum = 0;
+        std::set<std::string> names;
+        for (const auto& share : value.split_) {
+            check_name(value, table_column::split, share.service_);
+            sum += share.weight_;
+            if (share.weight_ > max_weight) {
+                note(value.service_, table_column::split,
+                     fmt::format("a weight is {} at most", max_weight));
+            }
+            if (!names.insert(share.service_).second) {
+                note(value.service_, table_column::split,
+                     fmt::format("'{}' stands twice", printable(share.service_)));
+            }
+        }
+        if (sum == 0) {
+            note(value.service_, table_column::split, "the weights sum to nothing");
+        }
+    }
+
     void check_limit(const row& value, const caller_limit& limit, table_column column)
     {
         if (limit.requests_per_second_ > max_rate || limit.burst_ > max_rate ||
@@ -273,7 +321,7 @@
     const std::vector<row>& rows_;
     std::vector<table_finding> findings_;
     std::set<std::string> services_;
-    std::set<std::string> prefixes_;
+    std::set<std::pair<std::string, std::string>> places_; ///< Host and path prefix.
 };
 
 } // namespace
--- a/libs/table/table_csv.cpp
+++ b/libs/table/table_csv.cpp
@@ -18,7 +18,7 @@
 
 constexpr enum_names<table_column, table_column_count> column_names{
     {"service", "path_prefix", "weights", "rate", "burst", "concurrency", "callers", "timeout_ms",
-     "retries", "repeatable", "depends_on"}};
+     "retries", "repeatable", "depends_on", "host", "split", "priority", "target_latency_ms"}};
 
 constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
 constexpr std::size_t max_csv_bytes = 16U * 1024 * 1024;
@@ -82,6 +82,20 @@
                           std::string(text.substr(colon + 1, equals - colon - 1)), *weight};
 }
 
+auto parse_share(std::string_view text) -> result<service_share>
+{
+    const auto equals = text.rfind('=');
+    if (equals == std::string_view::npos || equals == 0) {
+        return failure(error_kind::invalid_input,
+                       fmt::format("'{}' must be SERVICE=WEIGHT", text));
+    }
+    const auto weight = parse_number(text.substr(equals + 1));
+    if (!weight) {
+        return tl::unexpected(weight.error());
+    }
+    return service_share{std::string(text.substr(0, equals)), *weight};
+}
+
 auto parse_named_limit(std::string_view text) -> result<named_limit>
 {
     const auto equals = text.rfind('=');
@@ -168,6 +182,15 @@
     return text;
 }
 
+auto list_text(const std::vector<service_share>& shares) -> std::string
+{
+    std::string text;
+    for (const auto& [service, weight] : shares) {
+        text += fmt::format("{}{}={}", text.empty() ? "" : ";", service, weight);
+    }
+    return text;
+}
+
 auto list_text(const std::vector<named_limit>& limits) -> std::string
 {
     std::string text;
@@ -224,12 +247,22 @@
             }
             columns_.push_back(*column);
         }
-        if (columns_.size() != table_column_count) {
+        if (!has_required_columns()) {
+            const auto& names = column_names.names_;
             refuse("heading",
-                   fmt::format("needs the columns {}", fmt::join(column_names.names_, ",")));
+                   fmt::format("needs the columns {}",
+                               fmt::join(names.begin(), names.begin() + required_column_count, ",")));
         }
     }
 
+    [[nodiscard]] auto has_required_columns() const -> bool
+    {
+        const auto required = std::ranges::count_if(columns_, [](auto column) {
+            return static_cast<std::size_t>(column) < required_column_count;
+        });
+        return static_cast<std::size_t>(required) == required_column_count;
+    }
+
     void end_row()
     {
         if (std::ranges::all_of(cells_, &std::string::empty)) {
@@ -314,6 +347,14 @@
         return value.repeatable_ ? "yes" : "no";
     case table_column::depends_on:
         return fmt::format("{}", fmt::join(value.depends_on_, ";"));
+    case table_column::host:
+        return value.host_;
+    case table_column::split:
+        return list_text(value.split_);
+    case table_column::priority:
+        return std::to_string(value.priority_);
+    case table_column::target_latency_ms:
+        return std::to_string(value.target_latency_.count());
     }
     return {};
 }
@@ -343,15 +384,29 @@
         return store(value.repeatable_, parse_yes_no(text));
     case table_column::depends_on:
         return store(value.depends_on_, parse_list(text, parse_name));
+    case table_column::host:
+        return store(value.host_, parse_path(text));
+    case table_column::split:
+        return store(value.split_, parse_list(text, parse_share));
+    case table_column::priority:
+        return store(value.priority_, parse_number(text));
+    case table_column::target_latency_ms:
+        return store(value.target_latency_, parse_milliseconds(text));
     }
     return {};
 }
 
 auto write_csv(const std::vector<row>& rows) -> std::string
 {
-    auto out = fmt::format("{}\n", fmt::join(column_names.names_, ","));
+    const auto is_plain = std::ranges::all_of(rows, [](const row& row) {
+        return row.host_.empty() && row.split_.empty() && row.priority_ == 0 &&
+               row.target_latency_ == std::chrono::milliseconds(0);
+    });
+    const auto columns = is_plain ? required_column_count : table_column_count;
+    const auto& names = column_names.names_;
+    auto out = fmt::format("{}\n", fmt::join(names.begin(), names.begin() + columns, ","));
     for (const auto& row : rows) {
-        for (std::size_t index = 0; index < table_column_count; ++index) {
+        for (std::size_t index = 0; index < columns; ++index) {
             out += index == 0 ? "" : ",";
             append_cell(out, cell_text(row, static_cast<table_column>(index)));
         }
--- a/libs/table/table_csv.h
+++ b/libs/table/table_csv.h
@@ -1,7 +1,9 @@
 /** \file
  * The table as CSV (RFC 4180), so that it opens in a spreadsheet.
  *
- * The first line names the columns. Cells that hold a list separate its items by semicolons:
+ * The first line names the columns. Cells that hold a list separate its items by semicolons. The
+ * columns host, split, priority and target_latency_ms may be left out, and are written only when a
+ * row uses one of them:
  *
  * \code
  * service,path_prefix,weights,rate,burst,concurrency,callers,timeout_ms,retries,repeatable,depends_on
@@ -33,9 +35,15 @@
     retries,
     repeatable,
     depends_on,
+    host, ///< This column and those behind it may be left out.
+    split,
+    priority,
+    target_latency_ms,
 };
 
-constexpr std::size_t table_column_count = 11;
+constexpr std::size_t table_column_count = 15;
+/** How many columns, counted from the first, a heading must name. */
+constexpr std::size_t required_column_count = 11;
 
 /** Returns the name of \p column as its heading shows it. */
 [[nodiscard]] auto name_of(table_column column) -> std::string_view;
