--- a/apps/sycamorewinchd/main.cpp
+++ b/apps/sycamorewinchd/main.cpp
@@ -1,5 +1,6 @@
 /** \file
- * The daemon: reads its settings, starts its role, and ends on SIGTERM or SIGINT.
+ * The daemon: reads its settings, starts its role, reads the settings again on SIGHUP, and ends on
+ * SIGTERM or SIGINT.
  */
 #include <csignal>
 #include <iostream>
@@ -11,6 +12,8 @@
 #include <QSocketNotifier>
 
 #include "daemon/daemon_role.h"
+#include "daemon/settings_watch.h"
+#include "platform/platform_interface.h"
 #include "settings/settings_files.h"
 
 namespace {
@@ -23,14 +26,15 @@
 std::array<int, 2> signal_sockets{-1, -1};
 
 // Only writes a byte: the event loop does the rest.
-void on_signal(int)
+void on_signal(int number)
 {
-    const char byte = 1;
+    const auto byte = static_cast<char>(number);
     [[maybe_unused]] const auto written = ::write(signal_sockets[0], &byte, 1);
 }
 
-/** Calls \p handler in the event loop for each signal to end. */
-auto watch_signals(const std::function<void()>& handler) -> std::unique_ptr<QSocketNotifier>
+/** Calls \p handler in the event loop for each signal. */
+auto watch_signals(const std::function<void(int number)>& handler)
+    -> std::unique_ptr<QSocketNotifier>
 {
     if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, signal_sockets.data()) != 0) {
         return nullptr;
@@ -39,22 +43,29 @@
     QObject::connect(notifier.get(), &QSocketNotifier::activated, notifier.get(), [handler] {
         char byte = 0;
         if (::read(signal_sockets[1], &byte, 1) == 1) {
-            handler();
+            handler(byte);
         }
     });
+    std::signal(SIGHUP, on_signal);
     std::signal(SIGTERM, on_signal);
     std::signal(SIGINT, on_signal);
     return notifier;
 }
 
-auto run(const daemon_settings& settings) -> int
+auto interfaces_of(const daemon_settings& settings) -> outer_interfaces
+{
+    return settings.interface_ == outer_interface::platform ? platform::make_interfaces(settings)
+                                                            : outer_interfaces();
+}
+
+auto run(const daemon_settings& settings, const std::vector<std::string>& arguments) -> int
 {
     const auto secrets = read_secrets(settings);
     if (!secrets) {
         std::cerr << secrets.error().message_ << '\n';
         return exit_wrong_settings;
     }
-    auto role = start_role(settings, *secrets);
+    auto role = start_role(settings, *secrets, interfaces_of(settings));
     if (!role) {
         std::cerr << role.error().message_ << '\n';
         return exit_cannot_start;
@@ -63,8 +74,14 @@
               {{"role", name_of(settings.role_)},
                {"name", settings.name_},
                {"zone", settings.availability_zone_}});
+    settings_watch watch(arguments, process_environment(),
+                         [&role](const auto& changed) { role->reload_(changed); });
     bool asked = false;
-    const auto notifier = watch_signals([&role, &asked] {
+    const auto notifier = watch_signals([&role, &asked, &watch](int number) {
+        if (number == SIGHUP) {
+            watch.check();
+            return;
+        }
         if (asked) {
             QCoreApplication::quit(); // the second signal ends at once
             return;
@@ -112,5 +129,5 @@
         break;
     }
     set_log_level(parsed->settings_.log_level_);
-    return run(parsed->settings_);
+    return run(parsed->settings_, arguments);
 }
--- a/cmake/sycamorewinch.cmake
+++ b/cmake/sycamorewinch.cmake
@@ -1,8 +1,11 @@
 # Functions that declare the workspace's libraries, programs and tests.
 
 add_library(sycamorewinch_options INTERFACE)
-target_compile_options(sycamorewinch_options INTERFACE -Wall -Wextra -Wpedantic -Werror
+target_compile_options(sycamorewinch_options INTERFACE -Wall -Wextra -Wpedantic
                        -Wno-missing-field-initializers)
+if(NOT SYCAMOREWINCH_DAEMON_ONLY) # users build with compilers that warn of other things
+  target_compile_options(sycamorewinch_options INTERFACE -Werror)
+endif()
 target_compile_definitions(sycamorewinch_options INTERFACE QT_NO_KEYWORDS QT_NO_CAST_TO_ASCII)
 
 # sycamorewinch_library(NAME LINKS target...)
@@ -18,7 +21,7 @@
     add_library(${target} INTERFACE)
     set(scope INTERFACE)
   endif()
-  target_include_directories(${target} ${scope} ${CMAKE_SOURCE_DIR}/libs)
+  target_include_directories(${target} ${scope} ${CMAKE_SOURCE_DIR}/libs ${CMAKE_SOURCE_DIR})
   target_link_libraries(${target} ${scope} ${ARG_LINKS} sycamorewinch_options)
   add_library(sycamorewinch::${name} ALIAS ${target})
 
@@ -30,6 +33,9 @@
 
 # sycamorewinch_test(NAME SOURCES file... LINKS target...)
 function(sycamorewinch_test name)
+  if(SYCAMOREWINCH_DAEMON_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
   set(target ${name}_test)
   add_executable(${target} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp ${ARG_SOURCES})
--- a/libs/consensus/log_entry.h
+++ b/libs/consensus/log_entry.h
@@ -42,6 +42,7 @@
     std::uint64_t index_ = 0; ///< Last entry that the state contains; 0 for none.
     std::uint64_t term_ = 0;  ///< Term of that entry.
     std::string data_;        ///< The state, as its owner encodes it.
+    std::string membership_;  ///< The encoded membership as of that entry; empty: the one set up.
 
     [[nodiscard]] auto operator==(const log_snapshot&) const -> bool = default;
 };
--- a/libs/consensus/peer_progress.h
+++ b/libs/consensus/peer_progress.h
@@ -25,6 +25,7 @@
     std::uint64_t round_ = 0; ///< Latest heartbeat round echoed.
     instant heard_{};         ///< Last reply.
     bool counts_ = true;      ///< False while the replica recovers from a lost disk.
+    bool is_voter_ = true;    ///< False for a learner.
     bool is_probing_ = true;  ///< Where the logs agree is not known: one append at a time.
     bool probe_is_sent_ = false;
     std::deque<flight> flights_;
@@ -32,6 +33,9 @@
     std::shared_ptr<const log_snapshot> snapshot_; ///< Being sent; null for none.
     std::uint64_t snapshot_offset_ = 0;            ///< Bytes of it known to have arrived.
 
+    /** Returns whether it is counted in a quorum now. */
+    [[nodiscard]] auto is_counted() const -> bool { return counts_ && is_voter_; }
+
     /** Notes that entries up to \p last_index were sent. */
     void on_sent(std::uint64_t last_index, std::size_t bytes)
     {
--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -22,7 +22,9 @@
 
 auto raft::create(raft_options options, durable_state state, instant now) -> result<raft>
 {
-    if (std::ranges::find(options.voters_, options.self_) == options.voters_.end()) {
+    const bool is_fixed = !options.voters_.empty();
+    if (is_fixed &&
+        std::ranges::find(options.voters_, options.self_) == options.voters_.end()) {
         return failure(error_kind::invalid_input,
                        fmt::format("'{}' is not among the control group's replicas; add it to the "
                                    "setting control-peers",
@@ -44,6 +46,11 @@
       log_(state.snapshot_.index_, state.snapshot_.term_, std::move(state.entries_)),
       commit_(state.snapshot_.index_), leader_heard_(now - options_.lease_)
 {
+    set_base_membership(state.snapshot_.index_, state.snapshot_.membership_);
+    adopt_all(log_.after(state.snapshot_.index_));
+    if (options_.voters_.empty()) {
+        vote_.is_member_ = true; // a replica of a changing group has a name of its own per disk
+    }
     if (state.snapshot_.index_ > 0) {
         snapshot_ = std::make_shared<const log_snapshot>(std::move(state.snapshot_));
     }
@@ -63,6 +70,7 @@
 {
     if (role_ == raft_role::leader) {
         check_lease(now);
+        leave_if_removed(now);
     }
     if (role_ == raft_role::leader && now >= heartbeat_due_) {
         send_heartbeats(now);
@@ -70,7 +78,8 @@
     if (!vote_.is_member_) {
         tick_recovery(now);
     }
-    if (vote_.is_member_ && role_ != raft_role::leader && now >= election_due_) {
+    if (vote_.is_member_ && is_self_voter() && role_ != raft_role::leader &&
+        now >= election_due_) {
         become_pre_candidate(now);
     }
 }
@@ -108,8 +117,9 @@
 
 void raft::receive(const raft_message& message, instant now)
 {
-    const auto known = std::ranges::find(options_.voters_, message.from_);
-    if (known == options_.voters_.end() || message.to_ != options_.self_) {
+    // In a changing group the sender may be a member that this replica has not heard of yet.
+    const bool is_known = options_.voters_.empty() || membership().is_voter(message.from_);
+    if (!is_known || message.to_ != options_.self_) {
         return;
     }
     const bool is_pre_vote =
@@ -144,9 +154,9 @@
 
 void raft::confirm_reads()
 {
-    std::vector<std::uint64_t> rounds{round_};
+    std::vector<std::uint64_t> rounds{is_self_voter() ? round_ : 0};
     for (const auto& [name, peer] : peers_) {
-        rounds.push_back(peer.counts_ ? peer.round_ : 0);
+        rounds.push_back(peer.is_counted() ? peer.round_ : 0);
     }
     std::ranges::sort(rounds, std::greater<>());
     const auto proven = rounds[quorum() - 1];
@@ -172,6 +182,10 @@
     invariant(snapshot->index_ <= commit_, "snapshot at {} is ahead of commit {}", snapshot->index_,
               commit_);
     snapshot_ = std::move(snapshot);
+    const auto in_force = memberships_.upper_bound(snapshot_->index_);
+    if (in_force != memberships_.begin()) {
+        memberships_.erase(memberships_.begin(), std::prev(in_force));
+    }
     if (snapshot_->index_ > log_.base_index() + options_.entries_kept_) {
         log_.drop_through(snapshot_->index_ - options_.entries_kept_);
     }
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -8,7 +8,7 @@
  * could win before it raises the term (pre-vote), so one that comes back from a partition does not
  * unseat a leader that the others still hear. Appends are pipelined: a leader goes on sending up to
  * a bound of unanswered bytes. A replica that lags behind the compacted log is sent a snapshot in
- * chunks.
+ * chunks. The group's members may change one at a time, by entries of the log itself.
  *
  * The owner must make an output's vote and entries durable before it sends the output's messages:
  *
@@ -34,6 +34,7 @@
 #include "base/random.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "consensus/group_membership.h"
 #include "consensus/log_entry.h"
 #include "consensus/peer_progress.h"
 #include "consensus/raft_message.h"
@@ -43,8 +44,10 @@
 
 /** How a replica is set up. */
 struct raft_options {
-    std::string self_;                ///< This replica's name.
-    std::vector<std::string> voters_; ///< Every replica of the group, this one included.
+    std::string self_; ///< This replica's name.
+    /** Every replica of a group that never changes, this one included. Empty: the members are what
+     * the log says, and a replica whose log says nothing waits to be let in. */
+    std::vector<std::string> voters_;
     duration heartbeat_ = std::chrono::milliseconds(50);
     duration lease_ = std::chrono::milliseconds(300); ///< Also the shortest election timeout.
     random_hook random_;
@@ -100,6 +103,30 @@
      * so that a replica a little behind is sent entries and not the snapshot. */
     void compact(std::shared_ptr<const log_snapshot> snapshot);
 
+    /** Appends \p next as leader, in place of the membership in force; otherwise the error says why
+     * not. The one before must be committed, and \p next must be allowed to follow it. */
+    [[nodiscard]] auto propose_membership(const group_membership& next, instant now)
+        -> result<std::uint64_t>;
+
+    /** Returns the membership in force. */
+    [[nodiscard]] auto membership() const -> const group_membership&
+    {
+        return memberships_.rbegin()->second;
+    }
+    /** Returns the index of the entry that brought it; it rises with every change. */
+    [[nodiscard]] auto membership_index() const -> std::uint64_t
+    {
+        return memberships_.rbegin()->first;
+    }
+    /** Returns the membership as of a committed entry, encoded, for a snapshot; empty in a group
+     * that never changes. */
+    [[nodiscard]] auto membership_at(std::uint64_t index) const -> std::string;
+    /** Returns what this replica, as leader, knows of the others; empty otherwise. */
+    [[nodiscard]] auto peers() const -> const std::map<std::string, peer_progress>&
+    {
+        return peers_;
+    }
+
     /** Returns the entries behind \p index. */
     [[nodiscard]] auto entries_after(std::uint64_t index) const -> std::vector<log_entry>
     {
@@ -150,7 +177,11 @@
 
     raft(raft_options options, durable_state state, instant now);
 
-    [[nodiscard]] auto quorum() const -> std::size_t { return options_.voters_.size() / 2 + 1; }
+    [[nodiscard]] auto quorum() const -> std::size_t { return membership().quorum(); }
+    [[nodiscard]] auto is_self_voter() const -> bool
+    {
+        return membership().is_voter(options_.self_);
+    }
     void send(raft_message message);
 
     // raft_election.cpp
@@ -185,6 +216,14 @@
     void on_snapshot_reply(const raft_message& message, instant now);
     void install(log_snapshot snapshot);
 
+    // raft_membership.cpp
+    void adopt(const log_entry& entry);
+    void adopt_all(const std::vector<log_entry>& entries);
+    void forget_memberships_after(std::uint64_t index);
+    void set_base_membership(std::uint64_t index, std::string_view encoded);
+    void sync_peers();
+    void leave_if_removed(instant now);
+
     // raft_recovery.cpp
     [[nodiscard]] auto is_empty() const -> bool;
     [[nodiscard]] auto has_caught_up() const -> bool;
@@ -201,6 +240,7 @@
     raft_options options_;
     vote_state vote_;
     replicated_log log_;
+    std::map<std::uint64_t, group_membership> memberships_; ///< By the index of the entry.
     std::shared_ptr<const log_snapshot> snapshot_; ///< The latest; null for none.
     log_snapshot incoming_;                        ///< Chunks received so far.
     raft_role role_ = raft_role::follower;
--- a/libs/consensus/raft_election.cpp
+++ b/libs/consensus/raft_election.cpp
@@ -11,9 +11,9 @@
 // A leader that a quorum has not answered within a lease may have been replaced without knowing.
 void raft::check_lease(instant now)
 {
-    std::size_t heard = 1;
+    std::size_t heard = is_self_voter() ? 1 : 0;
     for (const auto& [name, peer] : peers_) {
-        heard += peer.counts_ && now - peer.heard_ < options_.lease_ ? 1 : 0;
+        heard += peer.is_counted() && now - peer.heard_ < options_.lease_ ? 1 : 0;
     }
     if (heard < quorum()) {
         become_follower(vote_.term_, {}, now);
@@ -63,7 +63,7 @@
 
 void raft::ask_for_votes(raft_message_kind kind, std::uint64_t term)
 {
-    for (const auto& peer : options_.voters_) {
+    for (const auto& peer : membership().voters_) {
         if (peer == options_.self_) {
             continue;
         }
@@ -82,12 +82,9 @@
     role_ = raft_role::leader;
     leader_ = options_.self_;
     peers_.clear();
-    for (const auto& peer : options_.voters_) {
-        if (peer != options_.self_) {
-            auto& progress = peers_[peer];
-            progress.next_ = log_.last_index() + 1;
-            progress.heard_ = now;
-        }
+    sync_peers();
+    for (auto& [name, peer] : peers_) {
+        peer.heard_ = now;
     }
     append_entry(entry_kind::no_op, {});
     send_heartbeats(now);
@@ -116,7 +113,7 @@
 {
     const bool is_answer =
         role_ == raft_role::pre_candidate && message.accepted_ && message.term_ == vote_.term_ + 1;
-    if (!is_answer) {
+    if (!is_answer || !membership().is_voter(message.from_)) {
         return;
     }
     votes_.insert(message.from_);
@@ -144,7 +141,8 @@
 
 void raft::on_vote_reply(const raft_message& message, instant now)
 {
-    if (role_ != raft_role::candidate || message.term_ != vote_.term_ || !message.accepted_) {
+    if (role_ != raft_role::candidate || message.term_ != vote_.term_ || !message.accepted_ ||
+        !membership().is_voter(message.from_)) {
         return;
     }
     votes_.insert(message.from_);
--- a/libs/consensus/raft_replication.cpp
+++ b/libs/consensus/raft_replication.cpp
@@ -19,6 +19,7 @@
 {
     log_.append({log_.last_index() + 1, vote_.term_, kind, std::move(payload)});
     output_.append_.push_back(log_.at(log_.last_index()));
+    adopt(log_.at(log_.last_index()));
 }
 
 // Sends what is new to every follower that has room for it.
@@ -125,6 +126,7 @@
             invariant(entry.index_ > commit_, "committed entry {} would change (commit is {})",
                       entry.index_, commit_);
             log_.truncate_after(entry.index_ - 1);
+            forget_memberships_after(entry.index_ - 1);
             output_.truncate_after_ =
                 std::min(output_.truncate_after_.value_or(UINT64_MAX), entry.index_ - 1);
             std::erase_if(output_.append_,
@@ -132,6 +134,7 @@
         }
         log_.append(entry);
         output_.append_.push_back(entry);
+        adopt(entry);
     }
 }
 
@@ -157,9 +160,9 @@
 
 void raft::advance_commit()
 {
-    std::vector<std::uint64_t> matches{log_.last_index()};
+    std::vector<std::uint64_t> matches{is_self_voter() ? log_.last_index() : 0};
     for (const auto& [name, peer] : peers_) {
-        matches.push_back(peer.counts_ ? peer.match_ : 0);
+        matches.push_back(peer.is_counted() ? peer.match_ : 0);
     }
     std::ranges::sort(matches, std::greater<>());
     const auto stored_by_quorum = matches[quorum() - 1];
--- a/libs/consensus/raft_snapshot.cpp
+++ b/libs/consensus/raft_snapshot.cpp
@@ -30,6 +30,10 @@
     request.offset_ = peer.snapshot_offset_;
     request.total_ = peer.snapshot_->data_.size();
     request.data_ = peer.snapshot_->data_.substr(request.offset_, chunk_bytes);
+    if (!peer.snapshot_->membership_.empty()) {
+        request.entries_.push_back({peer.snapshot_->index_, peer.snapshot_->term_,
+                                    entry_kind::membership, peer.snapshot_->membership_});
+    }
     peer.probe_is_sent_ = true;
     send(std::move(request));
 }
@@ -52,7 +56,10 @@
     leader_heard_ = now;
     if (message.log_index_ > commit_) {
         if (incoming_.index_ != message.log_index_ || incoming_.term_ != message.log_term_) {
-            incoming_ = {message.log_index_, message.log_term_, {}};
+            incoming_ = {message.log_index_, message.log_term_, {}, {}};
+        }
+        if (!message.entries_.empty()) {
+            incoming_.membership_ = message.entries_.front().payload_;
         }
         if (message.offset_ == incoming_.data_.size()) {
             incoming_.data_ += message.data_;
@@ -75,6 +82,8 @@
     }
     log_ = replicated_log(snapshot.index_, snapshot.term_, rest);
     commit_ = snapshot.index_;
+    set_base_membership(snapshot.index_, snapshot.membership_);
+    adopt_all(rest);
     snapshot_ = std::make_shared<const log_snapshot>(std::move(snapshot));
     output_.install_ = snapshot_;
     output_.append_ = std::move(rest);
--- a/libs/control/accept_command.cpp
+++ b/libs/control/accept_command.cpp
@@ -24,9 +24,10 @@
 auto encode_command(const accept_command& command) -> std::string
 {
     cbor_writer writer;
-    writer.array(5).text(command.edit_id_).text(command.operator_);
+    writer.array(7).text(command.edit_id_).text(command.operator_);
     writer.number(command.base_.number_).digest_value(command.base_.digest_);
     write_change(writer, command.change_);
+    writer.number(command.number_).bytes(command.document_);
     return writer.take();
 }
 
@@ -34,12 +35,14 @@
 {
     accept_command command;
     cbor_reader reader(bytes);
-    reader.array(5);
+    reader.array(7);
     command.edit_id_ = reader.text(max_name_bytes);
     command.operator_ = reader.text(max_name_bytes);
     command.base_.number_ = reader.number();
     command.base_.digest_ = reader.digest_value();
     command.change_ = read_change(reader);
+    command.number_ = reader.number();
+    command.document_ = reader.bytes(max_document_bytes);
     if (auto done = reader.finish(); !done) {
         return tl::unexpected(done.error());
     }
--- a/libs/control/accept_command.h
+++ b/libs/control/accept_command.h
@@ -20,8 +20,15 @@
     std::string operator_; ///< Who edits, for the history.
     table_version base_;   ///< What the operator saw; another current version is a conflict.
     table_change change_;
+    /** The number that the editor chose for the new version, above the current one; 0: the next. */
+    std::uint64_t number_ = 0;
+    /** The editor's own text of the whole table, returned as it was sent; may be empty. */
+    std::string document_;
 };
 
+/** The longest document of an edit, in bytes. */
+constexpr std::size_t max_document_bytes = 8U * 1024 * 1024;
+
 /** What became of an accept command. */
 enum class accept_status : std::uint8_t { accepted, conflict, refused };
 
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -84,6 +84,18 @@
     flush_soon();
 }
 
+auto control_replica::propose_membership(const group_membership& next, instant now)
+    -> result<std::uint64_t>
+{
+    now_ = now;
+    if (disk_failed_) {
+        return failure(error_kind::unavailable, "this replica's disk has failed");
+    }
+    auto index = raft_.propose_membership(next, now);
+    flush_soon();
+    return index;
+}
+
 void control_replica::apply_runs(const run_batch& batch, runs_callback callback, instant now)
 {
     now_ = now;
@@ -218,6 +230,7 @@
     snapshot->index_ = applied_index_;
     snapshot->term_ = raft_.term_of(applied_index_);
     snapshot->data_ = encode_state(state_);
+    snapshot->membership_ = raft_.membership_at(applied_index_);
     const auto stored = hooks_.switch_to_(*snapshot, raft_.entries_after(applied_index_));
     if (!stored) {
         on_disk_failure(stored.error());
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -74,6 +74,10 @@
     /** Proposes a new version. On a replica that does not lead, fails at once. */
     void accept(const accept_command& command, accept_callback callback, instant now);
 
+    /** Proposes the group's next membership; see raft::propose_membership(). */
+    [[nodiscard]] auto propose_membership(const group_membership& next, instant now)
+        -> result<std::uint64_t>;
+
     /** Applies a batch to the record of unrepeatable requests. On a replica that does not lead,
      * fails at once. */
     void apply_runs(const run_batch& batch, runs_callback callback, instant now);
--- a/libs/control/control_snapshot.cpp
+++ b/libs/control/control_snapshot.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::uint64_t format_version = 1;
+constexpr std::uint64_t format_version = 2;
 constexpr std::size_t max_part_bytes = 512U * 1024 * 1024;
 
 } // namespace
--- a/libs/control/replicated_state.cpp
+++ b/libs/control/replicated_state.cpp
@@ -79,7 +79,9 @@
         return *first;
     }
     auto outcome = decide(command);
-    remember(command.edit_id_, outcome);
+    if (command.number_ == 0 || outcome.status_ == accept_status::accepted) {
+        remember(command.edit_id_, outcome);
+    }
     return outcome;
 }
 
@@ -91,7 +93,14 @@
                 fmt::format("the table is at version {}, the edit starts from {}",
                             to_text(current_->version_), to_text(command.base_))};
     }
-    auto next = apply_change(*current_, command.change_, current_->version_.number_ + 1);
+    const auto current = current_->version_.number_;
+    if (command.number_ != 0 && command.number_ <= current) {
+        return {accept_status::refused, current_->version_, {},
+                fmt::format("version {} is not above the current version {}", command.number_,
+                            current)};
+    }
+    auto next = apply_change(*current_, command.change_,
+                             command.number_ != 0 ? command.number_ : current + 1);
     if (const auto findings = check_table(next.rows_); !findings.empty()) {
         const auto& first = findings.front();
         return {accept_status::refused,
@@ -100,10 +109,11 @@
                 fmt::format("{}, column {}: {}", first.service_, name_of(first.column_),
                             first.message_)};
     }
-    if (next.version_.digest_ == current_->version_.digest_) {
+    if (command.number_ == 0 && next.version_.digest_ == current_->version_.digest_) {
         return {accept_status::refused, current_->version_, {}, "the edit changes nothing"};
     }
     current_ = std::make_shared<const table>(std::move(next));
+    document_ = command.document_;
     history_.push_back({current_->version_, command.operator_, command.edit_id_,
                         command.change_.upserts_.size() + command.change_.removals_.size()});
     if (history_.size() > limits_.history_) {
@@ -134,8 +144,10 @@
 auto replicated_state::encode() const -> std::string
 {
     cbor_writer writer;
-    writer.array(4);
+    writer.array(6);
     write_version(writer.array(2), current_->version_);
+    write_bounds(writer, current_->bounds_);
+    writer.bytes(document_);
     writer.array(current_->rows_.size());
     for (const auto& row : current_->rows_) {
         write_row(writer, row);
@@ -157,9 +169,11 @@
 {
     replicated_state state(limits);
     cbor_reader reader(bytes);
-    reader.array(4);
+    reader.array(6);
     reader.array(2);
     const auto version = read_version(reader);
+    const auto bounds = read_bounds(reader);
+    state.document_ = reader.bytes(max_document_bytes);
     std::vector<row> rows;
     for (auto left = reader.list(max_table_rows); left > 0 && reader.good(); --left) {
         rows.push_back(read_row(reader));
@@ -179,7 +193,7 @@
     if (auto done = reader.finish(); !done) {
         return tl::unexpected(done.error());
     }
-    auto table = make_table(version.number_, std::move(rows));
+    auto table = make_table(version.number_, std::move(rows), bounds);
     if (table.version_ != version) {
         return failure(error_kind::corrupt,
                        fmt::format("the stored table is {}, but its rows are {}", to_text(version),
--- a/libs/control/replicated_state.h
+++ b/libs/control/replicated_state.h
@@ -35,10 +35,14 @@
   public:
     explicit replicated_state(state_limits limits = {});
 
-    /** Applies one command. An edit id seen before gets its first outcome again. */
+    /** Applies one command. An edit id seen before gets its first outcome again; of edits whose
+     * editor chose the number, only accepted ones are remembered, since the same text may be sent
+     * again on another base. */
     auto apply(const accept_command& command) -> accept_outcome;
 
     [[nodiscard]] auto current() const -> const table_pointer& { return current_; }
+    /** Returns the editor's own text of the current table; empty when it was edited without. */
+    [[nodiscard]] auto document() const -> const std::string& { return document_; }
     /** Returns the outcome of an edit that was applied, while it is remembered. */
     [[nodiscard]] auto outcome_of(const std::string& edit_id) const
         -> std::optional<accept_outcome>;
@@ -57,6 +61,7 @@
 
     state_limits limits_;
     table_pointer current_;
+    std::string document_;
     std::map<std::string, accept_outcome> outcomes_;
     std::deque<std::string> outcome_order_;
     std::deque<history_entry> history_;
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -1,10 +1,14 @@
 #include "daemon/daemon_role.h"
 
+#include <algorithm>
 #include <optional>
+#include <utility>
 
 #include <QTimer>
+#include <fmt/format.h>
 
 #include "control/control_replica.h"
+#include "control/group_keeper.h"
 #include "daemon/hub_server.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_listener.h"
@@ -12,6 +16,7 @@
 #include "daemon/replica_links.h"
 #include "daemon/run_leader.h"
 #include "observability/log.h"
+#include "storage/replica_identity.h"
 #include "storage/replica_store.h"
 
 namespace sycamorewinch {
@@ -20,6 +25,15 @@
 
 constexpr std::uint64_t disk_reserve_bytes = 64U * 1024 * 1024;
 constexpr auto tick_period = std::chrono::milliseconds(10);
+constexpr int ticks_per_heartbeat = 5;
+/** A leader's claim outlives a few heartbeats that are late or lost. */
+constexpr int heartbeats_per_lease = 6;
+/** How often the members of a changing group look whether it should change. */
+constexpr auto group_period = std::chrono::milliseconds(200);
+/** Replicas that start together have asked to join by then. */
+constexpr duration joining_time = std::chrono::milliseconds(1'500);
+/** The term of the entry that founders store before any election. */
+constexpr std::uint64_t first_term = 1;
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
 /** Operators send whole tables. */
 constexpr admin_limits operator_limits{.request_bytes_ = 8 * 1024 * 1024};
@@ -29,8 +43,10 @@
 /** A control process: a replica of the table, and a hub for relays and nodes. */
 class control_role {
   public:
-    control_role(const daemon_settings& settings, const daemon_secrets& secrets)
-        : settings_(settings), random_(system_random()),
+    control_role(const daemon_settings& settings, const daemon_secrets& secrets,
+                 outer_interfaces interfaces)
+        : settings_(settings), interfaces_(std::move(interfaces)), random_(system_random()),
+          keeper_({.wanted_voters_ = voters_for(settings.tolerated_losses_)}),
           admin_(
               metrics_, secrets.operator_token_,
               [this] { return !replica_->raft_state().leader().empty(); }, operator_limits),
@@ -41,11 +57,12 @@
                 [this](const auto& news) {
                     tell_others(crash_report{news});
                 }}),
-          links_(settings.name_, settings.control_peers_, secrets.key_,
+          links_(settings.control_peers_, secrets.key_,
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
                   [this](const auto& from, const auto& message) { on_peer(from, message); },
                   [this](const auto& to) { on_peer_connected(to); },
                   [this](const auto& to) { others_progress_.on_disconnected(to, monotonic_now()); },
+                  [this](const auto& candidate) { on_join(candidate); },
                   [this](const auto& from, auto bytes) {
                       runs_.receive(from, bytes);
                   }}),
@@ -73,6 +90,8 @@
                          [this] { tell_others(progress_report{hub_.logic().progress()}); });
         QObject::connect(&ticker_, &QTimer::timeout, &ticker_,
                          [this] { replica_->tick(monotonic_now()); });
+        QObject::connect(&group_timer_, &QTimer::timeout, &group_timer_,
+                         [this] { keep_group(); });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_, [this] {
             hub_.logic().tick(monotonic_now(), !replica_->raft_state().leader().empty());
             hub_.run();
@@ -96,7 +115,11 @@
             return tl::unexpected(store.error());
         }
         store_.emplace(std::move(*store));
-        auto replica = control_replica::create(make_options(), store_->take_recovered(),
+        auto options = make_options();
+        if (!options) {
+            return tl::unexpected(options.error());
+        }
+        auto replica = control_replica::create(std::move(*options), store_->take_recovered(),
                                                make_hooks(), monotonic_now());
         if (!replica) {
             return tl::unexpected(replica.error());
@@ -108,24 +131,213 @@
         if (auto listening = admin_.listen(settings_.listen_admin_); !listening) {
             return listening;
         }
-        links_.start();
-        ticker_.start(tick_period);
+        if (auto serving = serve_interface(); !serving) {
+            return serving;
+        }
+        links_.start(replica_->raft_state().options().self_);
+        if (is_group_changing()) {
+            keep_group();
+            group_timer_.start(group_period);
+        }
+        ticker_.start(std::max(tick_period, settings_.control_heartbeat_ / ticks_per_heartbeat));
         progress_timer_.start(progress_period);
         lease_timer_.start(lease_check_period);
         return {};
     }
 
+    /** Takes new seeds: a replica that lost touch with its group asks them. */
+    void reload(const daemon_settings& settings)
+    {
+        settings_.control_seeds_ = settings.control_seeds_;
+    }
+
   private:
-    auto make_options() const -> raft_options
+    [[nodiscard]] auto is_group_changing() const -> bool
+    {
+        return settings_.control_peers_.empty();
+    }
+
+    auto make_options() -> result<raft_options>
     {
         raft_options options{.self_ = settings_.name_};
+        options.heartbeat_ = settings_.control_heartbeat_;
+        options.lease_ = settings_.control_heartbeat_ * heartbeats_per_lease;
+        options.random_ = random_;
         for (const auto& peer : settings_.control_peers_) {
             options.voters_.push_back(peer.name_);
         }
-        options.random_ = random_;
+        if (is_group_changing()) {
+            auto name = open_name();
+            if (!name) {
+                return tl::unexpected(name.error());
+            }
+            options.self_ = std::move(*name);
+        }
         return options;
     }
 
+    /** Returns this replica's name in a changing group. On an empty disk a founder also stores the
+     * first entry of the log, which is the same on all founders: the group they make up. */
+    auto open_name() -> result<std::string>
+    {
+        const auto address = to_text(settings_.listen_peers_);
+        group_membership founders;
+        for (const auto& seed : settings_.control_seeds_) {
+            founders.voters_.push_back(to_text(seed));
+        }
+        std::ranges::sort(founders.voters_);
+        const bool is_founder = settings_.founds_group_ && founders.is_voter(address);
+        const auto identity = open_identity(files_, address, is_founder, random_);
+        if (!identity) {
+            return tl::unexpected(identity.error());
+        }
+        if (identity->is_new_ && is_founder) {
+            const log_entry first{1, first_term, entry_kind::membership,
+                                  encode_membership(founders)};
+            auto stored = store_->append({first}).and_then([&] {
+                return store_->save_vote({first_term, {}, true});
+            });
+            if (!stored) {
+                return tl::unexpected(stored.error());
+            }
+            auto store = replica_store::open(files_);
+            if (!store) {
+                return tl::unexpected(store.error());
+            }
+            store_.emplace(std::move(*store));
+        }
+        log_event(log_level::info, "replica_named",
+                  {{"name", identity->name_},
+                   {"disk", identity->is_new_ ? "empty" : "kept"},
+                   {"founder", is_founder}});
+        return identity->name_;
+    }
+
+    /** Follows the group's membership; the leader also changes it, and a replica without a leader
+     * asks to be let in. */
+    void keep_group()
+    {
+        const auto now = monotonic_now();
+        const auto& raft = replica_->raft_state();
+        follow_membership();
+        if (raft.role() == raft_role::leader) {
+            const group_view view{raft.options().self_, raft.last_index(), &raft.peers()};
+            if (const auto next = keeper_.next(raft.membership(), view, now)) {
+                propose_membership(*next);
+            }
+        }
+        else if (raft.leader().empty() || !raft.membership().is_voter(raft.options().self_)) {
+            ask_to_join();
+        }
+    }
+
+    void propose_membership(const group_membership& next)
+    {
+        const auto proposed = replica_->propose_membership(next, monotonic_now());
+        if (proposed) {
+            log_event(log_level::info, "membership_proposed",
+                      {{"voters", fmt::format("{}", fmt::join(next.voters_, " "))},
+                       {"learners", fmt::format("{}", fmt::join(next.learners_, " "))}});
+        }
+    }
+
+    void follow_membership()
+    {
+        const auto& raft = replica_->raft_state();
+        auto members = raft.membership().all();
+        if (members.empty()) {
+            for (const auto& seed : settings_.control_seeds_) {
+                members.push_back(to_text(seed));
+            }
+        }
+        if (std::exchange(linked_to_, members) != members) {
+            links_.connect_to(members);
+            log_event(log_level::info, "membership_in_force",
+                      {{"voters", fmt::format("{}", fmt::join(raft.membership().voters_, " "))},
+                       {"learners",
+                        fmt::format("{}", fmt::join(raft.membership().learners_, " "))}});
+        }
+    }
+
+    void ask_to_join()
+    {
+        const auto& self = replica_->raft_state().options().self_;
+        for (const auto& name : linked_to_) {
+            links_.send_join(name, self);
+        }
+        for (const auto& seed : settings_.control_seeds_) {
+            links_.send_join(to_text(seed), self);
+        }
+    }
+
+    void on_join(const std::string& candidate)
+    {
+        const auto& raft = replica_->raft_state();
+        if (raft.role() == raft_role::leader) {
+            keeper_.note_candidate(candidate, monotonic_now());
+        }
+        else if (!raft.leader().empty() && raft.leader() != candidate) {
+            links_.send_join(raft.leader(), candidate);
+        }
+    }
+
+    auto serve_interface() -> result<void>
+    {
+        if (!interfaces_.serve_control_) {
+            return {};
+        }
+        control_port port;
+        port.is_leader_ = [this] {
+            return replica_->raft_state().role() == raft_role::leader;
+        };
+        port.leader_host_ = [this] {
+            return leader_host();
+        };
+        port.state_ = [this]() -> const replicated_state& {
+            return replica_->state();
+        };
+        port.why_not_ready_ = [this] {
+            return why_not_ready();
+        };
+        port.accept_ = [this](const auto& command, auto callback) {
+            replica_->accept(command, std::move(callback), monotonic_now());
+        };
+        port.prove_current_ = [this](auto callback) {
+            replica_->prove_current(std::move(callback), monotonic_now());
+        };
+        auto serving = interfaces_.serve_control_(port);
+        if (!serving) {
+            return tl::unexpected(serving.error());
+        }
+        serving_ = std::move(*serving);
+        return {};
+    }
+
+    [[nodiscard]] auto leader_host() const -> std::string
+    {
+        const auto& leader = replica_->raft_state().leader();
+        for (const auto& peer : settings_.control_peers_) {
+            if (peer.name_ == leader) {
+                return peer.address_.host_;
+            }
+        }
+        const auto address = parse_peer_address(replica_address_of(leader));
+        return address ? address->host_ : std::string();
+    }
+
+    /** Before the group has its voters, losing as many disks as are tolerated could lose an accepted
+     * table. */
+    [[nodiscard]] auto why_not_ready() const -> std::optional<error>
+    {
+        const auto now = monotonic_now();
+        if (!is_group_changing() ||
+            (keeper_.is_complete(replica_->raft_state().membership(), now) &&
+             now - started_ >= joining_time)) {
+            return std::nullopt;
+        }
+        return error{error_kind::unavailable, "replicas are still joining the control group"};
+    }
+
     auto make_hooks() -> control_hooks
     {
         control_hooks hooks;
@@ -272,7 +484,11 @@
     }
 
     daemon_settings settings_;
+    outer_interfaces interfaces_;
     random_hook random_;
+    group_keeper keeper_;
+    std::vector<std::string> linked_to_; ///< Names of the members that links are kept to.
+    instant started_ = monotonic_now();
     metrics_registry metrics_;
     admin_server admin_;
     peer_listener listener_;
@@ -285,21 +501,28 @@
     progress_board others_progress_;
     QTimer progress_timer_;
     QTimer ticker_;
+    QTimer group_timer_;
     QTimer lease_timer_;
     QTimer proof_timer_;
     std::uint64_t proof_number_ = 0;
+    std::shared_ptr<void> serving_; ///< The interface for the world outside, if there is another.
 };
 
 } // namespace
 
-auto start_control_role(const daemon_settings& settings, const daemon_secrets& secrets)
-    -> result<running_role>
+auto start_control_role(const daemon_settings& settings, const daemon_secrets& secrets,
+                        const outer_interfaces& interfaces) -> result<running_role>
 {
-    const auto role = std::make_shared<control_role>(settings, secrets);
+    const auto role = std::make_shared<control_role>(settings, secrets, interfaces);
     if (auto started = role->start(); !started) {
         return tl::unexpected(started.error());
     }
-    return running_role{[](const std::function<void()>& done) { done(); }, role};
+    return running_role{[role = std::weak_ptr(role)](const daemon_settings& next) {
+                            if (const auto alive = role.lock()) {
+                                alive->reload(next);
+                            }
+                        },
+                        [](const std::function<void()>& done) { done(); }, role};
 }
 
 } // namespace sycamorewinch
--- a/libs/daemon/daemon_role.cpp
+++ b/libs/daemon/daemon_role.cpp
@@ -37,7 +37,9 @@
     }
     if (settings.cluster_key_file_.empty()) {
         log_event(log_level::warning, "no_cluster_key",
-                  {{"effect", "listening on loopback addresses only"}});
+                  {{"effect", settings.is_network_trusted_
+                                  ? "whoever reaches the peer addresses is trusted"
+                                  : "listening on loopback addresses only"}});
     }
     if (settings.operator_token_file_.empty()) {
         return daemon_secrets{std::move(*key), {}};
@@ -49,16 +51,16 @@
     return daemon_secrets{std::move(*key), std::move(*token)};
 }
 
-auto start_role(const daemon_settings& settings, const daemon_secrets& secrets)
-    -> result<running_role>
+auto start_role(const daemon_settings& settings, const daemon_secrets& secrets,
+                const outer_interfaces& interfaces) -> result<running_role>
 {
     switch (settings.role_) {
     case daemon_role::control:
-        return start_control_role(settings, secrets);
+        return start_control_role(settings, secrets, interfaces);
     case daemon_role::relay:
         return start_relay_role(settings, secrets);
     case daemon_role::node:
-        return start_node_role(settings, secrets);
+        return start_node_role(settings, secrets, interfaces);
     }
     return failure(error_kind::invalid_input, "unknown role");
 }
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -60,15 +60,18 @@
 /** A node: subscribes upwards, registers targets, and carries calls on its workers. */
 class node_role {
   public:
-    node_role(const daemon_settings& settings, const daemon_secrets& secrets)
-        : settings_(settings), secrets_(secrets), state_(to_text(settings.listen_peers_), metrics_),
+    node_role(const daemon_settings& settings, const daemon_secrets& secrets,
+              outer_interfaces interfaces)
+        : settings_(settings), secrets_(secrets), interfaces_(std::move(interfaces)), state_(to_text(settings.listen_peers_), metrics_),
           registry_(settings.availability_zone_, to_text(settings.listen_peers_),
                     static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch()),
                     to_text(settings.listen_admin_)),
           admin_(metrics_, secrets.operator_token_,
-                 [this] { return link_.logic().enforced() && !state_.is_shutting_down(); }),
+                 [this] { return is_ready(); }),
           link_(settings.upstreams_, secrets.key_,
-                {settings.name_, settings.availability_zone_, false, system_random()}, metrics_,
+                {settings.name_, settings.availability_zone_, false, system_random(),
+                 settings.proof_period_, settings.proof_timeout_},
+                metrics_,
                 {[this](const auto& output) { on_output(output); },
                  [this](bool is_moved) {
                      on_connected(is_moved);
@@ -107,6 +110,12 @@
             runs_.tick(monotonic_now());
             send_runs();
         });
+        if (interfaces_.dialect_) {
+            state_.set_dialect(*interfaces_.dialect_);
+        }
+        if (settings_.prefers_own_zone_) {
+            state_.prefer_zone(settings_.availability_zone_);
+        }
         state_.set_crash_port([this](auto record) { post_crash(std::move(record)); });
         state_.set_run_port({[this](auto operation, auto reply) {
                                  post_reservation(std::move(operation), std::move(reply));
@@ -129,12 +138,18 @@
         if (auto listening = admin_.listen(settings_.listen_admin_); !listening) {
             return listening;
         }
+        if (auto serving = serve_interface(); !serving) {
+            return serving;
+        }
         lease_timer_.start(lease_check_period);
         run_timer_.start(run_check_period);
         link_.start();
         return {};
     }
 
+    /** Takes new upstreams; the connection in use stays. */
+    void reload(const daemon_settings& settings) { link_.set_upstreams(settings.upstreams_); }
+
     void shut_down(std::function<void()> done)
     {
         state_.begin_shutdown();
@@ -159,19 +174,61 @@
     }
 
   private:
-    auto on_announce(const QHttpServerRequest& request) -> QHttpServerResponse
+    [[nodiscard]] auto is_ready() -> bool
     {
-        const auto announcement = read_json(request).and_then(read_announcement);
-        if (!announcement) {
-            return error_answer(announcement.error());
+        return link_.logic().enforced() && !state_.is_shutting_down();
+    }
+
+    auto serve_interface() -> result<void>
+    {
+        if (!interfaces_.serve_node_) {
+            return {};
+        }
+        auto serving = interfaces_.serve_node_(
+            {[this] { return is_ready(); },
+             [this](const target_announcement& announcement) { return announce(announcement); },
+             [this](const std::string& target) { leave(target); }});
+        if (!serving) {
+            return tl::unexpected(serving.error());
         }
+        serving_ = std::move(*serving);
+        return {};
+    }
+
+    auto announce(const target_announcement& announcement) -> result<void>
+    {
         if (state_.is_shutting_down()) {
-            return error_answer({error_kind::unavailable, "this node is shutting down"});
+            return failure(error_kind::unavailable, "this node is shutting down");
         }
-        if (registry_.announce(*announcement, monotonic_now())) {
+        if (registry_.announce(announcement, monotonic_now())) {
+            log_event(log_level::info, "target_announced",
+                      {{"service", announcement.service_},
+                       {"target", announcement.target_},
+                       {"draining", announcement.draining_}});
             publish_local_targets();
             tell(registry_.records());
         }
+        return {};
+    }
+
+    void leave(const std::string& target)
+    {
+        if (const auto changed = registry_.leave(target); !changed.empty()) {
+            log_event(log_level::info, "target_left", {{"target", target}});
+            publish_local_targets();
+            tell(changed);
+        }
+    }
+
+    auto on_announce(const QHttpServerRequest& request) -> QHttpServerResponse
+    {
+        const auto announcement = read_json(request).and_then(read_announcement);
+        if (!announcement) {
+            return error_answer(announcement.error());
+        }
+        if (const auto taken = announce(*announcement); !taken) {
+            return error_answer(taken.error());
+        }
         const auto lease = static_cast<qint64>(announcement->lease_.count());
         return json_answer({{"lease_ms", lease}});
     }
@@ -344,6 +401,7 @@
 
     daemon_settings settings_;
     daemon_secrets secrets_;
+    outer_interfaces interfaces_;
     metrics_registry metrics_;
     node_state state_;
     target_registry registry_;
@@ -360,18 +418,24 @@
     QTimer run_timer_;
     QTimer shutdown_timer_;
     std::vector<std::unique_ptr<node_worker>> workers_;
+    std::shared_ptr<void> serving_; ///< The interface for the world outside, if there is another.
 };
 
 } // namespace
 
-auto start_node_role(const daemon_settings& settings, const daemon_secrets& secrets)
-    -> result<running_role>
+auto start_node_role(const daemon_settings& settings, const daemon_secrets& secrets,
+                     const outer_interfaces& interfaces) -> result<running_role>
 {
-    const auto role = std::make_shared<node_role>(settings, secrets);
+    const auto role = std::make_shared<node_role>(settings, secrets, interfaces);
     if (auto started = role->start(); !started) {
         return tl::unexpected(started.error());
     }
-    return running_role{[role = std::weak_ptr(role)](std::function<void()> done) {
+    return running_role{[role = std::weak_ptr(role)](const daemon_settings& next) {
+                            if (const auto alive = role.lock()) {
+                                alive->reload(next);
+                            }
+                        },
+                        [role = std::weak_ptr(role)](std::function<void()> done) {
                             if (const auto alive = role.lock()) {
                                 alive->shut_down(std::move(done));
                             }
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -169,7 +169,8 @@
     if (auto started = role->start(settings); !started) {
         return tl::unexpected(started.error());
     }
-    return running_role{[](const std::function<void()>& done) { done(); }, role};
+    return running_role{[](const daemon_settings&) {},
+                        [](const std::function<void()>& done) { done(); }, role};
 }
 
 } // namespace sycamorewinch
--- a/libs/daemon/replica_links.cpp
+++ b/libs/daemon/replica_links.cpp
@@ -1,7 +1,10 @@
 #include "daemon/replica_links.h"
 
+#include <set>
+
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
+#include "control/group_keeper.h"
 #include "observability/log.h"
 
 namespace sycamorewinch {
@@ -10,11 +13,16 @@
 
 constexpr auto redial_after = std::chrono::milliseconds(200);
 constexpr std::size_t max_name_length = 64;
+constexpr std::size_t max_links = 64;
+/** A replica must notice a silent link, and one that came back, well within a few elections. */
+constexpr connection_limits link_limits{.ping_after_ = std::chrono::milliseconds(1'000),
+                                        .silent_after_ = std::chrono::milliseconds(2'500),
+                                        .ready_within_ = std::chrono::milliseconds(1'000)};
 constexpr std::size_t max_body_bytes = 64U * 1024 * 1024;
 constexpr std::size_t max_queued_bytes = 16U * 1024 * 1024;
 
 /** What a replica's message carries. */
-enum class replica_payload : std::uint8_t { raft, distribution, runs };
+enum class replica_payload : std::uint8_t { raft, distribution, runs, join };
 
 auto wrap(replica_payload kind, const std::string& from, std::string_view body) -> std::string
 {
@@ -25,24 +33,65 @@
 
 } // namespace
 
-replica_links::replica_links(std::string self, const std::vector<control_peer>& peers,
-                             cluster_key key, replica_link_hooks hooks)
-    : self_(std::move(self)), key_(std::move(key)), hooks_(std::move(hooks))
+replica_links::replica_links(const std::vector<control_peer>& peers, cluster_key key,
+                             replica_link_hooks hooks)
+    : is_fixed_(!peers.empty()), key_(std::move(key)), hooks_(std::move(hooks))
 {
     for (const auto& peer : peers) {
-        if (peer.name_ != self_) {
-            links_[peer.name_].address_ = peer.address_;
-        }
+        links_[peer.name_].address_ = peer.address_;
     }
 }
 
-void replica_links::start()
+void replica_links::start(const std::string& self)
 {
+    self_ = self;
+    links_.erase(self);
     for (const auto& [name, link] : links_) {
         dial(name);
     }
 }
 
+auto replica_links::key_of(const std::string& name) const -> std::string
+{
+    return is_fixed_ ? name : replica_address_of(name);
+}
+
+void replica_links::connect_to(const std::vector<std::string>& names)
+{
+    std::set<std::string> wanted;
+    for (const auto& name : names) {
+        wanted.insert(key_of(name));
+    }
+    std::vector<std::shared_ptr<peer_client>> unwanted;
+    std::erase_if(links_, [&](auto& one) {
+        if (wanted.contains(one.first)) {
+            return false;
+        }
+        unwanted.push_back(std::move(one.second.client_));
+        return true;
+    });
+    for (const auto& client : unwanted) {
+        client->close();
+    }
+    for (const auto& key : wanted) {
+        static_cast<void>(find_or_dial(key));
+    }
+}
+
+auto replica_links::find_or_dial(const std::string& key) -> bool
+{
+    if (links_.contains(key)) {
+        return true;
+    }
+    const auto address = parse_peer_address(key);
+    if (is_fixed_ || !address || key == key_of(self_) || links_.size() >= max_links) {
+        return false;
+    }
+    links_[key].address_ = *address;
+    dial(key);
+    return true;
+}
+
 void replica_links::dial(const std::string& name)
 {
     auto& link = links_.at(name);
@@ -53,14 +102,23 @@
     hooks.on_ended_ = [this, name](connection_end) {
         redial_later(name);
     };
-    link.client_ = peer_client::dial(link.address_, key_, std::move(hooks));
+    link.client_ = peer_client::dial(link.address_, key_, std::move(hooks), link_limits);
 }
 
 void replica_links::redial_later(const std::string& name)
 {
+    const auto found = links_.find(name);
+    if (found == links_.end()) {
+        return; // let go of meanwhile
+    }
     hooks_.on_disconnected_(name);
-    links_.at(name).channel_.reset();
-    QTimer::singleShot(redial_after, &context_, [this, name] { dial(name); });
+    found->second.channel_.reset();
+    QTimer::singleShot(redial_after, &context_, [this, name, was = found->second.client_] {
+        const auto link = links_.find(name);
+        if (link != links_.end() && link->second.client_ == was) {
+            dial(name);
+        }
+    });
 }
 
 void replica_links::open_channel(const std::string& name)
@@ -69,9 +127,10 @@
     channel_hooks hooks;
     hooks.on_message_ = [](std::string_view) {
     };
-    hooks.on_closed_ = [this, name] {
-        const auto client = links_.at(name).client_;
-        client->close();
+    hooks.on_closed_ = [client = std::weak_ptr(link.client_)] {
+        if (const auto open = client.lock()) {
+            open->close();
+        }
     };
     auto channel =
         message_channel::open(link.client_->connection(), replica_path, {}, std::move(hooks));
@@ -106,10 +165,15 @@
     const auto kind = static_cast<replica_payload>(reader.number());
     const auto from = reader.text(max_name_length);
     const auto body = reader.bytes(max_body_bytes);
-    if (!reader.finish() || !links_.contains(from)) {
+    const auto key = key_of(from);
+    if (!reader.finish() || !find_or_dial(key)) {
         log_event(log_level::warning, "bad_replica_message", {{"from", from}});
         return;
     }
+    if (kind == replica_payload::join) {
+        hooks_.on_join_(body);
+        return;
+    }
     if (kind == replica_payload::raft) {
         if (const auto message = decode_raft_message(body)) {
             hooks_.on_raft_(*message);
@@ -117,11 +181,11 @@
         return;
     }
     if (kind == replica_payload::runs) {
-        hooks_.on_runs_(from, body);
+        hooks_.on_runs_(key, body);
         return;
     }
     if (const auto message = decode_distribution_message(body)) {
-        hooks_.on_distribution_(from, *message);
+        hooks_.on_distribution_(key, *message);
     }
 }
 
@@ -135,6 +199,11 @@
     send_bytes(to, wrap(replica_payload::distribution, self_, encode_message(message)));
 }
 
+void replica_links::send_join(const std::string& to, const std::string& candidate)
+{
+    send_bytes(to, wrap(replica_payload::join, self_, candidate));
+}
+
 void replica_links::send_runs(const std::string& to, std::string_view bytes)
 {
     send_bytes(to, wrap(replica_payload::runs, self_, bytes));
@@ -142,7 +211,7 @@
 
 void replica_links::send_bytes(const std::string& to, std::string_view bytes)
 {
-    const auto found = links_.find(to);
+    const auto found = links_.find(key_of(to));
     if (found == links_.end() || !found->second.channel_) {
         return;
     }
--- a/libs/daemon/replica_links.h
+++ b/libs/daemon/replica_links.h
@@ -27,6 +27,8 @@
     std::function<void(const std::string& to)> on_connected_;
     /** The connection to a replica ended, or could not be made. */
     std::function<void(const std::string& to)> on_disconnected_;
+    /** The replica called \p candidate asks to join a changing group. */
+    std::function<void(const std::string& candidate)> on_join_;
     /** Operations on the record of unrepeatable requests, or their results. */
     std::function<void(const std::string& from, std::string_view bytes)> on_runs_;
 };
@@ -37,11 +39,19 @@
 /** Connects one replica with the others. */
 class replica_links {
   public:
-    replica_links(std::string self, const std::vector<control_peer>& peers, cluster_key key,
+    /** With \p peers the group is fixed. Without, it is what connect_to() says; replicas are then
+     * known here by the addresses in their names. */
+    replica_links(const std::vector<control_peer>& peers, cluster_key key,
                   replica_link_hooks hooks);
 
-    /** Dials every other replica. */
-    void start();
+    /** Dials every other replica; \p self is this one's name. */
+    void start(const std::string& self);
+
+    /** Keeps links to the replicas called \p names, and to no others. For a changing group. */
+    void connect_to(const std::vector<std::string>& names);
+
+    /** Asks the replica called \p to to let \p candidate join. */
+    void send_join(const std::string& to, const std::string& candidate);
 
     /** Takes a channel that another replica dialled. */
     auto accept(const std::shared_ptr<h2_connection>& connection, stream_id stream) -> stream_hooks;
@@ -62,6 +72,8 @@
         std::shared_ptr<message_channel> channel_;
     };
 
+    [[nodiscard]] auto key_of(const std::string& name) const -> std::string;
+    [[nodiscard]] auto find_or_dial(const std::string& key) -> bool;
     void dial(const std::string& name);
     void open_channel(const std::string& name);
     void redial_later(const std::string& name);
@@ -69,9 +81,10 @@
     void send_bytes(const std::string& to, std::string_view bytes);
 
     std::string self_;
+    bool is_fixed_;
     cluster_key key_;
     replica_link_hooks hooks_;
-    std::map<std::string, link> links_;
+    std::map<std::string, link> links_; ///< By name, or by address in a changing group.
     std::map<std::uint64_t, std::shared_ptr<message_channel>> accepted_;
     std::uint64_t next_accepted_ = 1;
     QObject context_;
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -4,6 +4,15 @@
 
 namespace sycamorewinch {
 
+namespace {
+
+auto is_at_one_address(const target_announcement& one, const target_announcement& other) -> bool
+{
+    return !one.address_.host_.empty() && one.address_ == other.address_;
+}
+
+} // namespace
+
 target_registry::target_registry(std::string availability_zone, std::string node_address,
                                  std::uint64_t incarnation, std::string node_admin)
     : availability_zone_(std::move(availability_zone)), node_address_(std::move(node_address)),
@@ -13,9 +22,14 @@
 
 auto target_registry::announce(const target_announcement& announcement, instant now) -> bool
 {
+    if (is_overtaken(announcement)) {
+        return false;
+    }
+    const bool has_ended_others = end_others_at(announcement);
     auto& target = targets_[{announcement.service_, announcement.target_}];
     const auto before = target.record_;
     target.announcement_ = announcement;
+    target.has_left_ = false;
     target.lease_end_ = now + announcement.lease_;
     auto& record = target.record_;
     record.service_ = announcement.service_;
@@ -28,12 +42,47 @@
     record.cold_start_ = announcement.cold_start_;
     record.state_ = announced_state(target);
     if (record == before) {
-        return false;
+        return has_ended_others;
     }
     record.sequence_ = next_sequence();
     return true;
 }
 
+auto target_registry::is_overtaken(const target_announcement& announcement) const -> bool
+{
+    for (const auto& [name, target] : targets_) {
+        const auto& known = target.announcement_;
+        const bool is_same = name == std::pair(announcement.service_, announcement.target_);
+        if (!is_same && !is_at_one_address(known, announcement)) {
+            continue;
+        }
+        if (announcement.started_ < known.started_) {
+            return true;
+        }
+        const bool is_same_start = is_same && announcement.started_ == known.started_;
+        if (is_same_start && target.has_left_) {
+            return true;
+        }
+        if (is_same_start && announcement.sequence_ != 0 &&
+            announcement.sequence_ <= known.sequence_) {
+            return true;
+        }
+    }
+    return false;
+}
+
+auto target_registry::end_others_at(const target_announcement& announcement) -> bool
+{
+    bool has_ended = false;
+    for (auto& [name, target] : targets_) {
+        const bool is_same = name == std::pair(announcement.service_, announcement.target_);
+        if (!is_same && is_at_one_address(target.announcement_, announcement)) {
+            has_ended = set_state(target, target_state::gone) || has_ended;
+        }
+    }
+    return has_ended;
+}
+
 auto target_registry::next_sequence() -> std::uint64_t
 {
     sequence_ = (sequence_ / sequence_step + 1) * sequence_step;
@@ -42,6 +91,9 @@
 
 auto target_registry::announced_state(const registered_target& target) const -> target_state
 {
+    if (target.has_left_) {
+        return target_state::gone;
+    }
     const bool drains =
         target.announcement_.draining_ || target.drained_by_operator_ || node_drained_;
     return drains ? target_state::draining : target_state::up;
@@ -57,6 +109,20 @@
     return true;
 }
 
+auto target_registry::leave(const std::string& target) -> std::vector<target_record>
+{
+    std::vector<target_record> changed;
+    for (auto& [name, known] : targets_) {
+        if (name.second == target) {
+            known.has_left_ = true;
+            if (set_state(known, target_state::gone)) {
+                changed.push_back(known.record_);
+            }
+        }
+    }
+    return changed;
+}
+
 auto target_registry::expire(instant now) -> std::vector<target_record>
 {
     std::vector<target_record> changed;
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -24,6 +24,10 @@
     std::chrono::milliseconds cold_start_{0};
     std::chrono::milliseconds lease_{0}; ///< It announces itself again before this is over.
     bool draining_ = false;
+    /** Tells the target's starts apart: a later start has a larger number; 0: not told. */
+    std::uint64_t started_ = 0;
+    /** Rises with every announcement of one start; 0: in the order of arrival. */
+    std::uint64_t sequence_ = 0;
 };
 
 /** One announced target. */
@@ -32,6 +36,7 @@
     target_record record_;
     instant lease_end_;
     bool drained_by_operator_ = false; ///< Whatever the target itself announces.
+    bool has_left_ = false;            ///< It said so, and has not started again since.
 };
 
 /** The targets beside one node. */
@@ -42,9 +47,15 @@
     target_registry(std::string availability_zone, std::string node_address,
                     std::uint64_t incarnation, std::string node_admin = {});
 
-    /** Takes an announcement; returns whether the target's record changed. */
+    /** Takes an announcement; returns whether any record changed. One that was overtaken, by a later
+     * one of the same start or by a later start at its address, changes nothing. A target that has
+     * left stays away until its next start. Whatever stood at the address before is gone. */
     auto announce(const target_announcement& announcement, instant now) -> bool;
 
+    /** The target called \p target, of whatever service, takes no work any more. Returns the records
+     * that changed. */
+    auto leave(const std::string& target) -> std::vector<target_record>;
+
     /** Ends leases that have run out; returns the records that changed. */
     auto expire(instant now) -> std::vector<target_record>;
 
@@ -73,6 +84,8 @@
     [[nodiscard]] auto targets() const -> std::vector<registered_target>;
 
   private:
+    [[nodiscard]] auto is_overtaken(const target_announcement& announcement) const -> bool;
+    auto end_others_at(const target_announcement& announcement) -> bool;
     auto next_sequence() -> std::uint64_t;
     auto set_state(registered_target& target, target_state state) -> bool;
     [[nodiscard]] auto announced_state(const registered_target& target) const -> target_state;
--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -50,6 +50,20 @@
     dial();
 }
 
+void upstream_link::set_upstreams(std::vector<peer_address> upstreams)
+{
+    const auto current = upstreams_[current_];
+    upstreams_ = std::move(upstreams);
+    last_connected_.reset();
+    const auto kept = std::ranges::find(upstreams_, current);
+    if (kept != upstreams_.end()) {
+        current_ = static_cast<std::size_t>(kept - upstreams_.begin());
+        return;
+    }
+    upstreams_.push_back(current);
+    current_ = upstreams_.size() - 1;
+}
+
 void upstream_link::tick()
 {
     const auto now = monotonic_now();
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -33,6 +33,9 @@
     /** Starts dialling. */
     void start();
 
+    /** Dials one of \p upstreams when the current connection is lost; until then it stays. */
+    void set_upstreams(std::vector<peer_address> upstreams);
+
     /** Returns the subscriber; call run() after changing it. */
     [[nodiscard]] auto logic() -> subscriber& { return subscriber_; }
 
--- a/libs/distribution/hub.cpp
+++ b/libs/distribution/hub.cpp
@@ -305,6 +305,7 @@
     if (needs_whole_table(held)) {
         update.from_ = {};
         update.change_.upserts_ = newest_->rows_;
+        update.change_.bounds_ = newest_->bounds_;
     }
     else {
         for (auto step = start; step != steps_.end(); ++step) {
--- a/libs/request_path/test/error/cut_answers.cpp
+++ b/libs/request_path/test/error/cut_answers.cpp
@@ -34,6 +34,14 @@
 {
     const auto got = call_target_that_closes_after(
         index, "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart of it");
+    BOOST_TEST(got.starts_with("HTTP/1.1 502"));
+    BOOST_TEST(got.find("part of it") == std::string::npos);
+}
+
+BOOST_DATA_TEST_CASE(a_length_too_long_to_be_held_stays_unmet, both_paths, index)
+{
+    const auto got = call_target_that_closes_after(
+        index, "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\npart of it");
     BOOST_TEST(!holds_whole_answer(got));
 }
 
--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdlib>
+#include <fstream>
 #include <set>
 #include <sstream>
 
@@ -21,6 +22,7 @@
 using internal::settings_reader;
 
 constexpr enum_names<daemon_role, 3> role_names{{"control", "relay", "node"}};
+constexpr enum_names<outer_interface, 2> interface_names{{"own", "platform"}};
 constexpr std::string_view environment_prefix = "SYCAMOREWINCH_";
 constexpr unsigned max_workers = 256;
 
@@ -44,6 +46,28 @@
     add("control-peers", empty(), "control: NAME=IP:PORT of every replica, separated by commas");
     add("upstreams", empty(),
         "relay, node: IP:PORT of processes to subscribe to, separated by commas");
+    const auto usual = [](const char* value) {
+        return po::value<std::string>()->default_value(value);
+    };
+    add("control-seeds", empty(),
+        "control: IP:PORT of some VMs of a group that forms and changes by itself");
+    add("control-port", empty(),
+        "the port for peers of every control VM, in place of those in control-seeds and upstreams");
+    add("found-group", usual("no"), "control: yes at the first start of all seeds");
+    add("tolerated-losses", usual("1"), "control: disks that may be lost at once, 1 to 5");
+    add("control-heartbeat-ms", usual("50"), "control: between a leader's heartbeats");
+    add("proof-period-ms", usual("2000"), "node: between two proofs that its table is current");
+    add("proof-timeout-ms", usual("8000"), "node: without a proof it changes its upstream");
+    add("prefer-own-zone", usual("no"), "node: yes chooses targets of the own zone first");
+    add("interface", usual("own"), "own or platform: who calls from outside, and how");
+    add("interface-control", empty(), "platform: IP:PORT for operators, or for the own server");
+    add("interface-ready", empty(), "platform, node: IP:PORT for questions of readiness");
+    add("own-target", empty(), "platform, node: IP:PORT of the server beside it");
+    add("own-service", empty(), "platform, node: service of the server beside it");
+    add("target-heartbeat-ms", usual("1500"), "platform, node: between a server's announcements");
+    add("trusted-network", usual("no"),
+        "yes: nobody else reaches these addresses, so keys and tokens are not needed");
+    add("settings-file", empty(), "file with lines NAME = VALUE; read again when it changes");
     add("data-dir", empty(), "control: the data folder");
     add("cluster-key-file", empty(),
         "file with the secret that all processes share; without it only loopback is used");
@@ -66,6 +90,9 @@
 
 void check_loopback(settings_reader& reader, const daemon_settings& settings)
 {
+    if (settings.is_network_trusted_) {
+        return;
+    }
     const auto check = [&reader](const char* name, const peer_address& address,
                                  const char* needed) {
         if (!is_loopback(address)) {
@@ -112,8 +139,33 @@
     }
 }
 
+/** Returns \p addresses with the port that all control VMs share, if one is set. */
+auto on_control_port(settings_reader& reader, std::vector<peer_address> addresses)
+    -> std::vector<peer_address>
+{
+    constexpr unsigned max_port = 65'535;
+    if (!reader.optional_text("control-port").empty()) {
+        const auto port = static_cast<std::uint16_t>(reader.count("control-port", max_port));
+        for (auto& address : addresses) {
+            address.port_ = port;
+        }
+    }
+    return addresses;
+}
+
+constexpr unsigned max_losses = 5;
+constexpr unsigned longest_period_ms = 60'000;
+
 void read_control_settings(settings_reader& reader, daemon_settings& settings)
 {
+    settings.control_heartbeat_ = reader.milliseconds("control-heartbeat-ms", longest_period_ms);
+    settings.control_seeds_ = on_control_port(reader, reader.addresses("control-seeds"));
+    if (!settings.control_seeds_.empty()) {
+        settings.founds_group_ = reader.yes_no("found-group");
+        settings.tolerated_losses_ = reader.count("tolerated-losses", max_losses);
+        settings.data_dir_ = reader.text("data-dir");
+        return;
+    }
     settings.control_peers_ = reader.peers("control-peers");
     check_peers(reader, settings.control_peers_);
     settings.data_dir_ = reader.text("data-dir");
@@ -126,13 +178,37 @@
 
 void read_subscriber_settings(settings_reader& reader, daemon_settings& settings)
 {
-    settings.upstreams_ = reader.addresses("upstreams");
+    settings.upstreams_ = on_control_port(reader, reader.addresses("upstreams"));
     if (settings.upstreams_.empty()) {
         reader.refuse("upstreams", "", "one IP:PORT or more");
     }
     if (settings.role_ == daemon_role::node) {
         settings.listen_callers_ = reader.address("listen-callers");
         settings.workers_ = reader.count("workers", max_workers);
+        settings.prefers_own_zone_ = reader.yes_no("prefer-own-zone");
+        settings.proof_period_ = reader.milliseconds("proof-period-ms", longest_period_ms);
+        settings.proof_timeout_ = reader.milliseconds("proof-timeout-ms", longest_period_ms);
+    }
+}
+
+void read_interface_settings(settings_reader& reader, daemon_settings& settings)
+{
+    const auto text = reader.text("interface");
+    const auto interface = interface_names.parse(text);
+    if (!interface) {
+        reader.refuse("interface", text, "own or platform");
+        return;
+    }
+    settings.interface_ = *interface;
+    if (settings.interface_ == outer_interface::own || settings.role_ == daemon_role::relay) {
+        return;
+    }
+    settings.interface_control_ = reader.address("interface-control");
+    if (settings.role_ == daemon_role::node) {
+        settings.interface_ready_ = reader.address("interface-ready");
+        settings.own_target_ = reader.optional_address("own-target");
+        settings.own_service_ = reader.text("own-service");
+        settings.target_heartbeat_ = reader.milliseconds("target-heartbeat-ms", longest_period_ms);
     }
 }
 
@@ -158,6 +234,9 @@
         reader.refuse("log-level", level_text, "debug, info, warning or error");
     }
     settings.log_level_ = level.value_or(log_level::info);
+    settings.is_network_trusted_ = reader.yes_no("trusted-network");
+    settings.settings_file_ = reader.optional_text("settings-file");
+    read_interface_settings(reader, settings);
     if (settings.role_ == daemon_role::control) {
         read_control_settings(reader, settings);
     }
@@ -183,6 +262,20 @@
     return variable;
 }
 
+void store_arguments(const po::options_description& options,
+                     const std::vector<std::string>& arguments, po::variables_map& values)
+{
+    const po::positional_options_description none;
+    constexpr int whole_names_only = static_cast<int>(po::command_line_style::unix_style) &
+                                     ~static_cast<int>(po::command_line_style::allow_guessing);
+    po::store(po::command_line_parser(arguments)
+                  .options(options)
+                  .positional(none)
+                  .style(whole_names_only)
+                  .run(),
+              values);
+}
+
 void store_environment(const po::options_description& options, const environment_hook& environment,
                        po::variables_map& values)
 {
@@ -224,22 +317,46 @@
     return names;
 }
 
+auto read_settings_file(const std::vector<std::string>& arguments,
+                        const environment_hook& environment) -> result<std::string>
+{
+    const auto options = make_options();
+    po::variables_map values;
+    try {
+        store_arguments(options, arguments, values);
+        store_environment(options, environment, values);
+    }
+    catch (const po::error& problem) {
+        return failure(error_kind::invalid_input, problem.what());
+    }
+    const auto& path = values["settings-file"].as<std::string>();
+    if (path.empty()) {
+        return std::string();
+    }
+    std::ifstream file(path);
+    std::ostringstream contents;
+    contents << file.rdbuf();
+    if (!file) {
+        return failure(error_kind::io,
+                       fmt::format("setting settings-file: '{}' cannot be read", path));
+    }
+    return contents.str();
+}
+
 auto parse_daemon_settings(const std::vector<std::string>& arguments,
                            const environment_hook& environment) -> result<parsed_settings>
 {
     const auto options = make_options();
     po::variables_map values;
     try {
-        const po::positional_options_description none;
-        constexpr int whole_names_only = static_cast<int>(po::command_line_style::unix_style) &
-                                         ~static_cast<int>(po::command_line_style::allow_guessing);
-        po::store(po::command_line_parser(arguments)
-                      .options(options)
-                      .positional(none)
-                      .style(whole_names_only)
-                      .run(),
-                  values);
-        store_environment(options, environment, values); // what is stored first wins
+        const auto file = read_settings_file(arguments, environment);
+        if (!file) {
+            return tl::unexpected(file.error());
+        }
+        store_arguments(options, arguments, values); // what is stored first wins
+        store_environment(options, environment, values);
+        std::istringstream lines(*file);
+        po::store(po::parse_config_file(lines, options), values);
     }
     catch (const po::error& problem) {
         return failure(error_kind::invalid_input, problem.what());
--- a/libs/settings/settings_reader.cpp
+++ b/libs/settings/settings_reader.cpp
@@ -102,6 +102,27 @@
     return count;
 }
 
+auto settings_reader::yes_no(const std::string& name) -> bool
+{
+    const auto value = text(name);
+    const bool is_yes = value == "yes" || value == "true";
+    if (!is_yes && value != "no" && value != "false") {
+        refuse(name, value, "yes or no");
+    }
+    return is_yes;
+}
+
+auto settings_reader::milliseconds(const std::string& name, unsigned largest)
+    -> std::chrono::milliseconds
+{
+    return std::chrono::milliseconds(count(name, largest));
+}
+
+auto settings_reader::optional_address(const std::string& name) -> std::optional<peer_address>
+{
+    return has(name) ? std::optional(address(name)) : std::nullopt;
+}
+
 void settings_reader::refuse(std::string_view name, std::string_view value,
                              std::string_view allowed)
 {
--- a/libs/settings/settings_reader.h
+++ b/libs/settings/settings_reader.h
@@ -35,6 +35,13 @@
     /** Returns a whole number from 1 to \p largest. */
     auto count(const std::string& name, unsigned largest) -> unsigned;
 
+    /** Returns whether a setting is `yes` (or `true`) rather than `no` (or `false`). */
+    auto yes_no(const std::string& name) -> bool;
+    /** Returns a span of whole milliseconds from 1 to \p largest. */
+    auto milliseconds(const std::string& name, unsigned largest) -> std::chrono::milliseconds;
+    /** Returns an address, or nothing when it is not given. */
+    auto optional_address(const std::string& name) -> std::optional<peer_address>;
+
     /** Notes a wrong setting, unless one was noted before. */
     void refuse(std::string_view name, std::string_view value, std::string_view allowed);
     [[nodiscard]] auto problem() const -> const std::optional<error>& { return problem_; }
--- a/libs/storage/replica_store.cpp
+++ b/libs/storage/replica_store.cpp
@@ -17,7 +17,7 @@
 constexpr const char* log_path = "log";
 constexpr const char* snapshot_path = "snapshot";
 constexpr std::string_view header_start = "sycamorewinch/";
-constexpr unsigned format_version = 1;
+constexpr unsigned format_version = 2;
 constexpr std::size_t max_name_length = 64;
 constexpr std::size_t max_record_bytes = 1024U * 1024 * 1024;
 constexpr std::size_t word_bytes = 8;
@@ -186,10 +186,11 @@
         return payload ? result<void>() : tl::unexpected(payload.error());
     }
     cbor_reader reader(*payload);
-    reader.array(3);
+    reader.array(4);
     recovered_.snapshot_.index_ = reader.number();
     recovered_.snapshot_.term_ = reader.number();
     recovered_.snapshot_.data_ = reader.bytes(max_record_bytes);
+    recovered_.snapshot_.membership_ = reader.bytes(max_record_bytes);
     return reader.finish();
 }
 
@@ -274,7 +275,8 @@
         return {};
     }
     cbor_writer writer;
-    writer.array(3).number(snapshot.index_).number(snapshot.term_).bytes(snapshot.data_);
+    writer.array(4).number(snapshot.index_).number(snapshot.term_).bytes(snapshot.data_);
+    writer.bytes(snapshot.membership_);
     return files_.replace_(snapshot_path, header_of(snapshot_path) + frame(writer.take()));
 }
 
--- a/libs/storage/test/correctness/recovery.cpp
+++ b/libs/storage/test/correctness/recovery.cpp
@@ -132,10 +132,10 @@
 {
     const scratch_folder folder;
     auto files = open_file_system(folder.path_).value();
-    BOOST_TEST(files.replace_("log", "sycamorewinch/log/2\n").has_value());
+    BOOST_TEST(files.replace_("log", "sycamorewinch/log/3\n").has_value());
     const auto store = replica_store::open(files);
     BOOST_REQUIRE(!store.has_value());
     BOOST_TEST(store.error().message_ ==
-               "file log has the format sycamorewinch/log/2; this program reads "
-               "sycamorewinch/log/1");
+               "file log has the format sycamorewinch/log/3; this program reads "
+               "sycamorewinch/log/2");
 }
--- a/libs/transport/peer_connection.h
+++ b/libs/transport/peer_connection.h
@@ -20,7 +20,7 @@
 namespace sycamorewinch {
 
 /** The version of the protocol between processes; peers of another version are refused. */
-constexpr std::string_view protocol_version = "1";
+constexpr std::string_view protocol_version = "2";
 
 /** An address in the settings' form, an IP number and a port. */
 struct peer_address {
