Subscribe in the own zone, and tell callers apart only where they are named

Bytes between zones were the largest price there.

Change: the service that a call comes from travels apart from the caller's name; requests without a caller are not counted against one another. Progress goes to the leader alone, when it changed. A refused call is logged with its reason.

--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon_role.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -27,13 +28,15 @@
 constexpr auto tick_period = std::chrono::milliseconds(10);
 constexpr int ticks_per_heartbeat = 5;
 /** A leader's claim outlives a few heartbeats that are late or lost. */
-constexpr int heartbeats_per_lease = 6;
+constexpr int heartbeats_per_lease = 5;
 /** How often the members of a changing group look whether it should change. */
 constexpr auto group_period = std::chrono::milliseconds(200);
 /** Replicas that start together have asked to join by then. */
 constexpr duration joining_time = std::chrono::milliseconds(1'500);
 /** The term of the entry that founders store before any election. */
 constexpr std::uint64_t first_term = 1;
+/** One report of progress in three may be lost. */
+constexpr int reports_per_silence = 3;
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
 /** Operators send whole tables. */
 constexpr admin_limits operator_limits{.request_bytes_ = 8 * 1024 * 1024};
@@ -53,7 +56,7 @@
           listener_(secrets.key_, metrics_),
           hub_(metrics_,
                {[this] { ask_for_proof(); }, [this](const auto& news) { tell_others(news); },
-                [this] { tell_others(progress_report{hub_.logic().progress()}); },
+                [this] { is_progress_new_ = true; },
                 [this](const auto& news) {
                     tell_others(crash_report{news});
                 }}),
@@ -61,7 +64,7 @@
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
                   [this](const auto& from, const auto& message) { on_peer(from, message); },
                   [this](const auto& to) { on_peer_connected(to); },
-                  [this](const auto& to) { others_progress_.on_disconnected(to, monotonic_now()); },
+                  [this](const auto& to) { on_peer_disconnected(to); },
                   [this](const auto& candidate) { on_join(candidate); },
                   [this](const auto& from, auto bytes) {
                       runs_.receive(from, bytes);
@@ -87,7 +90,7 @@
                                       return hub_.logic().targets().records();
                                   }});
         QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
-                         [this] { tell_others(progress_report{hub_.logic().progress()}); });
+                         [this] { report_progress(); });
         QObject::connect(&ticker_, &QTimer::timeout, &ticker_,
                          [this] { replica_->tick(monotonic_now()); });
         QObject::connect(&group_timer_, &QTimer::timeout, &group_timer_,
@@ -451,6 +454,10 @@
         else if (const auto* progress = std::get_if<progress_report>(&message)) {
             others_progress_.report(from, progress->zones_, monotonic_now());
         }
+        else if (const auto* hubs = std::get_if<hub_list>(&message); hubs && !hubs->hubs_.empty()) {
+            hubs_[from] = hubs->hubs_.front();
+            publish_hubs();
+        }
     }
 
     void prove_for(const std::string& follower, std::uint64_t nonce)
@@ -468,7 +475,45 @@
     {
         links_.send(to, target_report{hub_.logic().held_targets(), true});
         links_.send(to, target_summary{hub_.logic().targets().digests()});
-        links_.send(to, progress_report{hub_.logic().progress()});
+        links_.send(to, hub_list{{own_hub()}});
+    }
+
+    void on_peer_disconnected(const std::string& to)
+    {
+        others_progress_.on_disconnected(to, monotonic_now());
+        if (hubs_.erase(to) > 0) {
+            publish_hubs();
+        }
+    }
+
+    [[nodiscard]] auto own_hub() const -> hub_address
+    {
+        return {settings_.availability_zone_, to_text(settings_.listen_peers_)};
+    }
+
+    /** Subscribers learn of this replica and of those it is in touch with. */
+    void publish_hubs()
+    {
+        std::vector<hub_address> all{own_hub()};
+        for (const auto& [name, hub] : hubs_) {
+            all.push_back(hub);
+        }
+        hub_.logic().set_hubs(std::move(all));
+        hub_.run();
+    }
+
+    /** Only the leader is asked about progress. News goes out at once in the next period, and again
+     * often enough that the leader does not take this replica for silent. */
+    void report_progress()
+    {
+        const auto now = monotonic_now();
+        const bool is_due = now - progress_told_at_ >= progress_silence / reports_per_silence;
+        const auto& leader = replica_->raft_state().leader();
+        if ((is_progress_new_ || is_due) && !leader.empty()) {
+            is_progress_new_ = false;
+            progress_told_at_ = now;
+            links_.send(leader, progress_report{hub_.logic().progress()});
+        }
     }
 
     void tell_others(const distribution_message& message)
@@ -499,6 +544,9 @@
     std::optional<replica_store> store_;
     std::optional<control_replica> replica_;
     progress_board others_progress_;
+    std::map<std::string, hub_address> hubs_; ///< The other replicas that this one is in touch with.
+    bool is_progress_new_ = false;
+    instant progress_told_at_{};
     QTimer progress_timer_;
     QTimer ticker_;
     QTimer group_timer_;
--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -11,10 +11,16 @@
 namespace {
 
 constexpr duration first_backoff = std::chrono::milliseconds(100);
-constexpr duration longest_backoff = std::chrono::seconds(5);
+constexpr duration longest_backoff = std::chrono::seconds(2);
 constexpr unsigned max_doublings = 6;
 constexpr auto tick_period = std::chrono::milliseconds(250);
-constexpr duration dial_timeout = std::chrono::seconds(3);
+constexpr duration dial_timeout = std::chrono::seconds(1);
+/** A connection lasts so long before one to a nearer upstream takes its place. */
+constexpr duration settled_after = std::chrono::seconds(1);
+/** A silent upstream must be left well before its table counts as out of date. */
+constexpr connection_limits upstream_limits{.ping_after_ = std::chrono::milliseconds(1'000),
+                                            .silent_after_ = std::chrono::milliseconds(2'500),
+                                            .ready_within_ = std::chrono::milliseconds(1'000)};
 
 auto backoff_for(unsigned failures, const random_hook& random) -> duration
 {
@@ -28,9 +34,9 @@
 upstream_link::upstream_link(std::vector<peer_address> upstreams, cluster_key key,
                              subscriber_options options, metrics_registry& metrics,
                              upstream_hooks hooks)
-    : upstreams_(std::move(upstreams)), key_(std::move(key)), random_(options.random_),
-      subscriber_(std::move(options)), hooks_(std::move(hooks)),
-      current_(uniform_below(random_, upstreams_.size())),
+    : choice_(std::move(upstreams), options.availability_zone_, options.random_),
+      key_(std::move(key)), random_(options.random_), subscriber_(std::move(options)),
+      hooks_(std::move(hooks)),
       lost_(metrics.count("sycamorewinch_upstream_lost_total", "Upstream connections lost.")),
       stale_(metrics.count("sycamorewinch_upstream_stale_total",
                            "Upstreams left because they did not prove what is current.")),
@@ -50,20 +56,6 @@
     dial();
 }
 
-void upstream_link::set_upstreams(std::vector<peer_address> upstreams)
-{
-    const auto current = upstreams_[current_];
-    upstreams_ = std::move(upstreams);
-    last_connected_.reset();
-    const auto kept = std::ranges::find(upstreams_, current);
-    if (kept != upstreams_.end()) {
-        current_ = static_cast<std::size_t>(kept - upstreams_.begin());
-        return;
-    }
-    upstreams_.push_back(current);
-    current_ = upstreams_.size() - 1;
-}
-
 void upstream_link::tick()
 {
     const auto now = monotonic_now();
@@ -76,11 +68,13 @@
         return;
     }
     run();
+    move_nearer(now);
 }
 
 void upstream_link::dial()
 {
     dialled_at_ = monotonic_now();
+    current_ = choice_.next(dialled_at_);
     peer_client_hooks hooks;
     hooks.on_ready_ = [this] {
         open_channel();
@@ -88,7 +82,7 @@
     hooks.on_ended_ = [this](connection_end end) {
         on_lost(connection_end_names.name(end));
     };
-    client_ = peer_client::dial(upstreams_[current_], key_, std::move(hooks));
+    client_ = peer_client::dial(current_, key_, std::move(hooks), upstream_limits);
 }
 
 void upstream_link::open_channel()
@@ -107,8 +101,9 @@
         return;
     }
     channel_ = std::move(*channel);
-    log_event(log_level::info, "upstream_connected", {{"upstream", to_text(upstreams_[current_])}});
-    subscriber_.on_connected(monotonic_now());
+    log_event(log_level::info, "upstream_connected", {{"upstream", to_text(current_)}});
+    connected_at_ = monotonic_now();
+    subscriber_.on_connected(connected_at_);
     const auto last = std::exchange(last_connected_, current_);
     hooks_.on_connected_(last && *last != current_);
     run();
@@ -138,6 +133,9 @@
     if (output.proof_) {
         failures_ = 0; // only an upstream that proves itself ends the backoff
     }
+    if (output.hubs_) {
+        choice_.set_hubs(output.hubs_->hubs_);
+    }
     hooks_.on_output_(output);
     if (output.change_upstream_) {
         stale_.add();
@@ -150,17 +148,30 @@
     if (retry_.isActive()) {
         return;
     }
+    choice_.note_failure(current_, monotonic_now());
+    lost_.add();
+    leave(reason, backoff_for(failures_++, random_));
+}
+
+/** A change of table then crosses to the own zone once for all. */
+void upstream_link::move_nearer(instant now)
+{
+    if (is_connected() && now - connected_at_ >= settled_after &&
+        choice_.is_nearer_known(current_, now)) {
+        leave("one_is_nearer", duration(0));
+    }
+}
+
+void upstream_link::leave(std::string_view reason, duration wait)
+{
     subscriber_.on_disconnected();
     const auto channel = std::move(channel_);
     const auto client = std::move(client_);
-    const auto wait = backoff_for(failures_++, random_);
     retry_.start(std::chrono::duration_cast<std::chrono::milliseconds>(wait));
-    lost_.add();
     log_event(log_level::warning, "upstream_lost",
-              {{"upstream", to_text(upstreams_[current_])},
+              {{"upstream", to_text(current_)},
                {"reason", reason},
                {"retry_ms", to_milliseconds(wait)}});
-    current_ = (current_ + 1) % upstreams_.size();
     if (channel) {
         channel->close();
     }
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -10,6 +10,7 @@
 
 #include <QTimer>
 
+#include "daemon/upstream_choice.h"
 #include "distribution/subscriber.h"
 #include "observability/metrics.h"
 #include "transport/message_channel.h"
@@ -24,7 +25,8 @@
     std::function<void(bool is_moved)> on_connected_;
 };
 
-/** Dials upstreams in turn, with jittered exponential backoff. */
+/** Dials one upstream after another, with jittered exponential backoff, and moves to one in the own
+ * zone when it hears of one. */
 class upstream_link {
   public:
     upstream_link(std::vector<peer_address> upstreams, cluster_key key, subscriber_options options,
@@ -34,7 +36,10 @@
     void start();
 
     /** Dials one of \p upstreams when the current connection is lost; until then it stays. */
-    void set_upstreams(std::vector<peer_address> upstreams);
+    void set_upstreams(std::vector<peer_address> upstreams)
+    {
+        choice_.set_configured(std::move(upstreams));
+    }
 
     /** Returns the subscriber; call run() after changing it. */
     [[nodiscard]] auto logic() -> subscriber& { return subscriber_; }
@@ -52,9 +57,12 @@
     void open_channel();
     void on_message(std::string_view bytes);
     void on_lost(std::string_view reason);
+    void leave(std::string_view reason, duration wait);
+    void move_nearer(instant now);
     void tick();
 
-    std::vector<peer_address> upstreams_;
+    upstream_choice choice_;
+    peer_address current_;
     cluster_key key_;
     random_hook random_;
     subscriber subscriber_;
@@ -64,8 +72,8 @@
     QTimer retry_;
     QTimer ticker_;
     instant dialled_at_{};
-    std::size_t current_ = 0;
-    std::optional<std::size_t> last_connected_;
+    instant connected_at_{};
+    std::optional<peer_address> last_connected_;
     unsigned failures_ = 0;
     counter& lost_;
     counter& stale_;
--- a/libs/distribution/distribution_message.cpp
+++ b/libs/distribution/distribution_message.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t max_zones = 256;
 constexpr std::size_t max_crashes = 16'384;
 constexpr std::size_t max_names = 64;
+constexpr std::size_t max_hubs = 64;
 constexpr std::size_t max_targets = 100'000;
 
 void write_version(cbor_writer& writer, const table_version& version)
@@ -114,6 +115,14 @@
             write_crash(writer_, crash);
         }
     }
+
+    void operator()(const hub_list& message) const
+    {
+        writer_.array(message.hubs_.size());
+        for (const auto& hub : message.hubs_) {
+            writer_.array(2).text(hub.availability_zone_).text(hub.address_);
+        }
+    }
 };
 
 auto read_subscribe(cbor_reader& reader) -> distribution_message
@@ -207,12 +216,24 @@
     return message;
 }
 
+auto read_hubs(cbor_reader& reader) -> distribution_message
+{
+    hub_list message;
+    for (auto left = reader.list(max_hubs); left > 0 && reader.good(); --left) {
+        reader.array(2);
+        auto zone = reader.text(max_name_bytes);
+        message.hubs_.push_back({std::move(zone), reader.text(max_name_bytes)});
+    }
+    return message;
+}
+
 using message_reader = distribution_message (*)(cbor_reader&);
 
 /** The readers in the order of the variant's alternatives. */
 constexpr std::array<message_reader, std::variant_size_v<distribution_message>> readers{
     read_subscribe, read_table_update,   read_currency_request, read_currency_proof, read_progress,
-    read_targets,   read_target_summary, read_target_sync,      read_crashes};
+    read_targets,   read_target_summary, read_target_sync,      read_crashes,
+    read_hubs};
 
 /** The kind that says: the body is a compressed message of another kind. */
 constexpr std::uint64_t compressed_kind = 63;
--- a/libs/distribution/distribution_message.h
+++ b/libs/distribution/distribution_message.h
@@ -2,7 +2,7 @@
  * The messages between a hub (control or relay) and those who subscribe to it (relay or node).
  *
  * Upwards: subscribe, currency_request, progress_report, target_report, target_summary.
- * Downwards: table_update, currency_proof, target_report, target_sync.
+ * Downwards: table_update, currency_proof, target_report, target_sync, hub_list.
  */
 #pragma once
 
@@ -84,10 +84,24 @@
     std::vector<crash_record> crashes_;
 };
 
+/** One control process that serves subscribers. */
+struct hub_address {
+    std::string availability_zone_;
+    std::string address_; ///< IP:PORT for other processes.
+
+    [[nodiscard]] auto operator==(const hub_address&) const -> bool = default;
+};
+
+/** The control processes that the sender is in touch with, itself included. Between replicas: the
+ * sender alone. Downwards: where to subscribe. */
+struct hub_list {
+    std::vector<hub_address> hubs_;
+};
+
 /** Any message of the protocol. */
 using distribution_message =
     std::variant<subscribe, table_update, currency_request, currency_proof, progress_report,
-                 target_report, target_summary, target_sync, crash_report>;
+                 target_report, target_summary, target_sync, crash_report, hub_list>;
 
 /** Returns \p message as bytes. */
 [[nodiscard]] auto encode_message(const distribution_message& message) -> std::string;
--- a/libs/distribution/hub.cpp
+++ b/libs/distribution/hub.cpp
@@ -37,6 +37,19 @@
     }
 }
 
+void hub::set_hubs(std::vector<hub_address> hubs)
+{
+    if (hubs_.hubs_ == hubs) {
+        return;
+    }
+    hubs_.hubs_ = std::move(hubs);
+    for (const auto& [id, peer] : subscribers_) {
+        if (peer.subscribed_) {
+            send(id, hubs_);
+        }
+    }
+}
+
 void hub::merge_targets(const target_report& report)
 {
     std::vector<target_record> news;
@@ -187,6 +200,9 @@
     peer.held_ = message.held_;
     peer.subscribed_ = true;
     send_update(from, peer);
+    if (!hubs_.hubs_.empty()) {
+        send(from, hubs_);
+    }
     if (auto crashes = crashes_.records(); !crashes.empty()) {
         send(from, crash_report{std::move(crashes)});
     }
--- a/libs/distribution/hub.h
+++ b/libs/distribution/hub.h
@@ -56,6 +56,9 @@
     /** Puts a newer table in front of all subscribers. */
     void set_table(table_pointer newest);
 
+    /** Tells all subscribers, and those that come later, where they may subscribe. */
+    void set_hubs(std::vector<hub_address> hubs);
+
     /** Takes news of targets from upstream or from a peer. A peer's report of targets that it holds
      * ends the leases kept for them here. */
     void merge_targets(const target_report& report);
@@ -136,6 +139,7 @@
     };
 
     table_pointer newest_;
+    hub_list hubs_;
     std::deque<step> steps_; ///< The latest changes, oldest first; each leads to the next one.
     std::map<table_version, std::shared_ptr<const std::string>> encoded_;
     std::map<subscriber_id, peer> subscribers_;
--- a/libs/distribution/subscriber.cpp
+++ b/libs/distribution/subscriber.cpp
@@ -110,6 +110,10 @@
         output_.sync_replaces_ = std::exchange(was_long_away_, false);
         return {};
     }
+    if (const auto* hubs = std::get_if<hub_list>(&message)) {
+        output_.hubs_ = *hubs;
+        return {};
+    }
     return failure(error_kind::invalid_input, "the upstream sent a message for upstreams only");
 }
 
--- a/libs/distribution/subscriber.h
+++ b/libs/distribution/subscriber.h
@@ -46,6 +46,7 @@
     std::optional<bucket_contents> sync_;        ///< The upstream's answer to report_summary().
     bool sync_replaces_ = false;                 ///< Forget first what was known from elsewhere.
     std::optional<std::uint64_t> proof_;         ///< Set when a version number was proved current.
+    std::optional<hub_list> hubs_;               ///< Where to subscribe, as the upstream knows.
     bool change_upstream_ = false;               ///< Drop the connection and dial another upstream.
 };
 
--- a/libs/policy/admission.cpp
+++ b/libs/policy/admission.cpp
@@ -95,7 +95,7 @@
     if (share.concurrency_ > 0 && cell.in_flight_ > share.concurrency_) {
         return {{}, refusal_reason::concurrency_limited};
     }
-    if (is_above_even_part(cell.in_flight_)) {
+    if (!caller.empty() && is_above_even_part(cell.in_flight_)) {
         return {{}, refusal_reason::overloaded};
     }
     if (share.requests_per_second_ > 0 &&
--- a/libs/policy/admission.h
+++ b/libs/policy/admission.h
@@ -55,7 +55,8 @@
     /** \p slots is how many requests the target runs at once. */
     explicit admission(std::uint32_t slots) : slots_(slots) {}
 
-    /** Decides on a request of \p caller, of whose limits \p share falls to this target. */
+    /** Decides on a request of \p caller, of whose limits \p share falls to this target. Requests
+     * without a caller's name are no caller's rush. */
     [[nodiscard]] auto admit(std::string_view caller, const limit_share& share, instant now)
         -> admission_result;
 
--- a/libs/request_path/call_dialect.h
+++ b/libs/request_path/call_dialect.h
@@ -19,7 +19,9 @@
 /** What a caller says of its call beside the request itself. */
 struct call_terms {
     std::string host_;
-    std::string caller_; ///< Whose limits apply.
+    std::string caller_;     ///< Whose limits apply; empty: callers are not told apart.
+    std::string origin_;     ///< The service beside the caller's node; may be empty.
+    std::string request_id_; ///< Names the request in logs; may be empty.
     std::optional<std::chrono::milliseconds> time_allowed_;
     bool is_retry_ = false; ///< The call belongs to a retried call.
 };
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -6,6 +6,7 @@
 
 #include <QTimer>
 
+#include "observability/log.h"
 #include "policy/limit_share.h"
 #include "request_path/peer_headers.h"
 
@@ -42,6 +43,7 @@
         }
         routes_ = environment_.node_.routes();
         const auto terms = environment_.node_.dialect().read_terms_(request_.head_);
+        request_id_ = terms.request_id_;
         const auto* matched = routes_->match(request_.head_.path_, terms.host_);
         if (matched == nullptr) {
             refuse(make_refusal(routes_->table_in_force() ? refusal_reason::no_route
@@ -70,6 +72,7 @@
     void prepare_request(const call_terms& terms)
     {
         request_.caller_ = terms.caller_;
+        request_.origin_ = terms.origin_;
         request_.service_ = route_->service_;
         request_.priority_ = row_->priority_;
         request_.repeatable_ = row_->repeatable_;
@@ -394,11 +397,29 @@
     {
         end();
         state().count_refusal(refusal.reason_);
+        log_refusal(refusal);
         if (const auto connection = connection_.lock()) {
             answer_refusal(*connection, environment_.node_.dialect(), refusal, request_.service_);
         }
     }
 
+    void log_refusal(const refusal& refusal)
+    {
+        const auto table = routes_ ? routes_->table_in_force() : nullptr;
+        log_event(log_level::info, "call_refused",
+                  {{"request", request_id_},
+                   {"route", row_ != nullptr ? row_->service_ : std::string()},
+                   {"service", request_.service_},
+                   {"target", request_.target_},
+                   {"reason", name_of(refusal.reason_)},
+                   {"outcome", name_of(refusal.outcome_)},
+                   {"attempts", attempts_},
+                   {"reached", reached_},
+                   {"targets", route_ != nullptr ? route_->targets_.size() : 0},
+                   {"after_ms", to_milliseconds(monotonic_now() - started_)},
+                   {"version", table ? table->version_.number_ : 0}});
+    }
+
     void end()
     {
         if (!std::exchange(ended_, true)) {
@@ -415,6 +436,7 @@
     std::chrono::milliseconds time_allowed_{0}; ///< From the start to the deadline.
     bool marked_ = false;                       ///< The call belongs to a retried call.
     exchange_request request_;
+    std::string request_id_;
     std::shared_ptr<const route_table> routes_;
     const row* row_ = nullptr;
     const service_route* route_ = nullptr; ///< The targets of the service that takes the call.
--- a/libs/request_path/exchange.h
+++ b/libs/request_path/exchange.h
@@ -22,7 +22,8 @@
     message_head head_;
     std::string service_;
     std::string target_;
-    std::string caller_;
+    std::string caller_; ///< Whose limits apply; empty: none.
+    std::string origin_; ///< The service beside the caller's node; may be empty.
     std::chrono::milliseconds time_left_{0}; ///< Until the call's deadline.
     std::chrono::milliseconds patience_{0};  ///< The longest wait for a slot of the target.
     std::uint32_t priority_ = 0;             ///< 0 gets the next free slot.
--- a/libs/request_path/own_dialect.cpp
+++ b/libs/request_path/own_dialect.cpp
@@ -24,6 +24,8 @@
     const auto caller = find_header(request.headers_, caller_header);
     return {std::string(find_header(request.headers_, "host")),
             std::string(caller.empty() ? default_caller : caller),
+            {},
+            {},
             parse_milliseconds(find_header(request.headers_, deadline_header)),
             !find_header(request.headers_, retry_mark_header).empty()};
 }
--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -9,6 +9,7 @@
 constexpr std::string_view service_header = "sycamorewinch-service";
 constexpr std::string_view target_header = "sycamorewinch-target";
 constexpr std::string_view peer_caller_header = "sycamorewinch-peer-caller";
+constexpr std::string_view origin_header = "sycamorewinch-origin";
 constexpr std::string_view time_left_header = "sycamorewinch-time-left-ms";
 constexpr std::string_view patience_header = "sycamorewinch-patience-ms";
 constexpr std::string_view priority_header = "sycamorewinch-priority";
@@ -62,7 +63,12 @@
     }
     put(headers, service_header, request.service_);
     put(headers, target_header, request.target_);
-    put(headers, peer_caller_header, request.caller_);
+    if (!request.caller_.empty()) {
+        put(headers, peer_caller_header, request.caller_);
+    }
+    if (!request.origin_.empty()) {
+        put(headers, origin_header, request.origin_);
+    }
     put(headers, time_left_header, std::to_string(request.time_left_.count()));
     put(headers, patience_header, std::to_string(request.patience_.count()));
     put(headers, priority_header, std::to_string(request.priority_));
@@ -85,6 +91,7 @@
     request.service_ = find_header(headers, service_header);
     request.target_ = find_header(headers, target_header);
     request.caller_ = find_header(headers, peer_caller_header);
+    request.origin_ = find_header(headers, origin_header);
     const auto count_of = [&headers](std::string_view name) {
         return parse_count(find_header(headers, name)).value_or(0);
     };
@@ -95,8 +102,8 @@
     request.is_retry_ = !find_header(headers, peer_retry_header).empty();
     request.head_.headers_ = ordinary_fields(headers);
     for (const auto name :
-         {service_header, target_header, peer_caller_header, time_left_header, patience_header,
-          priority_header, repeatable_header, peer_retry_header}) {
+         {service_header, target_header, peer_caller_header, origin_header, time_left_header,
+          patience_header, priority_header, repeatable_header, peer_retry_header}) {
         remove_header(request.head_.headers_, name);
     }
     return request;
