Count a learner's silence from when it was let in, and wait for slots within the aim

A new learner's last word was taken to be the beginning of time, so it was let go and let in by turns and the group never had its voters; and nodes took 'version 0 is current' for a table.

Change: a peer's silence is counted from when it became a member; without any accepted table a call is refused as not run. A request waits for a slot only as long as its answer may be in time. A hub without a leader turns newcomers away; a started replica stands for election sooner.

--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -54,7 +54,9 @@
     if (state.snapshot_.index_ > 0) {
         snapshot_ = std::make_shared<const log_snapshot>(std::move(state.snapshot_));
     }
-    reset_election_timer(now);
+    // A replica that has just started knows of no leader, so a short wait does: pre-votes keep it from
+    // disturbing one that the others hear.
+    election_due_ = now + uniform_between(options_.random_, options_.heartbeat_, options_.lease_);
 }
 
 void raft::send(raft_message message)
@@ -68,6 +70,7 @@
 
 void raft::tick(instant now)
 {
+    now_ = now;
     if (role_ == raft_role::leader) {
         check_lease(now);
         leave_if_removed(now);
@@ -86,6 +89,7 @@
 
 auto raft::propose(std::string command, instant now) -> result<std::uint64_t>
 {
+    now_ = now;
     if (role_ == raft_role::leader) {
         check_lease(now); // time may have passed since the last tick
     }
@@ -117,6 +121,7 @@
 
 void raft::receive(const raft_message& message, instant now)
 {
+    now_ = now;
     // In a changing group the sender may be a member that this replica has not heard of yet.
     const bool is_known = options_.voters_.empty() || membership().is_voter(message.from_);
     if (!is_known || message.to_ != options_.self_) {
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -147,6 +147,11 @@
     [[nodiscard]] auto leader() const -> const std::string& { return leader_; }
     /** Returns whether this replica votes and is counted; see raft_recovery.cpp. */
     [[nodiscard]] auto is_member() const -> bool { return vote_.is_member_; }
+    /** Returns whether this replica leads, or has heard from a leader within a lease. */
+    [[nodiscard]] auto is_in_touch(instant now) const -> bool
+    {
+        return role_ == raft_role::leader || now - leader_heard_ < options_.lease_;
+    }
     [[nodiscard]] auto commit_index() const -> std::uint64_t { return commit_; }
     [[nodiscard]] auto last_index() const -> std::uint64_t { return log_.last_index(); }
     [[nodiscard]] auto options() const -> const raft_options& { return options_; }
@@ -243,6 +248,7 @@
     std::map<std::uint64_t, group_membership> memberships_; ///< By the index of the entry.
     std::shared_ptr<const log_snapshot> snapshot_; ///< The latest; null for none.
     log_snapshot incoming_;                        ///< Chunks received so far.
+    instant now_{}; ///< As last passed in.
     raft_role role_ = raft_role::follower;
     std::string leader_;
     std::uint64_t commit_ = 0;
--- a/libs/consensus/raft_election.cpp
+++ b/libs/consensus/raft_election.cpp
@@ -82,10 +82,8 @@
     role_ = raft_role::leader;
     leader_ = options_.self_;
     peers_.clear();
+    now_ = now;
     sync_peers();
-    for (auto& [name, peer] : peers_) {
-        peer.heard_ = now;
-    }
     append_entry(entry_kind::no_op, {});
     send_heartbeats(now);
     advance_commit();
--- a/libs/consensus/raft_membership.cpp
+++ b/libs/consensus/raft_membership.cpp
@@ -7,6 +7,7 @@
 
 auto raft::propose_membership(const group_membership& next, instant now) -> result<std::uint64_t>
 {
+    now_ = now;
     if (role_ == raft_role::leader) {
         check_lease(now);
     }
@@ -87,6 +88,7 @@
         const auto [peer, is_new] = peers_.try_emplace(name);
         if (is_new) {
             peer->second.next_ = log_.last_index() + 1;
+            peer->second.heard_ = now_; // its silence is counted from now on
         }
         peer->second.is_voter_ = membership().is_voter(name);
     }
--- /dev/null
+++ b/libs/consensus/test/correctness/membership.cpp
@@ -0,0 +1,180 @@
+// A group whose members change, over a network without loss.
+#include <map>
+#include <set>
+#include <stdexcept>
+
+#include <boost/test/unit_test.hpp>
+
+#include "consensus/raft.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+constexpr auto step = std::chrono::milliseconds(10);
+
+/** Replicas that store everything at once; those in down_ neither send nor receive. */
+class changing_group {
+  public:
+    void start(const std::string& name, const std::vector<std::string>& founders = {})
+    {
+        durable_state state;
+        if (!founders.empty()) {
+            state.vote_ = {1, {}, true};
+            state.entries_ = {{1, 1, entry_kind::membership, encode_membership({founders, {}})}};
+        }
+        raft_options options{.self_ = name};
+        options.random_ = seeded_random(replicas_.size() + 1);
+        replicas_.emplace(name, raft::create(options, std::move(state), now_).value());
+    }
+
+    void run(std::chrono::milliseconds span)
+    {
+        for (auto end = now_ + span; now_ < end; now_ += step) {
+            for (auto& [name, replica] : replicas_) {
+                replica.tick(now_);
+            }
+            deliver();
+        }
+    }
+
+    auto leader() -> raft&
+    {
+        for (auto& [name, replica] : replicas_) {
+            if (replica.role() == raft_role::leader && !down_.contains(name)) {
+                return replica;
+            }
+        }
+        BOOST_FAIL("there is no leader");
+        throw std::logic_error("unreachable");
+    }
+
+    auto propose(const group_membership& next) -> bool
+    {
+        return leader().propose_membership(next, now_).has_value();
+    }
+
+    std::map<std::string, raft> replicas_;
+    std::set<std::string> down_;
+    instant now_{std::chrono::seconds(1)};
+
+  private:
+    void deliver()
+    {
+        for (bool any = true; any;) {
+            any = false;
+            for (auto& [name, replica] : replicas_) {
+                for (const auto& message : replica.take_output().messages_) {
+                    const auto to = replicas_.find(message.to_);
+                    if (to != replicas_.end() && !down_.contains(name) &&
+                        !down_.contains(message.to_)) {
+                        to->second.receive(message, now_);
+                        any = true;
+                    }
+                }
+            }
+        }
+    }
+};
+
+const std::vector<std::string> founders{"a", "b", "c"};
+
+struct founded_group : changing_group {
+    founded_group()
+    {
+        for (const auto& name : founders) {
+            start(name, founders);
+        }
+        run(std::chrono::seconds(2));
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(founders_make_one_group, founded_group)
+{
+    BOOST_TEST(leader().membership().voters_.size() == 3U);
+    BOOST_TEST(leader().commit_index() >= 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_newcomer_learns_and_then_votes, founded_group)
+{
+    start("d");
+    BOOST_REQUIRE(propose({founders, {"d"}}));
+    BOOST_TEST((leader().peers().at("d").heard_ == now_)); // not silent since the beginning of time
+    run(std::chrono::milliseconds(200));
+    BOOST_TEST(leader().peers().at("d").match_ == leader().last_index());
+    BOOST_REQUIRE(propose({{"a", "b", "c", "d"}, {}}));
+    run(std::chrono::milliseconds(200));
+    BOOST_TEST(replicas_.at("d").membership().is_voter("d"));
+    BOOST_TEST(replicas_.at("d").commit_index() == leader().commit_index());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_learner_is_not_counted, founded_group)
+{
+    start("d");
+    BOOST_REQUIRE(propose({founders, {"d"}}));
+    run(std::chrono::milliseconds(200));
+    for (const auto& name : founders) {
+        if (&replicas_.at(name) != &leader()) {
+            down_.insert(name);
+        }
+    }
+    run(std::chrono::seconds(1));
+    for (const auto& [name, replica] : replicas_) {
+        BOOST_TEST((down_.contains(name) || replica.role() != raft_role::leader));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_change_waits_for_the_one_before, founded_group)
+{
+    auto& old_leader = leader();
+    for (const auto& name : founders) {
+        if (&replicas_.at(name) != &old_leader) {
+            down_.insert(name);
+        }
+    }
+    BOOST_TEST(propose({founders, {"d"}}));
+    BOOST_TEST(!propose({founders, {"d", "e"}}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_removed_leader_steps_down, founded_group)
+{
+    const auto old = leader().options().self_;
+    auto rest = founders;
+    std::erase(rest, old);
+    BOOST_REQUIRE(propose({rest, {}}));
+    run(std::chrono::seconds(2));
+    BOOST_TEST(leader().options().self_ != old);
+    BOOST_TEST((replicas_.at(old).role() != raft_role::leader));
+}
+
+BOOST_FIXTURE_TEST_CASE(two_lost_disks_are_replaced_one_after_the_other, founded_group)
+{
+    start("d");
+    start("e");
+    BOOST_REQUIRE(propose({founders, {"d", "e"}}));
+    run(std::chrono::milliseconds(200));
+    BOOST_REQUIRE(propose({{"a", "b", "c", "d"}, {"e"}}));
+    run(std::chrono::milliseconds(200));
+    BOOST_REQUIRE(propose({{"a", "b", "c", "d", "e"}, {}}));
+    run(std::chrono::milliseconds(200));
+    down_ = {"a", "b"}; // for good
+    run(std::chrono::seconds(2));
+    for (const std::string name : {"f", "g"}) {
+        start(name);
+    }
+    auto members = leader().membership();
+    const auto change = [&](const group_membership& next) {
+        BOOST_REQUIRE(propose(next));
+        run(std::chrono::milliseconds(300));
+        members = leader().membership();
+        BOOST_TEST(leader().commit_index() == leader().last_index());
+    };
+    change({members.voters_, {"f", "g"}});
+    change({{"a", "b", "c", "d", "e", "f"}, {"g"}});
+    change({{"b", "c", "d", "e", "f"}, {"g"}});
+    change({{"b", "c", "d", "e", "f", "g"}, {}});
+    change({{"c", "d", "e", "f", "g"}, {}});
+    BOOST_TEST(leader().membership().voters_.size() == 5U);
+}
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -57,8 +57,9 @@
           hub_(metrics_,
                {[this] { ask_for_proof(); }, [this](const auto& news) { tell_others(news); },
                 [this] { is_progress_new_ = true; },
-                [this](const auto& news) {
-                    tell_others(crash_report{news});
+                [this](const auto& news) { tell_others(crash_report{news}); },
+                [this] {
+                    return replica_->raft_state().is_in_touch(monotonic_now());
                 }}),
           links_(settings.control_peers_, secrets.key_,
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
--- a/libs/daemon/hub_server.cpp
+++ b/libs/daemon/hub_server.cpp
@@ -19,6 +19,10 @@
 auto hub_server::accept(const std::shared_ptr<h2_connection>& connection, stream_id stream)
     -> stream_hooks
 {
+    if (hooks_.is_open_ && !hooks_.is_open_()) {
+        connection->respond(stream, {{":status", "503"}}, true); // it tries another hub at once
+        return {};
+    }
     const auto id = next_id_++;
     channel_hooks hooks;
     hooks.on_message_ = [this, id](std::string_view bytes) {
--- a/libs/daemon/hub_server.h
+++ b/libs/daemon/hub_server.h
@@ -19,6 +19,8 @@
     std::function<void(const target_report& news)> on_target_news_;
     std::function<void()> on_progress_;
     std::function<void(const std::vector<crash_record>& news)> on_crash_news_;
+    /** Returns whether newcomers are served; empty: always. */
+    std::function<bool()> is_open_;
 };
 
 /** The path of the channel between a subscriber and its hub. */
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -28,6 +28,7 @@
     const bool has_ended_others = end_others_at(announcement);
     auto& target = targets_[{announcement.service_, announcement.target_}];
     const auto before = target.record_;
+    const bool is_new_start = announcement.started_ != target.announcement_.started_;
     target.announcement_ = announcement;
     target.has_left_ = false;
     target.lease_end_ = now + announcement.lease_;
@@ -39,7 +40,9 @@
     record.node_admin_ = node_admin_;
     record.incarnation_ = incarnation_;
     record.slots_ = announcement.slots_;
-    record.cold_start_ = announcement.cold_start_;
+    if (before.target_.empty() || is_new_start) { // what is left of it is no news
+        record.cold_start_ = announcement.cold_start_;
+    }
     record.state_ = announced_state(target);
     if (record == before) {
         return has_ended_others;
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -19,11 +19,6 @@
 /** A longer answer is passed on as it comes, and cannot be tried for again once it has begun. */
 constexpr std::size_t max_held_answer_bytes = 64U * 1024;
 
-/** While other targets are left to try, a request waits for a slot at most this part of the time in
- * which its answer is expected. */
-constexpr int patience_with_others = 6;
-/** The same when no other target is left. */
-constexpr int patience_at_last = 2;
 
 class caller_call : public std::enable_shared_from_this<caller_call> {
   public:
@@ -46,8 +41,8 @@
         request_id_ = terms.request_id_;
         const auto* matched = routes_->match(request_.head_.path_, terms.host_);
         if (matched == nullptr) {
-            refuse(make_refusal(routes_->table_in_force() ? refusal_reason::no_route
-                                                          : refusal_reason::table_not_proved));
+            refuse(make_refusal(has_table() ? refusal_reason::no_route
+                                            : refusal_reason::table_not_proved));
             return;
         }
         row_ = matched->row_;
@@ -85,6 +80,13 @@
         remove_system_headers(request_.head_.headers_);
     }
 
+    /** Before the first table is accepted, "no route" would say more than is known. */
+    [[nodiscard]] auto has_table() const -> bool
+    {
+        const auto& table = routes_->table_in_force();
+        return table && table->version_.number_ > 0;
+    }
+
     [[nodiscard]] auto time_left() const -> duration
     {
         return time_allowed_ - (monotonic_now() - started_);
@@ -150,8 +152,10 @@
     {
         request_.time_left_ =
             std::chrono::milliseconds(std::max<std::int64_t>(to_milliseconds(time_left()), 0));
-        const auto patience = is_untried_left() ? patience_with_others : patience_at_last;
-        request_.patience_ = row_->target_latency_ / patience;
+        const auto in_aim = row_->target_latency_ - (monotonic_now() - started_);
+        request_.time_in_aim_ =
+            std::chrono::milliseconds(std::max<std::int64_t>(to_milliseconds(in_aim), 0));
+        request_.is_last_choice_ = !is_untried_left();
         request_.is_retry_ = marked_ || attempts_ > 1;
     }
 
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -109,11 +109,13 @@
         return request_.time_left_ - (monotonic_now() - started_);
     }
 
-    /** Only a slot is worth waiting for, and only as long as the request is worth it. */
+    /** Only a slot is worth waiting for, and only as long as the answer may still be in time. */
     void wait_or_refuse(refusal_reason reason)
     {
         const auto wait = line().expected_wait(request_.priority_, admission_->slots());
-        if (reason != refusal_reason::target_full || wait >= request_.patience_) {
+        const auto patience =
+            longest_wait(request_.time_in_aim_, line().service_time(), request_.is_last_choice_);
+        if (reason != refusal_reason::target_full || wait >= patience) {
             refuse_not_run(reason, wait);
             return;
         }
@@ -126,7 +128,7 @@
                                  self->line().expected_wait(self->request_.priority_,
                                                             self->admission_->slots()));
         });
-        patience_timer_.start(request_.patience_);
+        patience_timer_.start(std::chrono::duration_cast<std::chrono::milliseconds>(patience));
     }
 
     /** Called by the line when a slot may be free. */
--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -11,7 +11,8 @@
 constexpr std::string_view peer_caller_header = "sycamorewinch-peer-caller";
 constexpr std::string_view origin_header = "sycamorewinch-origin";
 constexpr std::string_view time_left_header = "sycamorewinch-time-left-ms";
-constexpr std::string_view patience_header = "sycamorewinch-patience-ms";
+constexpr std::string_view time_in_aim_header = "sycamorewinch-time-in-aim-ms";
+constexpr std::string_view last_choice_header = "sycamorewinch-last-choice";
 constexpr std::string_view priority_header = "sycamorewinch-priority";
 constexpr std::string_view repeatable_header = "sycamorewinch-repeatable";
 constexpr std::string_view peer_retry_header = "sycamorewinch-peer-retry";
@@ -70,7 +71,10 @@
         put(headers, origin_header, request.origin_);
     }
     put(headers, time_left_header, std::to_string(request.time_left_.count()));
-    put(headers, patience_header, std::to_string(request.patience_.count()));
+    put(headers, time_in_aim_header, std::to_string(request.time_in_aim_.count()));
+    if (request.is_last_choice_) {
+        put(headers, last_choice_header, "1");
+    }
     put(headers, priority_header, std::to_string(request.priority_));
     if (request.repeatable_) {
         put(headers, repeatable_header, "1");
@@ -96,14 +100,15 @@
         return parse_count(find_header(headers, name)).value_or(0);
     };
     request.time_left_ = std::chrono::milliseconds(count_of(time_left_header));
-    request.patience_ = std::chrono::milliseconds(count_of(patience_header));
+    request.time_in_aim_ = std::chrono::milliseconds(count_of(time_in_aim_header));
+    request.is_last_choice_ = !find_header(headers, last_choice_header).empty();
     request.priority_ = static_cast<std::uint32_t>(count_of(priority_header));
     request.repeatable_ = !find_header(headers, repeatable_header).empty();
     request.is_retry_ = !find_header(headers, peer_retry_header).empty();
     request.head_.headers_ = ordinary_fields(headers);
     for (const auto name :
          {service_header, target_header, peer_caller_header, origin_header, time_left_header,
-          patience_header, priority_header, repeatable_header, peer_retry_header}) {
+          time_in_aim_header, last_choice_header, priority_header, repeatable_header, peer_retry_header}) {
         remove_header(request.head_.headers_, name);
     }
     return request;
--- a/libs/request_path/waiting_line.cpp
+++ b/libs/request_path/waiting_line.cpp
@@ -9,9 +9,20 @@
 
 /** One part in so many of the average is the latest value. */
 constexpr std::int64_t average_over = 16;
+/** While there is a choice, a request waits for this part of its time at most. */
+constexpr int part_with_choice = 3;
+/** Without a choice it waits for this part at least, though its answer may then be late. */
+constexpr int part_at_last = 4;
 
 } // namespace
 
+auto longest_wait(duration time_in_aim, duration service_time, bool is_last_choice) -> duration
+{
+    const auto in_time = std::max(time_in_aim - service_time * 5 / 4, duration(0));
+    return is_last_choice ? std::max(in_time, time_in_aim / part_at_last)
+                          : std::min(in_time, time_in_aim / part_with_choice);
+}
+
 auto waiting_line::expected_wait(std::uint32_t priority, std::uint32_t slots) const -> duration
 {
     const auto before = std::ranges::count_if(
