Let hubs in touch answer refreshes, and notice unreachable nodes at once

Calls to nodes without power hung until their deadline; idle links between nodes sent PINGs.

Change: after its first proof a node only asks whether its hub hears the leader.

--- a/libs/daemon/hub_server.cpp
+++ b/libs/daemon/hub_server.cpp
@@ -19,7 +19,7 @@
 auto hub_server::accept(const std::shared_ptr<h2_connection>& connection, stream_id stream)
     -> stream_hooks
 {
-    if (hooks_.is_open_ && !hooks_.is_open_()) {
+    if (hooks_.is_in_touch_ && !hooks_.is_in_touch_()) {
         connection->respond(stream, {{":status", "503"}}, true); // it tries another hub at once
         return {};
     }
@@ -48,6 +48,7 @@
         drop(from);
         return;
     }
+    hub_.set_in_touch(hooks_.is_in_touch_ && hooks_.is_in_touch_());
     hub_.on_message(from, *message);
     run();
 }
--- a/libs/daemon/hub_server.h
+++ b/libs/daemon/hub_server.h
@@ -19,8 +19,9 @@
     std::function<void(const target_report& news)> on_target_news_;
     std::function<void()> on_progress_;
     std::function<void(const std::vector<crash_record>& news)> on_crash_news_;
-    /** Returns whether newcomers are served; empty: always. */
-    std::function<bool()> is_open_;
+    /** Control: returns whether this process leads or hears from the leader. If not, newcomers are
+     * turned away. Empty: this is a relay, which asks its upstream. */
+    std::function<bool()> is_in_touch_;
 };
 
 /** The path of the channel between a subscriber and its hub. */
--- a/libs/distribution/distribution_message.cpp
+++ b/libs/distribution/distribution_message.cpp
@@ -65,7 +65,10 @@
         write_change(writer_, message.change_);
     }
 
-    void operator()(const currency_request& message) const { writer_.number(message.nonce_); }
+    void operator()(const currency_request& message) const
+    {
+        writer_.array(2).number(message.nonce_).boolean(message.is_refresh_);
+    }
 
     void operator()(const currency_proof& message) const
     {
@@ -148,7 +151,9 @@
 
 auto read_currency_request(cbor_reader& reader) -> distribution_message
 {
-    return currency_request{reader.number()};
+    reader.array(2);
+    const auto nonce = reader.number();
+    return currency_request{nonce, reader.boolean()};
 }
 
 auto read_currency_proof(cbor_reader& reader) -> distribution_message
--- a/libs/distribution/distribution_message.h
+++ b/libs/distribution/distribution_message.h
@@ -39,6 +39,9 @@
 /** Asks for proof, by a quorum and after this moment, of what the current version is. */
 struct currency_request {
     std::uint64_t nonce_ = 0;
+    /** The sender enforces a table already and only wants to know that its upstream is in touch: a
+     * control process that hears from the leader answers for itself. */
+    bool is_refresh_ = false;
 };
 
 /** Every version accepted before the request has a number of at most \p version_. */
--- a/libs/distribution/hub.cpp
+++ b/libs/distribution/hub.cpp
@@ -171,6 +171,10 @@
         return;
     }
     if (const auto* request = std::get_if<currency_request>(&message)) {
+        if (request->is_refresh_ && in_touch_) {
+            send(from, currency_proof{request->nonce_, newest_->version_.number_});
+            return;
+        }
         waiting_.push_back({from, request->nonce_});
         ask_for_proof();
     }
--- a/libs/distribution/hub.h
+++ b/libs/distribution/hub.h
@@ -74,6 +74,9 @@
      * whether this process is in touch with the rest of the system. */
     void tick(instant now, bool is_joined);
 
+    /** Says whether this process hears from the leader now; it then answers refreshes itself. */
+    void set_in_touch(bool in_touch) { in_touch_ = in_touch; }
+
     /** A subscriber's connection is gone. */
     void on_gone(subscriber_id from);
 
@@ -152,6 +155,7 @@
     std::vector<waiting_proof> asking_;  ///< Covered by the proof being fetched.
     std::vector<waiting_proof> waiting_; ///< For the next one.
     bool proof_on_its_way_ = false;
+    bool in_touch_ = false;
     hub_output output_;
 };
 
--- a/libs/distribution/subscriber.cpp
+++ b/libs/distribution/subscriber.cpp
@@ -62,7 +62,7 @@
     nonce_ = options_.random_() >> 1U;
     asking_ = true;
     asked_at_ = now_;
-    output_.messages_.emplace_back(currency_request{nonce_});
+    output_.messages_.emplace_back(currency_request{nonce_, enforced_ != nullptr});
 }
 
 void subscriber::report_crashes(std::vector<crash_record> crashes)
--- a/libs/distribution/subscriber.h
+++ b/libs/distribution/subscriber.h
@@ -5,7 +5,7 @@
  * nothing until a quorum has proved, after this process started, what the current version is, and
  * then only that version or a later one. So no restart goes back to an older table.
  *
- * It asks for proof again every proof_period_. An upstream that for proof_timeout_ has not shown
+ * It asks again every proof_period_, then only whether the upstream is in touch. An upstream that for proof_timeout_ has not shown
  * that what is held is current is left for another one: it is silent, cut off, or behind. What is
  * in force stays in force meanwhile.
  */
--- a/libs/distribution/test/correctness/hub_and_subscriber.cpp
+++ b/libs/distribution/test/correctness/hub_and_subscriber.cpp
@@ -99,3 +99,23 @@
     BOOST_TEST(sum.front().lowest_version_ == 8);
     BOOST_TEST(sum.front().behind_names_ == std::vector<std::string>{"n3"});
 }
+
+BOOST_AUTO_TEST_CASE(a_hub_in_touch_answers_a_refresh_itself_and_a_first_question_never)
+{
+    hub hub;
+    hub.on_message(1, subscribe{"n", "zone-a", false, {}});
+    static_cast<void>(hub.take_output());
+    hub.set_in_touch(true);
+    hub.on_message(1, currency_request{7, false});
+    auto output = hub.take_output();
+    BOOST_TEST(output.proof_wanted_);
+    BOOST_TEST(output.messages_.empty());
+    hub.on_message(1, currency_request{8, true});
+    output = hub.take_output();
+    BOOST_REQUIRE(output.messages_.size() == 1U);
+    const auto answer = decode_distribution_message(*output.messages_.front().bytes_);
+    BOOST_TEST(std::get<currency_proof>(*answer).nonce_ == 8U);
+    hub.set_in_touch(false);
+    hub.on_message(1, currency_request{9, true});
+    BOOST_TEST(hub.take_output().messages_.empty());
+}
--- a/libs/policy/route_table.cpp
+++ b/libs/policy/route_table.cpp
@@ -171,6 +171,13 @@
     if (names.size() * 2 > route.targets_.size()) {
         names.clear();
     }
+    for (const auto& target : route.targets_) {
+        const auto& name = target.record_.target_;
+        if (target.health_ && target.health_->is_unreachable(now) &&
+            std::ranges::find(names, name) == names.end()) {
+            names.push_back(name);
+        }
+    }
     return names;
 }
 
--- a/libs/policy/route_table.h
+++ b/libs/policy/route_table.h
@@ -88,8 +88,8 @@
 /** Returns whether \p route may lead to \p service. */
 [[nodiscard]] auto leads_to(const service_route& route, std::string_view service) -> bool;
 
-/** Returns the names of the targets that this node leaves out now because they fail; never more
- * than half of them. */
+/** Returns the names of the targets that this node leaves out now: those that fail, never more than
+ * half of all, and those that cannot be reached. */
 [[nodiscard]] auto ejected_targets(const service_route& route, instant now)
     -> std::vector<std::string>;
 
--- a/libs/policy/target_health.cpp
+++ b/libs/policy/target_health.cpp
@@ -21,4 +21,9 @@
     ejected_until_us_ = (now + wait).time_since_epoch().count();
 }
 
+void target_health::on_unreachable(instant now)
+{
+    unreachable_until_us_ = (now + first_ejection).time_since_epoch().count();
+}
+
 } // namespace sycamorewinch
--- a/libs/policy/target_health.h
+++ b/libs/policy/target_health.h
@@ -3,7 +3,8 @@
  *
  * Only this outranks what a target says of itself. After failures_to_eject failures in a row a
  * target is left out, for a time that doubles while it goes on failing. When more than half of a
- * service's targets would be left out, none is: the fault then lies elsewhere.
+ * service's targets would be left out for that, none is: the fault then lies elsewhere. One that
+ * cannot be reached is left out at once for a while, as long as any other is there.
  */
 #pragma once
 
@@ -23,8 +24,16 @@
 
     /** An answer came, whatever it said. */
     void on_answer() { failures_ = 0; }
-    /** It could not be reached, or broke off. */
+    /** It broke off. */
     void on_failure(instant now);
+    /** It, or the node beside it, could not be reached: it is left out at once. */
+    void on_unreachable(instant now);
+
+    /** Returns whether it is left out because it could not be reached. */
+    [[nodiscard]] auto is_unreachable(instant now) const -> bool
+    {
+        return now.time_since_epoch().count() < unreachable_until_us_;
+    }
 
     [[nodiscard]] auto is_ejected(instant now) const -> bool
     {
@@ -34,6 +43,7 @@
   private:
     std::atomic<std::uint32_t> failures_{0}; ///< In a row.
     std::atomic<std::int64_t> ejected_until_us_{0};
+    std::atomic<std::int64_t> unreachable_until_us_{0};
 };
 
 } // namespace sycamorewinch
--- a/libs/policy/test/correctness/target_health.cpp
+++ b/libs/policy/test/correctness/target_health.cpp
@@ -57,3 +57,14 @@
     BOOST_TEST(ejected_targets(failing_route(3, 3), start).empty());
     BOOST_TEST(ejected_targets(failing_route(1, 1), start).empty());
 }
+
+BOOST_AUTO_TEST_CASE(one_that_cannot_be_reached_is_left_out_at_once)
+{
+    auto route = failing_route(2, 0);
+    const instant now{std::chrono::seconds(1)};
+    route.targets_.front().health_->on_unreachable(now);
+    BOOST_TEST(ejected_targets(route, now).size() == 1U);
+    route.targets_.back().health_->on_unreachable(now);
+    BOOST_TEST(ejected_targets(route, now).size() == 2U); // the caller then tries all the same
+    BOOST_TEST(ejected_targets(route, now + target_health::first_ejection).empty());
+}
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -210,11 +210,7 @@
         ran_ = ran_ || refusal.outcome_ != request_outcome::not_run;
         reached_ += refusal.reached_target_ ? 1 : 0;
         drop_held_answer();
-        const bool has_failed = refusal.reason_ == refusal_reason::target_unreachable ||
-                                refusal.reason_ == refusal_reason::target_failed;
-        if (has_failed && health_) {
-            health_->on_failure(monotonic_now());
-        }
+        note_failure(refusal.reason_);
         crashes_ += refusal.reason_ == refusal_reason::target_failed ? 1 : 0;
         if (crashes_ >= max_crashed_targets) {
             refuse(make_refusal(refusal_reason::request_crashes_targets));
@@ -235,6 +231,16 @@
         refuse(last);
     }
 
+    void note_failure(refusal_reason reason)
+    {
+        if (health_ && reason == refusal_reason::target_unreachable) {
+            health_->on_unreachable(monotonic_now());
+        }
+        else if (health_ && reason == refusal_reason::target_failed) {
+            health_->on_failure(monotonic_now());
+        }
+    }
+
     [[nodiscard]] auto question_of(const refusal& refusal) const -> retry_question
     {
         return {.reason_ = refusal.reason_,
--- a/libs/transport/h2_connection.cpp
+++ b/libs/transport/h2_connection.cpp
@@ -79,7 +79,14 @@
     }
     stream->responded_ = !last;
     stream->our_side_done_ = last;
-    state_->streams_[id] = std::move(stream);
+    if (state_->is_idle()) { // the watch for silence begins now
+        state_->quiet_.restart();
+        state_->streams_[id] = std::move(stream);
+        state_->arm_timer();
+    }
+    else {
+        state_->streams_[id] = std::move(stream);
+    }
     state_->flush();
     return id;
 }
--- a/libs/transport/h2_state.cpp
+++ b/libs/transport/h2_state.cpp
@@ -48,6 +48,10 @@
 void h2_connection::state::arm_timer()
 {
     const auto quiet = std::chrono::milliseconds(quiet_.elapsed());
+    if (is_idle()) {
+        timer_.start(std::max(limits_.idle_after_ - quiet, shortest_timer));
+        return;
+    }
     const auto due = quiet < limits_.ping_after_ && connected_
                          ? limits_.ping_after_ - quiet
                          : std::min(limits_.ping_after_, limits_.silent_after_ - quiet);
@@ -100,7 +104,12 @@
 {
     const auto keep = owner_->shared_from_this();
     const auto quiet = std::chrono::milliseconds(quiet_.elapsed());
-    if (quiet >= limits_.silent_after_) {
+    if (is_idle()) {
+        if (quiet >= limits_.idle_after_) {
+            end(connection_end::closed_by_us);
+        }
+    }
+    else if (quiet >= limits_.silent_after_) {
         end(connected_ ? connection_end::silent : connection_end::refused);
     }
     else if (quiet >= limits_.ping_after_ && connected_) {
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -57,6 +57,10 @@
     std::optional<connection_end> end_after_flush_;
     QTimer timer_;
     QElapsedTimer quiet_;
+    [[nodiscard]] auto is_idle() const -> bool
+    {
+        return limits_.idle_after_.count() > 0 && connected_ && streams_.empty();
+    }
     bool connected_ = false;
     bool ended_ = false;
     bool going_away_ = false; ///< We sent GOAWAY.
