Keep one request ahead at each server, and know how long a leader has been cut off

A slot stood idle while the next request was on its way to the server.

Change: heartbeats say how long ago a quorum answered; a hub is in touch only as long as that is within a lease.

Tests first: a_follower_cut_off_with_its_leader_is_out_of_touch_within_a_lease.

--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -44,7 +44,8 @@
 raft::raft(raft_options options, durable_state state, instant now)
     : options_(std::move(options)), vote_(std::move(state.vote_)),
       log_(state.snapshot_.index_, state.snapshot_.term_, std::move(state.entries_)),
-      commit_(state.snapshot_.index_), leader_heard_(now - options_.lease_)
+      commit_(state.snapshot_.index_), leader_heard_(now - options_.lease_),
+      touched_at_(leader_heard_)
 {
     set_base_membership(state.snapshot_.index_, state.snapshot_.membership_);
     adopt_all(log_.after(state.snapshot_.index_));
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -147,10 +147,12 @@
     [[nodiscard]] auto leader() const -> const std::string& { return leader_; }
     /** Returns whether this replica votes and is counted; see raft_recovery.cpp. */
     [[nodiscard]] auto is_member() const -> bool { return vote_.is_member_; }
-    /** Returns whether this replica leads, or has heard from a leader within a lease. */
+    /** Returns whether a quorum was in touch with the leader within a lease, as far as this replica
+     * can know: a leader that was cut off with some followers says so in its heartbeats. */
     [[nodiscard]] auto is_in_touch(instant now) const -> bool
     {
-        return role_ == raft_role::leader || now - leader_heard_ < options_.lease_;
+        const auto touched = role_ == raft_role::leader ? quorum_heard_at(now) : touched_at_;
+        return now - touched < options_.lease_;
     }
     [[nodiscard]] auto commit_index() const -> std::uint64_t { return commit_; }
     [[nodiscard]] auto last_index() const -> std::uint64_t { return log_.last_index(); }
@@ -183,6 +185,8 @@
     raft(raft_options options, durable_state state, instant now);
 
     [[nodiscard]] auto quorum() const -> std::size_t { return membership().quorum(); }
+    /** Returns the last moment at which a quorum had answered this leader. */
+    [[nodiscard]] auto quorum_heard_at(instant now) const -> instant;
     [[nodiscard]] auto is_self_voter() const -> bool
     {
         return membership().is_voter(options_.self_);
@@ -253,6 +257,7 @@
     std::string leader_;
     std::uint64_t commit_ = 0;
     instant leader_heard_{};
+    instant touched_at_{}; ///< When a quorum had last answered the leader that was heard.
     instant election_due_{};
     instant heartbeat_due_{};
     std::set<std::string> votes_;
--- a/libs/consensus/raft_election.cpp
+++ b/libs/consensus/raft_election.cpp
@@ -1,6 +1,8 @@
 // The part of class raft that elects leaders and lets go of leadership.
 #include "consensus/raft.h"
 
+#include <algorithm>
+
 namespace sycamorewinch {
 
 void raft::reset_election_timer(instant now)
@@ -11,13 +13,27 @@
 // A leader that a quorum has not answered within a lease may have been replaced without knowing.
 void raft::check_lease(instant now)
 {
-    std::size_t heard = is_self_voter() ? 1 : 0;
+    if (now - quorum_heard_at(now) >= options_.lease_) {
+        become_follower(vote_.term_, {}, now);
+    }
+}
+
+auto raft::quorum_heard_at(instant now) const -> instant
+{
+    std::vector<instant> heard;
+    if (is_self_voter()) {
+        heard.push_back(now);
+    }
     for (const auto& [name, peer] : peers_) {
-        heard += peer.is_counted() && now - peer.heard_ < options_.lease_ ? 1 : 0;
+        if (peer.is_counted()) {
+            heard.push_back(peer.heard_);
+        }
     }
-    if (heard < quorum()) {
-        become_follower(vote_.term_, {}, now);
+    if (heard.size() < quorum()) {
+        return now - options_.lease_;
     }
+    std::ranges::sort(heard, std::greater<>());
+    return heard[quorum() - 1];
 }
 
 void raft::become_follower(std::uint64_t term, const std::string& leader, instant now)
--- a/libs/consensus/raft_message.cpp
+++ b/libs/consensus/raft_message.cpp
@@ -1,5 +1,7 @@
 #include "consensus/raft_message.h"
 
+#include <algorithm>
+
 #include "base/enum_names.h"
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
@@ -13,9 +15,10 @@
     {"vote_request", "vote_reply", "append_request", "append_reply", "pre_vote_request",
      "pre_vote_reply", "snapshot_request", "snapshot_reply", "recovery_request", "recovery_reply"}};
 
-constexpr std::size_t message_fields = 14;
+constexpr std::size_t message_fields = 15;
 constexpr std::size_t max_replica_name_bytes = 64;
 constexpr std::size_t max_entries_per_message = 4096;
+constexpr std::uint64_t max_quorum_age_ms = 60'000; ///< An older one means the same.
 constexpr std::size_t max_payload_bytes = max_entry_payload_bytes;
 
 } // namespace
@@ -31,7 +34,8 @@
     writer.array(message_fields).number(static_cast<std::uint64_t>(message.kind_));
     writer.text(message.from_).text(message.to_).number(message.term_);
     writer.number(message.log_index_).number(message.log_term_).number(message.commit_);
-    writer.number(message.round_).boolean(message.recovering_).boolean(message.accepted_);
+    writer.number(message.round_).number(message.quorum_age_ms_);
+    writer.boolean(message.recovering_).boolean(message.accepted_);
     writer.array(message.entries_.size());
     for (const auto& entry : message.entries_) {
         write_entry(writer, entry);
@@ -57,6 +61,7 @@
     message.log_term_ = reader.number();
     message.commit_ = reader.number();
     message.round_ = reader.number();
+    message.quorum_age_ms_ = std::min(reader.number(), max_quorum_age_ms);
     message.recovering_ = reader.boolean();
     message.accepted_ = reader.boolean();
     for (auto left = reader.list(max_entries_per_message); left > 0 && reader.good(); --left) {
--- a/libs/consensus/raft_message.h
+++ b/libs/consensus/raft_message.h
@@ -40,7 +40,9 @@
     std::uint64_t log_term_ = 0;  ///< Term of that entry.
     std::uint64_t commit_ = 0;    ///< What the leader knows committed.
     std::uint64_t round_ = 0;     ///< Heartbeat round, echoed, which proves a read current.
-    bool recovering_ = false;     ///< Replies: the sender is not to be counted.
+    /** Appends: milliseconds since a quorum had answered the leader. */
+    std::uint64_t quorum_age_ms_ = 0;
+    bool recovering_ = false; ///< Replies: the sender is not to be counted.
     bool accepted_ = false;       ///< Replies: whether the vote or the entries were taken.
     std::vector<log_entry> entries_;
     std::uint64_t offset_ = 0; ///< Snapshot: where data_ starts; reply: bytes held so far.
--- a/libs/consensus/raft_replication.cpp
+++ b/libs/consensus/raft_replication.cpp
@@ -68,6 +68,8 @@
     request.log_term_ = *term;
     request.commit_ = commit_;
     request.round_ = round_;
+    request.quorum_age_ms_ =
+        static_cast<std::uint64_t>(to_milliseconds(now_ - quorum_heard_at(now_)));
     std::size_t bytes = 0;
     const bool has_room = peer.bytes_in_flight_ < max_bytes_in_flight;
     for (auto next = peer.next_; has_room && next <= log_.last_index(); ++next) {
@@ -99,6 +101,7 @@
               options_.self_, message.from_);
     become_follower(message.term_, message.from_, now);
     leader_heard_ = now;
+    touched_at_ = now - std::chrono::milliseconds(message.quorum_age_ms_);
     const bool is_compacted = message.log_index_ < log_.base_index();
     if (!is_compacted && log_.term_at(message.log_index_) != message.log_term_) {
         reply.log_index_ = std::min(message.log_index_ - 1, log_.last_index());
--- a/libs/consensus/test/correctness/membership.cpp
+++ b/libs/consensus/test/correctness/membership.cpp
@@ -178,3 +178,33 @@
     change({{"c", "d", "e", "f", "g"}, {}});
     BOOST_TEST(leader().membership().voters_.size() == 5U);
 }
+
+BOOST_FIXTURE_TEST_CASE(a_follower_cut_off_with_its_leader_is_out_of_touch_within_a_lease,
+                        founded_group)
+{
+    for (const std::string name : {"d", "e"}) {
+        start(name);
+        auto voters = leader().membership().voters_;
+        BOOST_REQUIRE(propose({voters, {name}}));
+        run(std::chrono::milliseconds(200));
+        voters.push_back(name);
+        BOOST_REQUIRE(propose({voters, {}}));
+        run(std::chrono::milliseconds(200));
+    }
+    const auto old = leader().options().self_;
+    std::string follower;
+    for (const auto& [name, replica] : replicas_) {
+        if (name != old && follower.empty()) {
+            follower = name;
+        }
+        else if (name != old) {
+            down_.insert(name);
+        }
+    }
+    BOOST_TEST(replicas_.at(follower).is_in_touch(now_));
+    const auto lease = replicas_.at(old).options().lease_;
+    run(std::chrono::duration_cast<std::chrono::milliseconds>(lease) +
+        std::chrono::milliseconds(100));
+    BOOST_TEST(!replicas_.at(old).is_in_touch(now_));
+    BOOST_TEST(!replicas_.at(follower).is_in_touch(now_));
+}
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -293,10 +293,11 @@
         for (const auto& target : registry_.targets()) {
             const auto& record = target.record_;
             auto& gate = admissions_[{record.service_, record.target_}];
+            const auto slots = record.slots_ + settings_.requests_ahead_;
             if (!gate) {
-                gate = std::make_shared<admission>(record.slots_);
+                gate = std::make_shared<admission>(slots);
             }
-            gate->set_slots(record.slots_);
+            gate->set_slots(slots);
             gate->set_draining(record.state_ != target_state::up);
             local->push_back(
                 {record.service_, record.target_, target.announcement_.address_, gate});
--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -58,6 +58,8 @@
     add("control-heartbeat-ms", usual("50"), "control: between a leader's heartbeats");
     add("proof-period-ms", usual("2000"), "node: between two proofs that its table is current");
     add("proof-timeout-ms", usual("8000"), "node: without a proof it changes its upstream");
+    add("requests-ahead", usual("0"),
+        "node: requests sent beyond a target's slots, so that no slot is idle, 0 to 100");
     add("prefer-own-zone", usual("no"), "node: yes chooses targets of the own zone first");
     add("interface", usual("own"), "own or platform: who calls from outside, and how");
     add("interface-control", empty(), "platform: IP:PORT for operators, or for the own server");
@@ -154,6 +156,7 @@
 }
 
 constexpr unsigned max_losses = 5;
+constexpr unsigned max_requests_ahead = 100;
 constexpr unsigned longest_period_ms = 60'000;
 
 void read_control_settings(settings_reader& reader, daemon_settings& settings)
@@ -186,6 +189,7 @@
         settings.listen_callers_ = reader.address("listen-callers");
         settings.workers_ = reader.count("workers", max_workers);
         settings.prefers_own_zone_ = reader.yes_no("prefer-own-zone");
+        settings.requests_ahead_ = reader.count("requests-ahead", max_requests_ahead, 0);
         settings.proof_period_ = reader.milliseconds("proof-period-ms", longest_period_ms);
         settings.proof_timeout_ = reader.milliseconds("proof-timeout-ms", longest_period_ms);
     }
--- a/libs/settings/daemon_settings.h
+++ b/libs/settings/daemon_settings.h
@@ -51,6 +51,7 @@
     std::vector<peer_address> upstreams_;            ///< Relay and node: where to subscribe.
     std::chrono::milliseconds proof_period_{2'000};      ///< Node: between two proofs of currency.
     std::chrono::milliseconds proof_timeout_{8'000};     ///< Node: without a proof, another upstream.
+    unsigned requests_ahead_ = 0;   ///< Node: sent beyond a target's slots, so that none idles.
     bool prefers_own_zone_ = false; ///< Node: targets of the own zone are chosen first.
     outer_interface interface_ = outer_interface::own;
     std::optional<peer_address> interface_control_; ///< Platform: operators, or the own server.
--- a/libs/settings/settings_reader.cpp
+++ b/libs/settings/settings_reader.cpp
@@ -90,14 +90,14 @@
     return found;
 }
 
-auto settings_reader::count(const std::string& name, unsigned largest) -> unsigned
+auto settings_reader::count(const std::string& name, unsigned largest, unsigned least) -> unsigned
 {
     const auto value = text(name);
     const auto* end = value.data() + value.size();
     unsigned count = 0;
     const auto [stop, problem] = std::from_chars(value.data(), end, count);
-    if (problem != std::errc() || stop != end || count < 1 || count > largest) {
-        refuse(name, value, fmt::format("a number from 1 to {}", largest));
+    if (problem != std::errc() || stop != end || count < least || count > largest) {
+        refuse(name, value, fmt::format("a number from {} to {}", least, largest));
     }
     return count;
 }
--- a/libs/settings/settings_reader.h
+++ b/libs/settings/settings_reader.h
@@ -32,8 +32,8 @@
     auto peers(const std::string& name) -> std::vector<control_peer>;
     /** Returns a list `IP:PORT,...`. */
     auto addresses(const std::string& name) -> std::vector<peer_address>;
-    /** Returns a whole number from 1 to \p largest. */
-    auto count(const std::string& name, unsigned largest) -> unsigned;
+    /** Returns a whole number from \p least to \p largest. */
+    auto count(const std::string& name, unsigned largest, unsigned least = 1) -> unsigned;
 
     /** Returns whether a setting is `yes` (or `true`) rather than `no` (or `false`). */
     auto yes_no(const std::string& name) -> bool;
