Serve on while leaving, disown what stood beside a node before, and find another hub sooner

A node declares gone what is said to stand beside it and is not there. Upstreams must be ready within 0.4 s; elections are spread over half a lease.

--- a/libs/consensus/group_membership.cpp
+++ b/libs/consensus/group_membership.cpp
@@ -32,9 +32,8 @@
 auto count_missing(const std::vector<std::string>& names, const std::vector<std::string>& from)
     -> std::ptrdiff_t
 {
-    return std::ranges::count_if(names, [&from](const auto& name) {
-        return std::ranges::find(from, name) == from.end();
-    });
+    return std::ranges::count_if(
+        names, [&from](const auto& name) { return std::ranges::find(from, name) == from.end(); });
 }
 
 } // namespace
--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -23,8 +23,7 @@
 auto raft::create(raft_options options, durable_state state, instant now) -> result<raft>
 {
     const bool is_fixed = !options.voters_.empty();
-    if (is_fixed &&
-        std::ranges::find(options.voters_, options.self_) == options.voters_.end()) {
+    if (is_fixed && std::ranges::find(options.voters_, options.self_) == options.voters_.end()) {
         return failure(error_kind::invalid_input,
                        fmt::format("'{}' is not among the control group's replicas; add it to the "
                                    "setting control-peers",
@@ -55,8 +54,8 @@
     if (state.snapshot_.index_ > 0) {
         snapshot_ = std::make_shared<const log_snapshot>(std::move(state.snapshot_));
     }
-    // A replica that has just started knows of no leader, so a short wait does: pre-votes keep it from
-    // disturbing one that the others hear.
+    // A replica that has just started knows of no leader, so a short wait does: pre-votes keep it
+    // from disturbing one that the others hear.
     election_due_ =
         now + uniform_between(options_.random_, options_.heartbeat_ / 2, 2 * options_.heartbeat_);
 }
@@ -83,8 +82,7 @@
     if (!vote_.is_member_) {
         tick_recovery(now);
     }
-    if (vote_.is_member_ && is_self_voter() && role_ != raft_role::leader &&
-        now >= election_due_) {
+    if (vote_.is_member_ && is_self_voter() && role_ != raft_role::leader && now >= election_due_) {
         become_pre_candidate(now);
     }
 }
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -250,9 +250,9 @@
     vote_state vote_;
     replicated_log log_;
     std::map<std::uint64_t, group_membership> memberships_; ///< By the index of the entry.
-    std::shared_ptr<const log_snapshot> snapshot_; ///< The latest; null for none.
-    log_snapshot incoming_;                        ///< Chunks received so far.
-    instant now_{}; ///< As last passed in.
+    std::shared_ptr<const log_snapshot> snapshot_;          ///< The latest; null for none.
+    log_snapshot incoming_;                                 ///< Chunks received so far.
+    instant now_{};                                         ///< As last passed in.
     raft_role role_ = raft_role::follower;
     std::string leader_;
     std::uint64_t commit_ = 0;
--- a/libs/consensus/raft_election.cpp
+++ b/libs/consensus/raft_election.cpp
@@ -7,7 +7,9 @@
 
 void raft::reset_election_timer(instant now)
 {
-    election_due_ = now + uniform_between(options_.random_, options_.lease_, 2 * options_.lease_);
+    // Half a lease of spread is enough: replicas that ask together only ask again soon.
+    election_due_ =
+        now + uniform_between(options_.random_, options_.lease_, options_.lease_ * 3 / 2);
 }
 
 // A leader that a quorum has not answered within a lease may have been replaced without knowing.
--- a/libs/consensus/raft_message.h
+++ b/libs/consensus/raft_message.h
@@ -43,7 +43,7 @@
     /** Appends: milliseconds since a quorum had answered the leader. */
     std::uint64_t quorum_age_ms_ = 0;
     bool recovering_ = false; ///< Replies: the sender is not to be counted.
-    bool accepted_ = false;       ///< Replies: whether the vote or the entries were taken.
+    bool accepted_ = false;   ///< Replies: whether the vote or the entries were taken.
     std::vector<log_entry> entries_;
     std::uint64_t offset_ = 0; ///< Snapshot: where data_ starts; reply: bytes held so far.
     std::uint64_t total_ = 0;  ///< Snapshot: bytes in all.
--- a/libs/control/group_keeper.cpp
+++ b/libs/control/group_keeper.cpp
@@ -55,8 +55,7 @@
 {
     const bool is_any_on_its_way =
         !membership.learners_.empty() || std::ranges::any_of(candidates_, [&](const auto& one) {
-            return now - one.second < options_.candidate_lasts_ &&
-                   !membership.is_voter(one.first);
+            return now - one.second < options_.candidate_lasts_ && !membership.is_voter(one.first);
         });
     return membership.voters_.size() >= options_.wanted_voters_ || !is_any_on_its_way;
 }
--- a/libs/control/replicated_state.cpp
+++ b/libs/control/replicated_state.cpp
@@ -96,7 +96,9 @@
     }
     const auto current = current_->version_.number_;
     if (command.number_ != 0 && command.number_ <= current) {
-        return {accept_status::refused, current_->version_, {},
+        return {accept_status::refused,
+                current_->version_,
+                {},
                 fmt::format("version {} is not above the current version {}", command.number_,
                             current)};
     }
@@ -110,9 +112,8 @@
                 fmt::format("{}, column {}: {}", first.service_, name_of(first.column_),
                             first.message_)};
     }
-    auto document = command.document_.empty()
-                        ? result<std::string>(std::string())
-                        : decompress_after(document_, command.document_);
+    auto document = command.document_.empty() ? result<std::string>(std::string())
+                                              : decompress_after(document_, command.document_);
     if (!document) {
         return {accept_status::refused, current_->version_, {}, document.error().message_};
     }
--- a/libs/control/test/correctness/group_keeper.cpp
+++ b/libs/control/test/correctness/group_keeper.cpp
@@ -52,7 +52,8 @@
     BOOST_TEST((membership_ == group_membership{{"a:1", "b:1", "c:1"}, {"d:1/7"}}));
 }
 
-BOOST_FIXTURE_TEST_CASE(a_group_that_is_too_small_takes_a_learner_that_has_caught_up, keeper_fixture)
+BOOST_FIXTURE_TEST_CASE(a_group_that_is_too_small_takes_a_learner_that_has_caught_up,
+                        keeper_fixture)
 {
     membership_ = {{"a:1", "b:1"}, {"d:1/7"}};
     hear("d:1/7", 10);
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -94,8 +94,7 @@
                          [this] { report_progress(); });
         QObject::connect(&ticker_, &QTimer::timeout, &ticker_,
                          [this] { replica_->tick(monotonic_now()); });
-        QObject::connect(&group_timer_, &QTimer::timeout, &group_timer_,
-                         [this] { keep_group(); });
+        QObject::connect(&group_timer_, &QTimer::timeout, &group_timer_, [this] { keep_group(); });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_, [this] {
             hub_.logic().tick(monotonic_now(), !replica_->raft_state().leader().empty());
             hub_.run();
@@ -256,10 +255,10 @@
         }
         if (std::exchange(linked_to_, members) != members) {
             links_.connect_to(members);
-            log_event(log_level::info, "membership_in_force",
-                      {{"voters", fmt::format("{}", fmt::join(raft.membership().voters_, " "))},
-                       {"learners",
-                        fmt::format("{}", fmt::join(raft.membership().learners_, " "))}});
+            log_event(
+                log_level::info, "membership_in_force",
+                {{"voters", fmt::format("{}", fmt::join(raft.membership().voters_, " "))},
+                 {"learners", fmt::format("{}", fmt::join(raft.membership().learners_, " "))}});
         }
     }
 
@@ -329,8 +328,8 @@
         return address ? address->host_ : std::string();
     }
 
-    /** Before the group has its voters, losing as many disks as are tolerated could lose an accepted
-     * table. */
+    /** Before the group has its voters, losing as many disks as are tolerated could lose an
+     * accepted table. */
     [[nodiscard]] auto why_not_ready() const -> std::optional<error>
     {
         const auto now = monotonic_now();
@@ -545,7 +544,8 @@
     std::optional<replica_store> store_;
     std::optional<control_replica> replica_;
     progress_board others_progress_;
-    std::map<std::string, hub_address> hubs_; ///< The other replicas that this one is in touch with.
+    std::map<std::string, hub_address>
+        hubs_; ///< The other replicas that this one is in touch with.
     bool is_progress_new_ = false;
     instant progress_told_at_{};
     QTimer progress_timer_;
--- a/libs/daemon/daemon_role.h
+++ b/libs/daemon/daemon_role.h
@@ -37,8 +37,7 @@
 [[nodiscard]] auto start_relay_role(const daemon_settings& settings, const daemon_secrets& secrets)
     -> result<running_role>;
 [[nodiscard]] auto start_node_role(const daemon_settings& settings, const daemon_secrets& secrets,
-                                   const outer_interfaces& interfaces = {})
-    -> result<running_role>;
+                                   const outer_interfaces& interfaces = {}) -> result<running_role>;
 
 /** Starts the role that the settings name. */
 [[nodiscard]] auto start_role(const daemon_settings& settings, const daemon_secrets& secrets,
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon_role.h"
 
+#include <algorithm>
+
 #include <QDateTime>
 #include <QTimer>
 
@@ -62,12 +64,12 @@
   public:
     node_role(const daemon_settings& settings, const daemon_secrets& secrets,
               outer_interfaces interfaces)
-        : settings_(settings), secrets_(secrets), interfaces_(std::move(interfaces)), state_(to_text(settings.listen_peers_), metrics_),
+        : settings_(settings), secrets_(secrets), interfaces_(std::move(interfaces)),
+          state_(to_text(settings.listen_peers_), metrics_),
           registry_(settings.availability_zone_, to_text(settings.listen_peers_),
                     static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch()),
                     to_text(settings.listen_admin_)),
-          admin_(metrics_, secrets.operator_token_,
-                 [this] { return is_ready(); }),
+          admin_(metrics_, secrets.operator_token_, [this] { return is_ready(); }),
           link_(settings.upstreams_, secrets.key_,
                 {settings.name_, settings.availability_zone_, false, system_random(),
                  settings.proof_period_, settings.proof_timeout_},
@@ -150,7 +152,16 @@
     /** Takes new upstreams; the connection in use stays. */
     void reload(const daemon_settings& settings) { link_.set_upstreams(settings.upstreams_); }
 
-    void shut_down(std::function<void()> done)
+    /** Callers are sent elsewhere once they have seen that the node is not ready; until then it
+     * serves them. */
+    void shut_down(const std::function<void()>& done)
+    {
+        is_leaving_ = true;
+        QTimer::singleShot(settings_.leave_notice_, &shutdown_timer_, [this, done] { end(done); });
+    }
+
+  private:
+    void end(const std::function<void()>& done)
     {
         state_.begin_shutdown();
         for (const auto& [name, gate] : admissions_) {
@@ -162,7 +173,7 @@
         }
         const auto record_deadline = monotonic_now() + longest_record_wait;
         QObject::connect(&shutdown_timer_, &QTimer::timeout, &shutdown_timer_,
-                         [this, done = std::move(done), record_deadline] {
+                         [this, done, record_deadline] {
                              const bool is_recorded =
                                  runs_.unacknowledged() == 0 || monotonic_now() > record_deadline;
                              if (state_.calls_in_flight() == 0 && is_recorded) {
@@ -173,10 +184,9 @@
         shutdown_timer_.start(shutdown_check_period);
     }
 
-  private:
     [[nodiscard]] auto is_ready() -> bool
     {
-        return link_.logic().enforced() && !state_.is_shutting_down();
+        return link_.logic().enforced() && !is_leaving_;
     }
 
     auto serve_interface() -> result<void>
@@ -187,7 +197,9 @@
         auto serving = interfaces_.serve_node_(
             {[this] { return is_ready(); },
              [this](const target_announcement& announcement) { return announce(announcement); },
-             [this](const std::string& target) { leave(target); }});
+             [this](const std::string& target) {
+                 leave(target);
+             }});
         if (!serving) {
             return tl::unexpected(serving.error());
         }
@@ -207,10 +219,41 @@
                        {"draining", announcement.draining_}});
             publish_local_targets();
             tell(registry_.records());
+            disown(directory_.records());
         }
         return {};
     }
 
+    /** What is said to stand beside this node, and has not announced itself here since the node
+     * started, was there before: it has ended, or another stands in its place. */
+    void disown(const std::vector<target_record>& candidates)
+    {
+        const auto known = registry_.records();
+        std::vector<target_record> gone;
+        for (auto record : candidates) {
+            const bool is_known = std::ranges::any_of(known, [&record](const auto& one) {
+                return key_of(one) == key_of(record);
+            });
+            if (!is_known && record.node_address_ == state_.own_address() &&
+                record.state_ != target_state::gone) {
+                record.state_ = target_state::gone;
+                ++record.sequence_;
+                log_event(log_level::info, "target_disowned",
+                          {{"service", record.service_}, {"target", record.target_}});
+                gone.push_back(std::move(record));
+            }
+        }
+        if (!gone.empty()) {
+            tell(gone);
+        }
+    }
+
+    /** A target that runs on while its node is started again announces itself within a while. */
+    [[nodiscard]] auto has_heard_own_targets() const -> bool
+    {
+        return monotonic_now() - started_ >= settings_.target_heartbeat_ * 2;
+    }
+
     void leave(const std::string& target)
     {
         if (const auto changed = registry_.leave(target); !changed.empty()) {
@@ -364,6 +407,9 @@
         if (output.enforce_ || !news.empty()) {
             publish_routes();
         }
+        if (has_heard_own_targets()) {
+            disown(news);
+        }
         if (const auto refuted = registry_.refute(news); !refuted.empty()) {
             publish_local_targets();
             tell(refuted);
@@ -419,6 +465,8 @@
     QTimer run_timer_;
     QTimer shutdown_timer_;
     std::vector<std::unique_ptr<node_worker>> workers_;
+    instant started_ = monotonic_now();
+    bool is_leaving_ = false;
     std::shared_ptr<void> serving_; ///< The interface for the world outside, if there is another.
 };
 
@@ -436,9 +484,9 @@
                                 alive->reload(next);
                             }
                         },
-                        [role = std::weak_ptr(role)](std::function<void()> done) {
+                        [role = std::weak_ptr(role)](const std::function<void()>& done) {
                             if (const auto alive = role.lock()) {
-                                alive->shut_down(std::move(done));
+                                alive->shut_down(done);
                             }
                         },
                         role};
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -47,13 +47,14 @@
     target_registry(std::string availability_zone, std::string node_address,
                     std::uint64_t incarnation, std::string node_admin = {});
 
-    /** Takes an announcement; returns whether any record changed. One that was overtaken, by a later
-     * one of the same start or by a later start at its address, changes nothing. A target that has
-     * left stays away until its next start. Whatever stood at the address before is gone. */
+    /** Takes an announcement; returns whether any record changed. One that was overtaken, by a
+     * later one of the same start or by a later start at its address, changes nothing. A target
+     * that has left stays away until its next start. Whatever stood at the address before is gone.
+     */
     auto announce(const target_announcement& announcement, instant now) -> bool;
 
-    /** The target called \p target, of whatever service, takes no work any more. Returns the records
-     * that changed. */
+    /** The target called \p target, of whatever service, takes no work any more. Returns the
+     * records that changed. */
     auto leave(const std::string& target) -> std::vector<target_record>;
 
     /** Ends leases that have run out; returns the records that changed. */
--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -14,13 +14,13 @@
 constexpr duration longest_backoff = std::chrono::milliseconds(400);
 constexpr unsigned max_doublings = 6;
 constexpr auto tick_period = std::chrono::milliseconds(250);
-constexpr duration dial_timeout = std::chrono::seconds(1);
+constexpr duration dial_timeout = std::chrono::milliseconds(500);
 /** A connection lasts so long before one to a nearer upstream takes its place. */
 constexpr duration settled_after = std::chrono::seconds(1);
 /** A silent upstream must be left well before its table counts as out of date. */
 constexpr connection_limits upstream_limits{.ping_after_ = std::chrono::milliseconds(1'000),
                                             .silent_after_ = std::chrono::milliseconds(2'500),
-                                            .ready_within_ = std::chrono::milliseconds(1'000)};
+                                            .ready_within_ = std::chrono::milliseconds(400)};
 
 auto backoff_for(unsigned failures, const random_hook& random) -> duration
 {
@@ -168,10 +168,9 @@
     const auto channel = std::move(channel_);
     const auto client = std::move(client_);
     retry_.start(std::chrono::duration_cast<std::chrono::milliseconds>(wait));
-    log_event(log_level::warning, "upstream_lost",
-              {{"upstream", to_text(current_)},
-               {"reason", reason},
-               {"retry_ms", to_milliseconds(wait)}});
+    log_event(
+        log_level::warning, "upstream_lost",
+        {{"upstream", to_text(current_)}, {"reason", reason}, {"retry_ms", to_milliseconds(wait)}});
     if (channel) {
         channel->close();
     }
--- a/libs/distribution/compressed_message.cpp
+++ b/libs/distribution/compressed_message.cpp
@@ -66,8 +66,8 @@
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_enableLongDistanceMatching, 1);
     ZSTD_CCtx_refPrefix(context.get(), before.data(), before.size());
     std::string frame(ZSTD_compressBound(bytes.size()), '\0');
-    const auto size = ZSTD_compress2(context.get(), frame.data(), frame.size(), bytes.data(),
-                                     bytes.size());
+    const auto size =
+        ZSTD_compress2(context.get(), frame.data(), frame.size(), bytes.data(), bytes.size());
     invariant(ZSTD_isError(size) == 0, "a text of {} bytes could not be compressed: {}",
               bytes.size(), ZSTD_getErrorName(size));
     frame.resize(size);
@@ -84,8 +84,8 @@
     ZSTD_DCtx_setParameter(context.get(), ZSTD_d_windowLogMax, max_window_log);
     ZSTD_DCtx_refPrefix(context.get(), before.data(), before.size());
     std::string bytes(*size, '\0');
-    const auto unpacked = ZSTD_decompressDCtx(context.get(), bytes.data(), bytes.size(),
-                                              frame.data(), frame.size());
+    const auto unpacked =
+        ZSTD_decompressDCtx(context.get(), bytes.data(), bytes.size(), frame.data(), frame.size());
     if (ZSTD_isError(unpacked) != 0 || unpacked != *size) {
         return failure(error_kind::corrupt, "a compressed message is damaged");
     }
--- a/libs/distribution/distribution_message.cpp
+++ b/libs/distribution/distribution_message.cpp
@@ -237,8 +237,7 @@
 /** The readers in the order of the variant's alternatives. */
 constexpr std::array<message_reader, std::variant_size_v<distribution_message>> readers{
     read_subscribe, read_table_update,   read_currency_request, read_currency_proof, read_progress,
-    read_targets,   read_target_summary, read_target_sync,      read_crashes,
-    read_hubs};
+    read_targets,   read_target_summary, read_target_sync,      read_crashes,        read_hubs};
 
 /** The kind that says: the body is a compressed message of another kind. */
 constexpr std::uint64_t compressed_kind = 63;
--- a/libs/distribution/subscriber.h
+++ b/libs/distribution/subscriber.h
@@ -5,9 +5,9 @@
  * nothing until a quorum has proved, after this process started, what the current version is, and
  * then only that version or a later one. So no restart goes back to an older table.
  *
- * It asks again every proof_period_, then only whether the upstream is in touch. An upstream that for proof_timeout_ has not shown
- * that what is held is current is left for another one: it is silent, cut off, or behind. What is
- * in force stays in force meanwhile.
+ * It asks again every proof_period_, then only whether the upstream is in touch. An upstream that
+ * for proof_timeout_ has not shown that what is held is current is left for another one: it is
+ * silent, cut off, or behind. What is in force stays in force meanwhile.
  */
 #pragma once
 
--- a/libs/http1/http1_parser.cpp
+++ b/libs/http1/http1_parser.cpp
@@ -62,7 +62,8 @@
     }
     field.remove_prefix(start + name.size());
     std::uint32_t seconds = 0;
-    const auto [stop, problem] = std::from_chars(field.data(), field.data() + field.size(), seconds);
+    const auto [stop, problem] =
+        std::from_chars(field.data(), field.data() + field.size(), seconds);
     return problem == std::errc() ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
 }
 
--- a/libs/policy/retry_policy.h
+++ b/libs/policy/retry_policy.h
@@ -65,8 +65,8 @@
     bool marked_ = false;     ///< The call itself belongs to a retried call.
     /** The refused attempt may have reached its target, and so counts as one. */
     bool reached_target_ = true;
-    unsigned attempts_ = 1;   ///< Made so far.
-    unsigned retries_ = 0;    ///< The row's number of further tries.
+    unsigned attempts_ = 1; ///< Made so far.
+    unsigned retries_ = 0;  ///< The row's number of further tries.
     duration time_left_{0};
 };
 
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -19,7 +19,6 @@
 /** A longer answer is passed on as it comes, and cannot be tried for again once it has begun. */
 constexpr std::size_t max_held_answer_bytes = 64U * 1024;
 
-
 class caller_call : public std::enable_shared_from_this<caller_call> {
   public:
     caller_call(const call_environment& environment,
@@ -78,8 +77,7 @@
         marked_ = terms.is_retry_;
         state().budget().earn();
         // A caller with small limits may only use some of the targets.
-        tried_ =
-            targets_without_share(*route_, request_.caller_, row_->limit_of(request_.caller_));
+        tried_ = targets_without_share(*route_, request_.caller_, row_->limit_of(request_.caller_));
         remove_system_headers(request_.head_.headers_);
     }
 
@@ -111,9 +109,8 @@
 
     void attempt()
     {
-        const auto* target =
-            choose_near_target(*route_, environment_.node_.preferred_zone(), excluded(),
-                               environment_.random_);
+        const auto* target = choose_near_target(*route_, environment_.node_.preferred_zone(),
+                                                excluded(), environment_.random_);
         if (target == nullptr) {
             refuse(make_refusal(refusal_reason::no_target));
             return;
@@ -453,7 +450,7 @@
     std::string request_id_;
     std::shared_ptr<const route_table> routes_;
     const row* row_ = nullptr;
-    const service_route* route_ = nullptr; ///< The targets of the service that takes the call.
+    const service_route* route_ = nullptr;  ///< The targets of the service that takes the call.
     std::shared_ptr<target_health> health_; ///< Of the target being tried.
     exchange_controls controls_;
     std::vector<std::string> tried_;
--- a/libs/request_path/exchange.h
+++ b/libs/request_path/exchange.h
@@ -24,12 +24,13 @@
     std::string target_;
     std::string caller_; ///< Whose limits apply; empty: none.
     std::string origin_; ///< The service beside the caller's node; may be empty.
-    std::chrono::milliseconds time_left_{0}; ///< Until the call's deadline.
+    std::chrono::milliseconds time_left_{0};   ///< Until the call's deadline.
     std::chrono::milliseconds time_in_aim_{0}; ///< Until an answer is later than its route aims at.
-    bool is_last_choice_ = false; ///< No other target is left to try: waiting is better than nothing.
-    std::uint32_t priority_ = 0;             ///< 0 gets the next free slot.
-    bool repeatable_ = false;                ///< It may run twice.
-    bool is_retry_ = false;                  ///< It is a further attempt, or belongs to one.
+    bool is_last_choice_ =
+        false; ///< No other target is left to try: waiting is better than nothing.
+    std::uint32_t priority_ = 0; ///< 0 gets the next free slot.
+    bool repeatable_ = false;    ///< It may run twice.
+    bool is_retry_ = false;      ///< It is a further attempt, or belongs to one.
 };
 
 /** A refusal and what is known of the request. */
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -72,7 +72,8 @@
     void set_dialect(call_dialect dialect) { dialect_ = std::move(dialect); }
     [[nodiscard]] auto dialect() const -> const call_dialect& { return dialect_; }
 
-    /** Targets in this zone are chosen before others; empty: all alike. Set before the workers start.
+    /** Targets in this zone are chosen before others; empty: all alike. Set before the workers
+     * start.
      */
     void prefer_zone(std::string zone) { preferred_zone_ = std::move(zone); }
     [[nodiscard]] auto preferred_zone() const -> const std::string& { return preferred_zone_; }
--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -22,11 +22,10 @@
 
 /** A call that waits for an answer must notice a node that is gone while there is time to try
  * another. */
-constexpr connection_limits caller_side_limits{
-    .ping_after_ = std::chrono::milliseconds(400),
-    .silent_after_ = std::chrono::milliseconds(900),
-    .ready_within_ = std::chrono::milliseconds(500),
-    .idle_after_ = std::chrono::milliseconds(30'000)};
+constexpr connection_limits caller_side_limits{.ping_after_ = std::chrono::milliseconds(400),
+                                               .silent_after_ = std::chrono::milliseconds(900),
+                                               .ready_within_ = std::chrono::milliseconds(500),
+                                               .idle_after_ = std::chrono::milliseconds(30'000)};
 /** Longer than the caller's side, which knows whether it needs the connection. */
 constexpr connection_limits target_side_limits{.idle_after_ = std::chrono::milliseconds(60'000)};
 
@@ -48,7 +47,8 @@
 struct node_worker::loop {
     loop(node_state& node, cluster_key key)
         : node_(node), key_(key),
-          peers_(std::move(key), caller_side_limits), environment_{node, targets_, peers_, system_random()}
+          peers_(std::move(key), caller_side_limits), environment_{node, targets_, peers_,
+                                                                   system_random()}
     {
     }
 
--- a/libs/request_path/own_dialect.cpp
+++ b/libs/request_path/own_dialect.cpp
@@ -41,8 +41,7 @@
 
 void mark_refusal(message_head& answer, const refusal& refusal)
 {
-    answer.headers_.push_back(
-        {std::string(refusal_header), std::string(name_of(refusal.reason_))});
+    answer.headers_.push_back({std::string(refusal_header), std::string(name_of(refusal.reason_))});
     answer.headers_.push_back(
         {std::string(outcome_header), std::string(name_of(refusal.outcome_))});
 }
--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -106,9 +106,9 @@
     request.repeatable_ = !find_header(headers, repeatable_header).empty();
     request.is_retry_ = !find_header(headers, peer_retry_header).empty();
     request.head_.headers_ = ordinary_fields(headers);
-    for (const auto name :
-         {service_header, target_header, peer_caller_header, origin_header, time_left_header,
-          time_in_aim_header, last_choice_header, priority_header, repeatable_header, peer_retry_header}) {
+    for (const auto name : {service_header, target_header, peer_caller_header, origin_header,
+                            time_left_header, time_in_aim_header, last_choice_header,
+                            priority_header, repeatable_header, peer_retry_header}) {
         remove_header(request.head_.headers_, name);
     }
     return request;
--- a/libs/request_path/target_connections.cpp
+++ b/libs/request_path/target_connections.cpp
@@ -29,7 +29,8 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (connection->is_reusable() && connection->idle_time() < std::min(limit, kept(*connection))) {
+        if (connection->is_reusable() &&
+            connection->idle_time() < std::min(limit, kept(*connection))) {
             return connection;
         }
     }
--- a/libs/request_path/test/correctness/waiting_line.cpp
+++ b/libs/request_path/test/correctness/waiting_line.cpp
@@ -80,5 +80,6 @@
     BOOST_TEST((longest_wait(aim, milliseconds(200), false) == milliseconds(50)));
     BOOST_TEST((longest_wait(aim, milliseconds(400), false) == milliseconds(0)));
     BOOST_TEST((longest_wait(aim, milliseconds(80), true) == milliseconds(200)));
-    BOOST_TEST((longest_wait(aim, milliseconds(400), true) == milliseconds(37) + std::chrono::microseconds(500)));
+    BOOST_TEST((longest_wait(aim, milliseconds(400), true) ==
+                milliseconds(37) + std::chrono::microseconds(500)));
 }
--- a/libs/request_path/waiting_line.h
+++ b/libs/request_path/waiting_line.h
@@ -41,8 +41,8 @@
 };
 
 /** Returns how long a request whose answer is in time for \p time_in_aim may wait for a slot of a
- * target that takes \p service_time. Where there is a choice, it may not use up the whole of it: the
- * estimates are averages. */
+ * target that takes \p service_time. Where there is a choice, it may not use up the whole of it:
+ * the estimates are averages. */
 [[nodiscard]] auto longest_wait(duration time_in_aim, duration service_time, bool is_last_choice)
     -> duration;
 
--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -58,6 +58,8 @@
     add("control-heartbeat-ms", usual("50"), "control: between a leader's heartbeats");
     add("proof-period-ms", usual("2000"), "node: between two proofs that its table is current");
     add("proof-timeout-ms", usual("8000"), "node: without a proof it changes its upstream");
+    add("leave-notice-ms", usual("0"),
+        "node: asked to end, it goes on taking calls for so long, while it says it is not ready");
     add("requests-ahead", usual("0"),
         "node: requests sent beyond a target's slots, so that no slot is idle, 0 to 100");
     add("prefer-own-zone", usual("no"), "node: yes chooses targets of the own zone first");
@@ -189,6 +191,8 @@
         settings.listen_callers_ = reader.address("listen-callers");
         settings.workers_ = reader.count("workers", max_workers);
         settings.prefers_own_zone_ = reader.yes_no("prefer-own-zone");
+        settings.leave_notice_ =
+            std::chrono::milliseconds(reader.count("leave-notice-ms", longest_period_ms, 0));
         settings.requests_ahead_ = reader.count("requests-ahead", max_requests_ahead, 0);
         settings.proof_period_ = reader.milliseconds("proof-period-ms", longest_period_ms);
         settings.proof_timeout_ = reader.milliseconds("proof-timeout-ms", longest_period_ms);
--- a/libs/settings/daemon_settings.h
+++ b/libs/settings/daemon_settings.h
@@ -2,7 +2,8 @@
  * The settings of the daemon, from flags, environment variables and a file, under the same names.
  *
  * The flag `--listen-peers`, the variable `SYCAMOREWINCH_LISTEN_PEERS` and the line
- * `listen-peers = ...` of the settings file are one setting; the flag wins, then the variable. A wrong setting gives one line that names it, its value and what is allowed.
+ * `listen-peers = ...` of the settings file are one setting; the flag wins, then the variable. A
+ * wrong setting gives one line that names it, its value and what is allowed.
  */
 #pragma once
 
@@ -45,23 +46,25 @@
     peer_address listen_admin_;               ///< HTTP: operators, metrics, health, announcements.
     std::vector<control_peer> control_peers_; ///< Control: all replicas, this one included.
     std::vector<peer_address> control_seeds_; ///< Control: some VMs of a group that may change.
-    bool founds_group_ = false; ///< Control: the first start of all, by the seeds together.
+    bool founds_group_ = false;     ///< Control: the first start of all, by the seeds together.
     unsigned tolerated_losses_ = 1; ///< Control: disks that may be lost at once.
     std::chrono::milliseconds control_heartbeat_{50}; ///< Control: between a leader's heartbeats.
-    std::vector<peer_address> upstreams_;            ///< Relay and node: where to subscribe.
-    std::chrono::milliseconds proof_period_{2'000};      ///< Node: between two proofs of currency.
-    std::chrono::milliseconds proof_timeout_{8'000};     ///< Node: without a proof, another upstream.
+    std::vector<peer_address> upstreams_;             ///< Relay and node: where to subscribe.
+    std::chrono::milliseconds proof_period_{2'000};   ///< Node: between two proofs of currency.
+    std::chrono::milliseconds proof_timeout_{8'000};  ///< Node: without a proof, another upstream.
+    /** Node: asked to end, it goes on taking calls for so long, while it says it is not ready. */
+    std::chrono::milliseconds leave_notice_{0};
     unsigned requests_ahead_ = 0;   ///< Node: sent beyond a target's slots, so that none idles.
     bool prefers_own_zone_ = false; ///< Node: targets of the own zone are chosen first.
     outer_interface interface_ = outer_interface::own;
-    std::optional<peer_address> interface_control_; ///< Platform: operators, or the own server.
-    std::optional<peer_address> interface_ready_;   ///< Platform, node: readiness.
-    std::optional<peer_address> own_target_;        ///< Platform, node: the server beside it.
-    std::string own_service_;                       ///< Platform, node: that server's service.
+    std::optional<peer_address> interface_control_;     ///< Platform: operators, or the own server.
+    std::optional<peer_address> interface_ready_;       ///< Platform, node: readiness.
+    std::optional<peer_address> own_target_;            ///< Platform, node: the server beside it.
+    std::string own_service_;                           ///< Platform, node: that server's service.
     std::chrono::milliseconds target_heartbeat_{1'500}; ///< Platform, node: between announcements.
     bool is_network_trusted_ = false; ///< Only the system's own VMs reach its addresses.
     std::string settings_file_;
-    std::string data_dir_;                    ///< Control: the data folder.
+    std::string data_dir_; ///< Control: the data folder.
     std::string cluster_key_file_;
     std::string operator_token_file_;
     unsigned workers_ = 1; ///< Node: threads that carry calls.
--- a/libs/table/row.h
+++ b/libs/table/row.h
@@ -58,11 +58,11 @@
     caller_limit default_limit_;
     std::vector<named_limit> named_limits_; ///< Callers that differ from the default.
     std::chrono::milliseconds timeout_{0};
-    std::uint32_t retries_ = 0;           ///< Further tries after the first.
-    bool repeatable_ = false;             ///< Whether running a request twice does no harm.
-    std::uint32_t priority_ = 0;          ///< 0 is served first when a target is short of room.
+    std::uint32_t retries_ = 0;  ///< Further tries after the first.
+    bool repeatable_ = false;    ///< Whether running a request twice does no harm.
+    std::uint32_t priority_ = 0; ///< 0 is served first when a target is short of room.
     std::chrono::milliseconds target_latency_{0}; ///< An answer is expected within it; 0: unstated.
-    std::vector<std::string> depends_on_; ///< Services its targets call.
+    std::vector<std::string> depends_on_;         ///< Services its targets call.
 
     [[nodiscard]] auto operator==(const row&) const -> bool = default;
 
--- a/libs/table/table_csv.cpp
+++ b/libs/table/table_csv.cpp
@@ -86,8 +86,7 @@
 {
     const auto equals = text.rfind('=');
     if (equals == std::string_view::npos || equals == 0) {
-        return failure(error_kind::invalid_input,
-                       fmt::format("'{}' must be SERVICE=WEIGHT", text));
+        return failure(error_kind::invalid_input, fmt::format("'{}' must be SERVICE=WEIGHT", text));
     }
     const auto weight = parse_number(text.substr(equals + 1));
     if (!weight) {
@@ -249,9 +248,9 @@
         }
         if (!has_required_columns()) {
             const auto& names = column_names.names_;
-            refuse("heading",
-                   fmt::format("needs the columns {}",
-                               fmt::join(names.begin(), names.begin() + required_column_count, ",")));
+            refuse("heading", fmt::format("needs the columns {}",
+                                          fmt::join(names.begin(),
+                                                    names.begin() + required_column_count, ",")));
         }
     }
 
--- a/libs/transport/h2_connection.h
+++ b/libs/transport/h2_connection.h
@@ -74,12 +74,12 @@
     std::chrono::milliseconds ping_after_{2'000};   ///< Quiet time before a PING is sent.
     std::chrono::milliseconds silent_after_{6'000}; ///< Quiet time before the connection ends.
     std::chrono::milliseconds ready_within_{3'000}; ///< To connect and prove the cluster key.
-    /** A connection without streams that was quiet for so long ends, and no PING is sent while it has
-     * none; 0: it is kept, and watched by PINGs all the time. */
+    /** A connection without streams that was quiet for so long ends, and no PING is sent while it
+     * has none; 0: it is kept, and watched by PINGs all the time. */
     std::chrono::milliseconds idle_after_{0};
-    std::uint32_t streams_ = 1'000;                 ///< Concurrent streams accepted.
-    std::uint32_t window_bytes_ = 256U * 1024;      ///< Receive window of one stream.
-    std::size_t header_bytes_ = 32U * 1024;         ///< Header fields of one message.
+    std::uint32_t streams_ = 1'000;            ///< Concurrent streams accepted.
+    std::uint32_t window_bytes_ = 256U * 1024; ///< Receive window of one stream.
+    std::size_t header_bytes_ = 32U * 1024;    ///< Header fields of one message.
 };
 
 /** One HTTP/2 connection, either side. */
