--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -1,7 +1,5 @@
 #include "daemon/daemon_role.h"
 
-#include <algorithm>
-
 #include <QDateTime>
 #include <QTimer>
 
@@ -224,24 +222,12 @@
         return {};
     }
 
-    /** What is said to stand beside this node, and has not announced itself here since the node
-     * started, was there before: it has ended, or another stands in its place. */
-    void disown(const std::vector<target_record>& candidates)
+    void disown(const std::vector<target_record>& heard)
     {
-        const auto known = registry_.records();
-        std::vector<target_record> gone;
-        for (auto record : candidates) {
-            const bool is_known = std::ranges::any_of(known, [&record](const auto& one) {
-                return key_of(one) == key_of(record);
-            });
-            if (!is_known && record.node_address_ == state_.own_address() &&
-                record.state_ != target_state::gone) {
-                record.state_ = target_state::gone;
-                ++record.sequence_;
-                log_event(log_level::info, "target_disowned",
-                          {{"service", record.service_}, {"target", record.target_}});
-                gone.push_back(std::move(record));
-            }
+        const auto gone = registry_.disown(heard);
+        for (const auto& record : gone) {
+            log_event(log_level::info, "target_disowned",
+                      {{"service", record.service_}, {"target", record.target_}});
         }
         if (!gone.empty()) {
             tell(gone);
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -158,6 +158,23 @@
     return changed;
 }
 
+auto target_registry::disown(const std::vector<target_record>& heard) const
+    -> std::vector<target_record>
+{
+    std::vector<target_record> gone;
+    for (const auto& record : heard) {
+        const bool is_stranger = record.node_address_ == node_address_ &&
+                                 record.state_ != target_state::gone &&
+                                 !targets_.contains({record.service_, record.target_});
+        if (is_stranger) {
+            gone.push_back(record);
+            gone.back().state_ = target_state::gone;
+            ++gone.back().sequence_;
+        }
+    }
+    return gone;
+}
+
 void target_registry::renew()
 {
     for (auto& [name, target] : targets_) {
--- a/libs/daemon/test/correctness/target_registry.cpp
+++ b/libs/daemon/test/correctness/target_registry.cpp
@@ -51,3 +51,80 @@
     earlier_life.node_address_ = "127.0.0.1:2";
     BOOST_TEST(registry.refute({earlier_life}).empty()); // another node has taken it over
 }
+
+namespace {
+
+auto announcement_of(const std::string& target, std::uint64_t started, std::uint64_t sequence)
+    -> target_announcement
+{
+    target_announcement announcement{.service_ = "dialer", .target_ = target};
+    announcement.address_ = {"127.0.0.1", 9};
+    announcement.lease_ = std::chrono::seconds(5);
+    announcement.started_ = started;
+    announcement.sequence_ = sequence;
+    return announcement;
+}
+
+auto state_of(const target_registry& registry, const std::string& target) -> target_state
+{
+    for (const auto& record : registry.records()) {
+        if (record.target_ == target) {
+            return record.state_;
+        }
+    }
+    return target_state::gone;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_announcement_that_was_overtaken_changes_nothing)
+{
+    target_registry registry("zone-a", "127.0.0.1:1", 5);
+    auto late = announcement_of("d1", 100, 1);
+    auto draining = announcement_of("d1", 100, 2);
+    draining.draining_ = true;
+    BOOST_TEST(registry.announce(draining, instant{}));
+    BOOST_TEST(!registry.announce(late, instant{}));
+    BOOST_TEST((state_of(registry, "d1") == target_state::draining));
+    BOOST_TEST(registry.announce(announcement_of("d1", 200, 1), instant{})); // it has started again
+    BOOST_TEST((state_of(registry, "d1") == target_state::up));
+}
+
+BOOST_AUTO_TEST_CASE(a_later_start_at_the_address_ends_what_stood_there)
+{
+    target_registry registry("zone-a", "127.0.0.1:1", 5);
+    registry.announce(announcement_of("old", 100, 9), instant{});
+    BOOST_TEST(registry.announce(announcement_of("new", 200, 1), instant{}));
+    BOOST_TEST((state_of(registry, "old") == target_state::gone));
+    BOOST_TEST(!registry.announce(announcement_of("old", 100, 10), instant{}));
+    BOOST_TEST((state_of(registry, "new") == target_state::up));
+}
+
+BOOST_AUTO_TEST_CASE(one_that_left_stays_away_until_it_starts_again)
+{
+    target_registry registry("zone-a", "127.0.0.1:1", 5);
+    registry.announce(announcement_of("d1", 100, 1), instant{});
+    BOOST_TEST(registry.leave("d1").size() == 1U);
+    BOOST_TEST(!registry.announce(announcement_of("d1", 100, 2), instant{}));
+    BOOST_TEST((state_of(registry, "d1") == target_state::gone));
+    BOOST_TEST(registry.announce(announcement_of("d1", 200, 1), instant{}));
+    BOOST_TEST((state_of(registry, "d1") == target_state::up));
+}
+
+BOOST_AUTO_TEST_CASE(what_stood_here_before_the_node_started_is_disowned)
+{
+    target_registry before("zone-a", "127.0.0.1:1", 5);
+    before.announce(announcement_of("old", 100, 1), instant{});
+    before.announce(announcement_of("kept", 100, 1), instant{});
+    const auto heard = before.records();
+    target_registry registry("zone-a", "127.0.0.1:1", 6);
+    registry.announce(announcement_of("kept", 100, 2), instant{});
+    const auto gone = registry.disown(heard);
+    BOOST_REQUIRE(gone.size() == 1U);
+    BOOST_TEST(gone.front().target_ == "old");
+    BOOST_TEST((gone.front().state_ == target_state::gone));
+    BOOST_TEST(std::ranges::any_of(
+        heard, [&gone](const auto& record) { return is_newer(gone.front(), record); }));
+    const target_registry elsewhere("zone-a", "127.0.0.1:2", 6);
+    BOOST_TEST(elsewhere.disown(heard).empty());
+}
