Let idle timers of a node rest

Cause: a node woke 20 times a second for requests with an idempotency key, of which there were none. Change: that timer runs while one waits; leases are looked at twice a second.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr auto lease_check_period = std::chrono::milliseconds(200);
+constexpr auto lease_check_period = std::chrono::milliseconds(500);
 constexpr auto shutdown_check_period = std::chrono::milliseconds(20);
 constexpr auto run_check_period = std::chrono::milliseconds(50);
 constexpr duration longest_record_wait = std::chrono::seconds(5);
@@ -110,6 +110,7 @@
             runs_.tick(monotonic_now());
             send_runs();
         });
+        run_timer_.setInterval(run_check_period);
         if (interfaces_.dialect_) {
             state_.set_dialect(*interfaces_.dialect_);
         }
@@ -142,7 +143,6 @@
             return serving;
         }
         lease_timer_.start(lease_check_period);
-        run_timer_.start(run_check_period);
         link_.start();
         return {};
     }
@@ -360,7 +360,14 @@
             Qt::QueuedConnection);
     }
 
-    void send_runs() { runs_up_.send(runs_.take_output()); }
+    /** Most nodes carry no requests with a key most of the time: the timer runs only for those. */
+    void send_runs()
+    {
+        runs_up_.send(runs_.take_output());
+        if (runs_.is_waiting() != run_timer_.isActive()) {
+            runs_.is_waiting() ? run_timer_.start() : run_timer_.stop();
+        }
+    }
 
     void on_connected(bool is_moved)
     {
--- a/libs/daemon/test/correctness/target_registry.cpp
+++ b/libs/daemon/test/correctness/target_registry.cpp
@@ -115,10 +115,13 @@
 {
     target_registry before("zone-a", "127.0.0.1:1", 5);
     before.announce(announcement_of("old", 100, 1), instant{});
-    before.announce(announcement_of("kept", 100, 1), instant{});
+    auto kept = announcement_of("kept", 100, 1);
+    kept.address_.port_ = 10;
+    before.announce(kept, instant{});
     const auto heard = before.records();
     target_registry registry("zone-a", "127.0.0.1:1", 6);
-    registry.announce(announcement_of("kept", 100, 2), instant{});
+    kept.sequence_ = 2;
+    registry.announce(kept, instant{});
     const auto gone = registry.disown(heard);
     BOOST_REQUIRE(gone.size() == 1U);
     BOOST_TEST(gone.front().target_ == "old");
--- a/libs/run_record/run_client.h
+++ b/libs/run_record/run_client.h
@@ -50,6 +50,12 @@
     /** Returns and clears what must be sent upstream. */
     [[nodiscard]] auto take_output() -> std::vector<run_operation>;
 
+    /** Returns whether anything waits for an answer; without, time need not be told. */
+    [[nodiscard]] auto is_waiting() const -> bool
+    {
+        return !reservations_.empty() || !ends_.empty();
+    }
+
     /** Returns how many ends of attempts are not acknowledged yet. */
     [[nodiscard]] auto unacknowledged() const -> std::size_t { return ends_.size(); }
 
