Write logs to standard output within a budget of lines, and keep retries scarce

Every node may spend its whole reserve of retries at once, and the users' budget is one for all nodes.

Change: each kind of event has its own rate of lines, and the next line says how many were left out. The reserve is 5 retries of a node instead of 20. The tests that read the log read standard output, and are otherwise as they were.

--- a/libs/observability/log.cpp
+++ b/libs/observability/log.cpp
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <optional>
 
 #include <QDateTime>
 #include <QJsonDocument>
@@ -11,6 +13,7 @@
 #include <spdlog/spdlog.h>
 
 #include "base/enum_names.h"
+#include "observability/line_budget.h"
 
 namespace sycamorewinch {
 
@@ -42,12 +45,21 @@
 auto make_logger() -> std::shared_ptr<spdlog::logger>
 {
     auto logger = std::make_shared<spdlog::logger>(
-        "sycamorewinch", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+        "sycamorewinch", std::make_shared<spdlog::sinks::stdout_sink_mt>());
     logger->set_pattern("%v"); // the line is already JSON
     logger->set_level(spdlog::level::trace);
     return logger;
 }
 
+/** Asks the process's budget for one line of \p event. */
+auto take_line(std::string_view event) -> std::optional<std::uint64_t>
+{
+    static std::mutex mutex;
+    static line_budget budget;
+    const std::lock_guard lock(mutex);
+    return budget.take(event, monotonic_now());
+}
+
 } // namespace
 
 auto name_of(log_level level) -> std::string_view
@@ -74,6 +86,10 @@
     if (level < lowest_level.load(std::memory_order_relaxed)) {
         return;
     }
+    const auto left_out = take_line(event);
+    if (!left_out) {
+        return;
+    }
     static const auto logger = make_logger();
     QJsonObject line;
     line.insert(QStringLiteral("time"),
@@ -83,6 +99,9 @@
     for (const auto& field : fields) {
         line.insert(text_of(field.name_), json_of(field));
     }
+    if (*left_out > 0) {
+        line.insert(QStringLiteral("lines_left_out"), static_cast<qint64>(*left_out));
+    }
     logger->info(QJsonDocument(line).toJson(QJsonDocument::Compact).toStdString());
 }
 
--- a/libs/observability/test/error/log_lines.cpp
+++ b/libs/observability/test/error/log_lines.cpp
@@ -16,18 +16,18 @@
 
 namespace {
 
-/** Returns what \p write puts on standard error. */
+/** Returns what \p write puts on standard output. */
 template <typename Write>
-auto standard_error_of(Write write) -> QByteArray
+auto standard_output_of(Write write) -> QByteArray
 {
     QTemporaryFile file;
     BOOST_REQUIRE(file.open());
-    std::cerr.flush();
-    const int kept = ::dup(STDERR_FILENO);
-    BOOST_REQUIRE(::dup2(file.handle(), STDERR_FILENO) >= 0);
+    std::cout.flush();
+    const int kept = ::dup(STDOUT_FILENO);
+    BOOST_REQUIRE(::dup2(file.handle(), STDOUT_FILENO) >= 0);
     write();
-    std::cerr.flush();
-    BOOST_REQUIRE(::dup2(kept, STDERR_FILENO) >= 0);
+    std::cout.flush();
+    BOOST_REQUIRE(::dup2(kept, STDOUT_FILENO) >= 0);
     ::close(kept);
     QFile again(file.fileName());
     BOOST_REQUIRE(again.open(QIODevice::ReadOnly));
@@ -39,7 +39,7 @@
 BOOST_AUTO_TEST_CASE(a_line_is_one_json_object_whatever_its_values_hold)
 {
     const std::string nasty = "a\"b\\c\nd\te\x01 {}%s \xc3\xa4";
-    const auto line = standard_error_of([&] {
+    const auto line = standard_output_of([&] {
         log_event(log_level::warning, "odd", {{"text", nasty}, {"number", -3}, {"yes", true}});
     });
     BOOST_TEST(line.count('\n') == 1);
@@ -54,7 +54,7 @@
 BOOST_AUTO_TEST_CASE(lines_below_the_level_are_dropped)
 {
     set_log_level(log_level::error);
-    const auto line = standard_error_of([] { log_event(log_level::warning, "quiet"); });
+    const auto line = standard_output_of([] { log_event(log_level::warning, "quiet"); });
     set_log_level(log_level::info);
     BOOST_TEST(line.isEmpty());
 }
--- a/libs/policy/retry_policy.h
+++ b/libs/policy/retry_policy.h
@@ -46,7 +46,7 @@
     auto spend() -> bool;
 
     static constexpr std::int64_t thousandths_per_call = 100; ///< One retry for ten calls.
-    static constexpr std::int64_t reserve_thousandths = 20'000;
+    static constexpr std::int64_t reserve_thousandths = 5'000; ///< Small, since every node has one.
 
   private:
     std::atomic<std::int64_t> thousandths_{reserve_thousandths};
