Know service times by row, and leave sooner after a notice

A node that had given notice still waited 1 s for idle callers.

Change: the node beside a target averages by row; after a notice the grace is 0.2 s. A refused call's line names its priority.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -19,6 +19,10 @@
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
 constexpr auto shutdown_check_period = std::chrono::milliseconds(20);
 constexpr auto run_check_period = std::chrono::milliseconds(50);
+/** For requests that callers sent before they saw that the node is leaving. */
+constexpr auto usual_grace = std::chrono::milliseconds(1'000);
+/** The same when callers had time to see it: for what is on the network. */
+constexpr auto grace_after_notice = std::chrono::milliseconds(200);
 constexpr duration longest_record_wait = std::chrono::seconds(5);
 constexpr int default_lease_ms = 5'000;
 constexpr int max_lease_ms = 600'000;
@@ -161,13 +165,14 @@
   private:
     void end(const std::function<void()>& done)
     {
+        const bool was_announced = settings_.leave_notice_.count() > 0;
         state_.begin_shutdown();
         for (const auto& [name, gate] : admissions_) {
             gate->set_draining(true);
         }
         tell(registry_.drain_all());
         for (const auto& worker : workers_) {
-            worker->begin_shutdown();
+            worker->begin_shutdown(was_announced ? grace_after_notice : usual_grace);
         }
         const auto record_deadline = monotonic_now() + longest_record_wait;
         QObject::connect(&shutdown_timer_, &QTimer::timeout, &shutdown_timer_,
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -420,6 +420,7 @@
                   {{"request", request_id_},
                    {"route", row_ != nullptr ? row_->service_ : std::string()},
                    {"service", request_.service_},
+                   {"priority", request_.priority_},
                    {"target", request_.target_},
                    {"reason", name_of(refusal.reason_)},
                    {"outcome", name_of(refusal.outcome_)},
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -67,7 +67,9 @@
             return;
         }
         const auto terms = node_.dialect().read_terms_(request_.head_);
-        share_ = share_of(routes->match(request_.head_.path_, terms.host_), request_);
+        const auto* route = routes->match(request_.head_.path_, terms.host_);
+        row_ = route != nullptr ? route->row_->service_ : request_.service_;
+        share_ = share_of(route, request_);
         admission_ = target->admission_;
         address_ = target->address_;
         if (const auto refusal = try_to_admit()) {
@@ -114,7 +116,7 @@
     {
         const auto wait = expected_wait();
         const auto patience =
-            longest_wait(request_.time_in_aim_, line().service_time(), request_.is_last_choice_);
+            longest_wait(request_.time_in_aim_, line().service_time(row_), request_.is_last_choice_);
         if (reason != refusal_reason::target_full || wait >= patience) {
             refuse_not_run(reason, wait);
             return;
@@ -131,7 +133,7 @@
 
     [[nodiscard]] auto rank() -> line_rank
     {
-        return {request_.priority_, request_.time_in_aim_ <= line().service_time()};
+        return {request_.priority_, request_.time_in_aim_ <= line().service_time(row_)};
     }
 
     [[nodiscard]] auto expected_wait() -> duration
@@ -356,7 +358,7 @@
             on_rejected();
             return;
         }
-        line().note_service_time(monotonic_now() - sent_at_);
+        line().note_service_time(row_, monotonic_now() - sent_at_);
         release_slot();
         if (run_) {
             run_->finish();
@@ -467,6 +469,7 @@
     node_state& node_;
     target_connections& connections_;
     exchange_request request_;
+    std::string row_; ///< Names the row that the request belongs to here.
     exchange_hooks hooks_;
     instant started_; ///< Since when time_left_ runs.
     instant sent_at_{};
--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds shutdown_grace{1'000};
 constexpr std::chrono::milliseconds grace_check_period{10};
 
 /** A call that waits for an answer must notice a node that is gone while there is time to try
@@ -147,9 +146,9 @@
     }
 
     /** Closes the listener and tells peers to send nothing new. Callers whose connections are
-     * idle may be sending a request at this moment: they are answered for a grace period, with
+     * idle may be sending a request at this moment: they are answered for \p grace, with
      * `connection: close`, and the node counts as busy until then. */
-    void begin_shutdown()
+    void begin_shutdown(std::chrono::milliseconds grace)
     {
         if (std::exchange(in_grace_, true)) {
             return;
@@ -167,7 +166,7 @@
                 end_grace();
             }
         });
-        grace_end_ = monotonic_now() + shutdown_grace;
+        grace_end_ = monotonic_now() + grace;
         grace_timer_.start(grace_check_period);
     }
 
@@ -235,10 +234,10 @@
     thread_->wait();
 }
 
-void node_worker::begin_shutdown()
+void node_worker::begin_shutdown(std::chrono::milliseconds grace)
 {
     QMetaObject::invokeMethod(
-        &loop_->context_, [this] { loop_->begin_shutdown(); }, Qt::QueuedConnection);
+        &loop_->context_, [this, grace] { loop_->begin_shutdown(grace); }, Qt::QueuedConnection);
 }
 
 } // namespace sycamorewinch
--- a/libs/request_path/node_worker.h
+++ b/libs/request_path/node_worker.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <chrono>
 #include <memory>
 
 #include "request_path/node_state.h"
@@ -32,8 +33,9 @@
     /** Ends the thread at once. */
     ~node_worker();
 
-    /** Stops listening and closes idle connections; requests in flight go on. */
-    void begin_shutdown();
+    /** Stops listening and closes idle connections after \p grace, within which requests that were on
+     * their way are still answered; requests in flight go on. */
+    void begin_shutdown(std::chrono::milliseconds grace);
 
     /** Returns the addresses listened on, with their actual ports. */
     [[nodiscard]] auto addresses() const -> const node_addresses& { return addresses_; }
--- a/libs/request_path/test/correctness/shutdown.cpp
+++ b/libs/request_path/test/correctness/shutdown.cpp
@@ -26,7 +26,7 @@
     });
     BOOST_TEST(wait_until([&] { return ran > 500; }));
     leaving.state_.begin_shutdown();
-    leaving.worker_->begin_shutdown();
+    leaving.worker_->begin_shutdown(std::chrono::milliseconds(1000));
     BOOST_TEST(wait_until([&] { return leaving.state_.calls_in_flight() == 0; }));
     leaving.worker_.reset();
     BOOST_TEST(wait_until([&] { return done; }));
@@ -76,7 +76,7 @@
     BOOST_TEST(wait_until([&] { return holds_whole_answer(caller->received()); }));
     caller->clear();
     nodes.front().state_.begin_shutdown();
-    nodes.front().worker_->begin_shutdown();
+    nodes.front().worker_->begin_shutdown(std::chrono::milliseconds(1000));
     caller->write("GET /x HTTP/1.1\r\nhost: a\r\n\r\n");
     BOOST_TEST(wait_until([&] { return caller->is_closed(); }));
     BOOST_TEST(holds_whole_answer(caller->received()));
--- a/libs/request_path/test/correctness/waiting_line.cpp
+++ b/libs/request_path/test/correctness/waiting_line.cpp
@@ -65,7 +65,7 @@
 {
     waiting_line line;
     BOOST_TEST(line.expected_wait({1}, 10).count() == 0); // nothing is known yet
-    line.note_service_time(milliseconds(100));
+    line.note_service_time("short", milliseconds(100));
     BOOST_TEST((line.expected_wait({1}, 10) == milliseconds(10)));
     static_cast<void>(line.join({1}, [] { return false; }));
     static_cast<void>(line.join({2}, [] { return false; }));
@@ -83,3 +83,14 @@
     BOOST_TEST((longest_wait(aim, milliseconds(400), true) ==
                 milliseconds(37) + std::chrono::microseconds(500)));
 }
+
+BOOST_AUTO_TEST_CASE(the_service_time_is_known_by_row)
+{
+    waiting_line line;
+    line.note_service_time("short", milliseconds(20));
+    line.note_service_time("long", milliseconds(500));
+    BOOST_TEST((line.service_time("short") == milliseconds(20)));
+    BOOST_TEST((line.service_time("long") == milliseconds(500)));
+    BOOST_TEST((line.service_time("other") == milliseconds(0)));
+    BOOST_TEST((line.expected_wait({}, 1) == milliseconds(50))); // over all rows
+}
--- a/libs/request_path/waiting_line.cpp
+++ b/libs/request_path/waiting_line.cpp
@@ -9,6 +9,8 @@
 
 /** One part in so many of the average is the latest value. */
 constexpr std::int64_t average_over = 16;
+/** A target serves few rows; more are left over from earlier tables. */
+constexpr std::size_t max_rows = 256;
 /** While there is a choice, a request waits for this part of its time at most. */
 constexpr int part_with_choice = 3;
 /** Without a choice it waits for this part at least, though its answer may then be late. */
@@ -54,11 +56,20 @@
     is_serving_ = false;
 }
 
-void waiting_line::note_service_time(duration taken)
+void waiting_line::note_service_time(const std::string& row, duration taken)
 {
-    service_time_ = service_time_ == duration(0)
-                        ? taken
-                        : service_time_ + (taken - service_time_) / average_over;
+    if (service_times_.size() >= max_rows && !service_times_.contains(row)) {
+        service_times_.clear(); // most are of rows that are gone
+    }
+    for (auto* average : {&service_time_, &service_times_[row]}) {
+        *average = *average == duration(0) ? taken : *average + (taken - *average) / average_over;
+    }
+}
+
+auto waiting_line::service_time(const std::string& row) const -> duration
+{
+    const auto found = service_times_.find(row);
+    return found == service_times_.end() ? duration(0) : found->second;
 }
 
 } // namespace sycamorewinch
--- a/libs/request_path/waiting_line.h
+++ b/libs/request_path/waiting_line.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string>
 
 #include "base/time.h"
 
@@ -63,16 +64,18 @@
     /** A slot may be free: starts those in front until one cannot be started. */
     void on_slot_free();
 
-    /** Notes how long the target took for one request. */
-    void note_service_time(duration taken);
-    [[nodiscard]] auto service_time() const -> duration { return service_time_; }
+    /** Notes how long the target took for one request of the row called \p row. */
+    void note_service_time(const std::string& row, duration taken);
+    /** Returns how long the target lately took for a request of that row; zero: not known. */
+    [[nodiscard]] auto service_time(const std::string& row) const -> duration;
 
     [[nodiscard]] auto size() const -> std::size_t { return waiting_.size(); }
 
   private:
     std::map<line_place, start_hook> waiting_;
     std::uint64_t next_arrival_ = 1;
-    duration service_time_{0}; ///< Moving average.
+    duration service_time_{0}; ///< Moving average over all requests.
+    std::map<std::string, duration> service_times_; ///< The same by row.
     bool is_serving_ = false;
 };
 
