Split the control group's membership and a caller's share out of what grew

Change: control_group and granted_share are files of their own; limits on a split row are shared over the targets of the part that takes the call (they were granted whole at each target, found on reading). Tests for hosts, splits, bounds, zones.

--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -6,10 +6,9 @@
 #include <utility>
 
 #include <QTimer>
-#include <fmt/format.h>
 
 #include "control/control_replica.h"
-#include "control/group_keeper.h"
+#include "daemon/control_group.h"
 #include "daemon/hub_server.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_listener.h"
@@ -17,7 +16,6 @@
 #include "daemon/replica_links.h"
 #include "daemon/run_leader.h"
 #include "observability/log.h"
-#include "storage/replica_identity.h"
 #include "storage/replica_store.h"
 
 namespace sycamorewinch {
@@ -31,10 +29,6 @@
 constexpr int heartbeats_per_lease = 5;
 /** How often the members of a changing group look whether it should change. */
 constexpr auto group_period = std::chrono::milliseconds(200);
-/** Replicas that start together have asked to join by then. */
-constexpr duration joining_time = std::chrono::milliseconds(1'500);
-/** The term of the entry that founders store before any election. */
-constexpr std::uint64_t first_term = 1;
 /** One report of progress in three may be lost. */
 constexpr int reports_per_silence = 3;
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
@@ -49,7 +43,6 @@
     control_role(const daemon_settings& settings, const daemon_secrets& secrets,
                  outer_interfaces interfaces)
         : settings_(settings), interfaces_(std::move(interfaces)), random_(system_random()),
-          keeper_({.wanted_voters_ = voters_for(settings.tolerated_losses_)}),
           admin_(
               metrics_, secrets.operator_token_,
               [this] { return !replica_->raft_state().leader().empty(); }, operator_limits),
@@ -66,10 +59,11 @@
                   [this](const auto& from, const auto& message) { on_peer(from, message); },
                   [this](const auto& to) { on_peer_connected(to); },
                   [this](const auto& to) { on_peer_disconnected(to); },
-                  [this](const auto& candidate) { on_join(candidate); },
+                  [this](const auto& candidate) { group_.on_join(candidate, monotonic_now()); },
                   [this](const auto& from, auto bytes) {
                       runs_.receive(from, bytes);
                   }}),
+          group_(settings, links_, [this]() -> control_replica& { return *replica_; }),
           runs_(metrics_, {[this]() -> control_replica& { return *replica_; },
                            [this](const auto& to, auto bytes) {
                                links_.send_runs(to, bytes);
@@ -94,7 +88,8 @@
                          [this] { report_progress(); });
         QObject::connect(&ticker_, &QTimer::timeout, &ticker_,
                          [this] { replica_->tick(monotonic_now()); });
-        QObject::connect(&group_timer_, &QTimer::timeout, &group_timer_, [this] { keep_group(); });
+        QObject::connect(&group_timer_, &QTimer::timeout, &group_timer_,
+                         [this] { group_.keep(monotonic_now()); });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_, [this] {
             hub_.logic().tick(monotonic_now(), !replica_->raft_state().leader().empty());
             hub_.run();
@@ -139,7 +134,7 @@
         }
         links_.start(replica_->raft_state().options().self_);
         if (is_group_changing()) {
-            keep_group();
+            group_.keep(monotonic_now());
             group_timer_.start(group_period);
         }
         ticker_.start(std::max(tick_period, settings_.control_heartbeat_ / ticks_per_heartbeat));
@@ -149,10 +144,7 @@
     }
 
     /** Takes new seeds: a replica that lost touch with its group asks them. */
-    void reload(const daemon_settings& settings)
-    {
-        settings_.control_seeds_ = settings.control_seeds_;
-    }
+    void reload(const daemon_settings& settings) { group_.set_seeds(settings.control_seeds_); }
 
   private:
     [[nodiscard]] auto is_group_changing() const -> bool
@@ -170,7 +162,7 @@
             options.voters_.push_back(peer.name_);
         }
         if (is_group_changing()) {
-            auto name = open_name();
+            auto name = open_replica_name(settings_, files_, *store_, random_);
             if (!name) {
                 return tl::unexpected(name.error());
             }
@@ -179,111 +171,6 @@
         return options;
     }
 
-    /** Returns this replica's name in a changing group. On an empty disk a founder also stores the
-     * first entry of the log, which is the same on all founders: the group they make up. */
-    auto open_name() -> result<std::string>
-    {
-        const auto address = to_text(settings_.listen_peers_);
-        group_membership founders;
-        for (const auto& seed : settings_.control_seeds_) {
-            founders.voters_.push_back(to_text(seed));
-        }
-        std::ranges::sort(founders.voters_);
-        const bool is_founder = settings_.founds_group_ && founders.is_voter(address);
-        const auto identity = open_identity(files_, address, is_founder, random_);
-        if (!identity) {
-            return tl::unexpected(identity.error());
-        }
-        if (identity->is_new_ && is_founder) {
-            const log_entry first{1, first_term, entry_kind::membership,
-                                  encode_membership(founders)};
-            auto stored = store_->append({first}).and_then([&] {
-                return store_->save_vote({first_term, {}, true});
-            });
-            if (!stored) {
-                return tl::unexpected(stored.error());
-            }
-            auto store = replica_store::open(files_);
-            if (!store) {
-                return tl::unexpected(store.error());
-            }
-            store_.emplace(std::move(*store));
-        }
-        log_event(log_level::info, "replica_named",
-                  {{"name", identity->name_},
-                   {"disk", identity->is_new_ ? "empty" : "kept"},
-                   {"founder", is_founder}});
-        return identity->name_;
-    }
-
-    /** Follows the group's membership; the leader also changes it, and a replica without a leader
-     * asks to be let in. */
-    void keep_group()
-    {
-        const auto now = monotonic_now();
-        const auto& raft = replica_->raft_state();
-        follow_membership();
-        if (raft.role() == raft_role::leader) {
-            const group_view view{raft.options().self_, raft.last_index(), &raft.peers()};
-            if (const auto next = keeper_.next(raft.membership(), view, now)) {
-                propose_membership(*next);
-            }
-        }
-        else if (raft.leader().empty() || !raft.membership().is_voter(raft.options().self_)) {
-            ask_to_join();
-        }
-    }
-
-    void propose_membership(const group_membership& next)
-    {
-        const auto proposed = replica_->propose_membership(next, monotonic_now());
-        if (proposed) {
-            log_event(log_level::info, "membership_proposed",
-                      {{"voters", fmt::format("{}", fmt::join(next.voters_, " "))},
-                       {"learners", fmt::format("{}", fmt::join(next.learners_, " "))}});
-        }
-    }
-
-    void follow_membership()
-    {
-        const auto& raft = replica_->raft_state();
-        auto members = raft.membership().all();
-        if (members.empty()) {
-            for (const auto& seed : settings_.control_seeds_) {
-                members.push_back(to_text(seed));
-            }
-        }
-        if (std::exchange(linked_to_, members) != members) {
-            links_.connect_to(members);
-            log_event(
-                log_level::info, "membership_in_force",
-                {{"voters", fmt::format("{}", fmt::join(raft.membership().voters_, " "))},
-                 {"learners", fmt::format("{}", fmt::join(raft.membership().learners_, " "))}});
-        }
-    }
-
-    void ask_to_join()
-    {
-        const auto& self = replica_->raft_state().options().self_;
-        for (const auto& name : linked_to_) {
-            links_.send_join(name, self);
-        }
-        for (const auto& seed : settings_.control_seeds_) {
-            links_.send_join(to_text(seed), self);
-        }
-    }
-
-    void on_join(const std::string& candidate)
-    {
-        const auto& raft = replica_->raft_state();
-        if (raft.role() == raft_role::leader) {
-            keeper_.note_candidate(candidate, monotonic_now());
-        }
-        else if (!raft.leader().empty() && raft.leader() != candidate) {
-            links_.send_join(raft.leader(), candidate);
-        }
-    }
-
     auto serve_interface() -> result<void>
     {
         if (!interfaces_.serve_control_) {
@@ -300,7 +187,7 @@
             return replica_->state();
         };
         port.why_not_ready_ = [this] {
-            return why_not_ready();
+            return is_group_changing() ? group_.why_not_ready(monotonic_now()) : std::nullopt;
         };
         port.accept_ = [this](const auto& command, auto callback) {
             replica_->accept(command, std::move(callback), monotonic_now());
@@ -328,19 +215,6 @@
         return address ? address->host_ : std::string();
     }
 
-    /** Before the group has its voters, losing as many disks as are tolerated could lose an
-     * accepted table. */
-    [[nodiscard]] auto why_not_ready() const -> std::optional<error>
-    {
-        const auto now = monotonic_now();
-        if (!is_group_changing() ||
-            (keeper_.is_complete(replica_->raft_state().membership(), now) &&
-             now - started_ >= joining_time)) {
-            return std::nullopt;
-        }
-        return error{error_kind::unavailable, "replicas are still joining the control group"};
-    }
-
     auto make_hooks() -> control_hooks
     {
         control_hooks hooks;
@@ -531,14 +405,12 @@
     daemon_settings settings_;
     outer_interfaces interfaces_;
     random_hook random_;
-    group_keeper keeper_;
-    std::vector<std::string> linked_to_; ///< Names of the members that links are kept to.
-    instant started_ = monotonic_now();
     metrics_registry metrics_;
     admin_server admin_;
     peer_listener listener_;
     hub_server hub_;
     replica_links links_;
+    control_group group_;
     run_leader runs_;
     file_system files_;
     std::optional<replica_store> store_;
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -187,10 +187,7 @@
         shutdown_timer_.start(shutdown_check_period);
     }
 
-    [[nodiscard]] auto is_ready() -> bool
-    {
-        return link_.logic().enforced() && !is_leaving_;
-    }
+    [[nodiscard]] auto is_ready() -> bool { return link_.logic().enforced() && !is_leaving_; }
 
     auto serve_interface() -> result<void>
     {
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -65,9 +65,9 @@
      * a target that another node has taken over is left alone. */
     auto refute(const std::vector<target_record>& news) -> std::vector<target_record>;
 
-    /** Returns, marked gone, the targets that \p heard says stand beside this node and that have not
-     * announced themselves here: they stood here before the node started, and have ended or made way
-     * for another. */
+    /** Returns, marked gone, the targets that \p heard says stand beside this node and that have
+     * not announced themselves here: they stood here before the node started, and have ended or
+     * made way for another. */
     [[nodiscard]] auto disown(const std::vector<target_record>& heard) const
         -> std::vector<target_record>;
 
--- a/libs/observability/line_budget.h
+++ b/libs/observability/line_budget.h
@@ -18,8 +18,8 @@
 /** The lines of all kinds of event. For one thread at a time. */
 class line_budget {
   public:
-    /** Returns nothing when the line must be left out, else how many of its kind were left out since
-     * the last one. */
+    /** Returns nothing when the line must be left out, else how many of its kind were left out
+     * since the last one. */
     [[nodiscard]] auto take(std::string_view event, instant now) -> std::optional<std::uint64_t>;
 
     static constexpr double lines_per_second = 50; ///< Of one kind, for long.
--- a/libs/policy/retry_policy.h
+++ b/libs/policy/retry_policy.h
@@ -45,7 +45,7 @@
     /** Takes one retry; returns false when the budget is spent. */
     auto spend() -> bool;
 
-    static constexpr std::int64_t thousandths_per_call = 100; ///< One retry for ten calls.
+    static constexpr std::int64_t thousandths_per_call = 100;  ///< One retry for ten calls.
     static constexpr std::int64_t reserve_thousandths = 5'000; ///< Small, since every node has one.
 
   private:
--- a/libs/policy/route_table.cpp
+++ b/libs/policy/route_table.cpp
@@ -152,12 +152,17 @@
     return *route.parts_.back().route_;
 }
 
-auto leads_to(const service_route& route, std::string_view service) -> bool
+auto part_for(const service_route& route, std::string_view service) -> const service_route*
 {
-    return route.parts_.empty() ? route.service_ == service
-                                : std::ranges::any_of(route.parts_, [service](const auto& part) {
-                                      return part.route_->service_ == service;
-                                  });
+    if (route.parts_.empty()) {
+        return route.service_ == service ? &route : nullptr;
+    }
+    for (const auto& part : route.parts_) {
+        if (part.route_->service_ == service) {
+            return part.route_.get();
+        }
+    }
+    return nullptr;
 }
 
 auto ejected_targets(const service_route& route, instant now) -> std::vector<std::string>
--- a/libs/policy/route_table.h
+++ b/libs/policy/route_table.h
@@ -85,8 +85,10 @@
 [[nodiscard]] auto choose_part(const service_route& route, const random_hook& random)
     -> const service_route&;
 
-/** Returns whether \p route may lead to \p service. */
-[[nodiscard]] auto leads_to(const service_route& route, std::string_view service) -> bool;
+/** Returns the part of \p route whose calls go to \p service, which may be \p route itself; nullptr
+ * when none do. */
+[[nodiscard]] auto part_for(const service_route& route, std::string_view service)
+    -> const service_route*;
 
 /** Returns the names of the targets that this node leaves out now: those that fail, never more than
  * half of all, and those that cannot be reached. */
--- a/libs/policy/test/correctness/routing.cpp
+++ b/libs/policy/test/correctness/routing.cpp
@@ -63,3 +63,54 @@
     }
     BOOST_TEST(choose_target(*route, {"d1", "d2"}, random) != nullptr);
 }
+
+BOOST_AUTO_TEST_CASE(a_row_for_a_host_goes_before_one_for_any_host)
+{
+    row any{.service_ = "any", .path_prefix_ = "/x"};
+    row own{.service_ = "own", .host_ = "h.example", .path_prefix_ = "/x"};
+    const auto routes =
+        route_table::create(std::make_shared<const table>(make_table(1, {any, own})), {});
+    BOOST_TEST(routes->match("/x/1", "h.example")->service_ == "own");
+    BOOST_TEST(routes->match("/x/1", "H.Example:8080")->service_ == "own");
+    BOOST_TEST(routes->match("/x/1", "other.example")->service_ == "any");
+    BOOST_TEST(routes->match("/x/1")->service_ == "any");
+    BOOST_TEST(routes->match("/y", "h.example") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(a_split_keeps_its_shares_though_one_part_has_no_target)
+{
+    row split{.service_ = "r", .path_prefix_ = "/r"};
+    split.split_ = {{"a", 9}, {"b", 1}};
+    const auto routes =
+        route_table::create(std::make_shared<const table>(make_table(1, {split})), {});
+    const auto* route = routes->match("/r/1");
+    const auto random = seeded_random(1);
+    int to_b = 0;
+    for (int call = 0; call < 1000; ++call) {
+        to_b += choose_part(*route, random).service_ == "b" ? 1 : 0;
+    }
+    BOOST_TEST(to_b > 70);
+    BOOST_TEST(to_b < 130);
+    BOOST_TEST(part_for(*route, "a")->service_ == "a");
+    BOOST_TEST(part_for(*route, "r") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(the_own_zone_goes_first_where_the_row_has_no_weights)
+{
+    row one{.service_ = "dialer", .path_prefix_ = "/dialer"};
+    std::vector<target_record> targets;
+    for (const std::string name : {"a1", "a2", "b1"}) {
+        target_record target{.service_ = "dialer", .target_ = name};
+        target.availability_zone_ = name.substr(0, 1);
+        targets.push_back(target);
+    }
+    const auto routes =
+        route_table::create(std::make_shared<const table>(make_table(1, {one})), targets);
+    const auto& route = *routes->match("/dialer");
+    const auto random = seeded_random(1);
+    for (int call = 0; call < 100; ++call) {
+        BOOST_TEST(choose_near_target(route, "b", {}, random)->record_.target_ == "b1");
+        BOOST_TEST(choose_near_target(route, "b", {"b1"}, random)->record_.target_ != "b1");
+        BOOST_TEST(choose_near_target(route, "a", {"a1"}, random)->record_.target_ == "a2");
+    }
+}
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -6,6 +6,7 @@
 #include <QTimer>
 
 #include "request_path/crash_guard.h"
+#include "request_path/granted_share.h"
 #include "request_path/unrepeatable_run.h"
 
 namespace sycamorewinch {
@@ -15,32 +16,6 @@
 /** A target may take at least this long after its caller has gone. */
 constexpr std::chrono::milliseconds detached_time{10'000};
 
-auto share_of_target(const service_route& route, const exchange_request& request,
-                     const caller_limit& limit) -> limit_share
-{
-    const auto shares = share_limit(route, request.caller_, limit);
-    for (std::size_t index = 0; index < shares.size(); ++index) {
-        if (route.targets_[index].record_.target_ == request.target_) {
-            return shares[index];
-        }
-    }
-    const auto parts = static_cast<double>(shares.size() + 1);
-    return {true, limit.requests_per_second_ / parts, 1, limit.concurrency_ == 0 ? 0U : 1U};
-}
-
-/** The part of a caller's limits that falls to one target. A target that is new to this node's
- * routes grants as if it were one more alike. A row that this node does not know, or knows
- * otherwise than the caller's node, limits nothing: the two enforce different versions for a
- * moment. */
-auto share_of(const service_route* route, const exchange_request& request) -> limit_share
-{
-    const bool is_known = route != nullptr && leads_to(*route, request.service_);
-    const auto limit = is_known ? route->row_->limit_of(request.caller_) : caller_limit();
-    if (!is_limited(limit)) {
-        return {};
-    }
-    return share_of_target(*route, request, limit);
-}
 /** One exchange; kept alive by the connection's hooks and the controls. */
 class local_exchange : public std::enable_shared_from_this<local_exchange> {
   public:
@@ -69,7 +44,7 @@
         const auto terms = node_.dialect().read_terms_(request_.head_);
         const auto* route = routes->match(request_.head_.path_, terms.host_);
         row_ = route != nullptr ? route->row_->service_ : request_.service_;
-        share_ = share_of(route, request_);
+        share_ = granted_share(route, request_);
         admission_ = target->admission_;
         address_ = target->address_;
         if (const auto refusal = try_to_admit()) {
@@ -115,8 +90,8 @@
     void wait_or_refuse(refusal_reason reason)
     {
         const auto wait = expected_wait();
-        const auto patience =
-            longest_wait(request_.time_in_aim_, line().service_time(row_), request_.is_last_choice_);
+        const auto patience = longest_wait(request_.time_in_aim_, line().service_time(row_),
+                                           request_.is_last_choice_);
         if (reason != refusal_reason::target_full || wait >= patience) {
             refuse_not_run(reason, wait);
             return;
--- a/libs/request_path/node_worker.h
+++ b/libs/request_path/node_worker.h
@@ -33,8 +33,8 @@
     /** Ends the thread at once. */
     ~node_worker();
 
-    /** Stops listening and closes idle connections after \p grace, within which requests that were on
-     * their way are still answered; requests in flight go on. */
+    /** Stops listening and closes idle connections after \p grace, within which requests that were
+     * on their way are still answered; requests in flight go on. */
     void begin_shutdown(std::chrono::milliseconds grace);
 
     /** Returns the addresses listened on, with their actual ports. */
--- a/libs/request_path/waiting_line.h
+++ b/libs/request_path/waiting_line.h
@@ -74,7 +74,7 @@
   private:
     std::map<line_place, start_hook> waiting_;
     std::uint64_t next_arrival_ = 1;
-    duration service_time_{0}; ///< Moving average over all requests.
+    duration service_time_{0};                      ///< Moving average over all requests.
     std::map<std::string, duration> service_times_; ///< The same by row.
     bool is_serving_ = false;
 };
--- a/libs/table/test/correctness/table_csv.cpp
+++ b/libs/table/test/correctness/table_csv.cpp
@@ -54,3 +54,31 @@
     BOOST_TEST(after.rows_.size() == 3);
     BOOST_TEST((after.version_ == make_table(2, after.rows_).version_));
 }
+
+BOOST_AUTO_TEST_CASE(the_columns_of_hosts_and_splits_come_back)
+{
+    row one{.service_ = "r-1", .host_ = "h.example", .path_prefix_ = "/r"};
+    one.split_ = {{"dialer", 90}, {"dialer-2", 10}};
+    one.priority_ = 2;
+    one.target_latency_ = std::chrono::milliseconds(300);
+    one.timeout_ = std::chrono::milliseconds(1000);
+    const auto text = write_csv({one});
+    BOOST_TEST(text.find(",h.example,dialer=90;dialer-2=10,2,300\n") != std::string::npos);
+    const auto rows = read_csv(text);
+    BOOST_REQUIRE(rows.has_value());
+    BOOST_TEST((rows->front() == one));
+    BOOST_TEST(check_table(*rows).empty());
+}
+
+BOOST_AUTO_TEST_CASE(bounds_are_part_of_a_version)
+{
+    const row one{.service_ = "a", .path_prefix_ = "/a"};
+    const auto before = make_table(1, {one});
+    connection_bounds bounds;
+    bounds.idle_timeout_ = std::chrono::milliseconds(15'000);
+    const auto after = make_table(2, {one}, bounds);
+    BOOST_TEST((before.version_.digest_ != after.version_.digest_));
+    const auto change = difference(before, after);
+    BOOST_TEST((apply_change(before, change, 2).version_ == after.version_));
+    BOOST_TEST((apply_change(after, difference(after, before), 3).bounds_ == before.bounds_));
+}
--- a/libs/table/test/error/table_errors.cpp
+++ b/libs/table/test/error/table_errors.cpp
@@ -126,3 +126,20 @@
     rows.insert(rows.size() - 1, "s0");
     BOOST_TEST(has(first_finding(rows), "closes a cycle"));
 }
+
+BOOST_AUTO_TEST_CASE(hosts_and_splits_are_checked)
+{
+    const auto wide =
+        heading.substr(0, heading.size() - 1) + ",host,split,priority,target_latency_ms\n";
+    const auto finding = [&wide](const std::string& end) {
+        const auto findings = check_table(*read_csv(wide + "a,/a,,0,0,0,,1,0,no,," + end + "\n"));
+        return findings.empty() ? std::string("accepted") : findings.front().message_;
+    };
+    BOOST_TEST(finding("h,b=1;c=2,0,0") == "accepted");
+    BOOST_TEST(has(finding("h h,,0,0"), "holds a space"));
+    BOOST_TEST(has(finding("h,b=0,0,0"), "sum to nothing"));
+    BOOST_TEST(has(finding("h,b=1;b=2,0,0"), "stands twice"));
+    BOOST_TEST(has(finding("h,b=1000001,0,0"), "at most"));
+    BOOST_TEST(has(read_csv(wide + "a,/a,,0,0,0,,1,0,no,,h,b,0,0\n").error().message_,
+                   "must be SERVICE=WEIGHT"));
+}
--- a/tutorial/lesson_05_routing/main.cpp
+++ b/tutorial/lesson_05_routing/main.cpp
@@ -47,6 +47,18 @@
     lesson::shows("a retry goes to another target",
                   choose_target(*route, {"d1"}, random)->record_.target_ == "d2");
 
+    // A row may send its calls to several services by weight, whoever of them has room.
+    row split{.service_ = "trial", .host_ = "desk.example", .path_prefix_ = "/trial"};
+    split.split_ = {{"dialer", 9}, {"dialer-next", 1}};
+    const auto trial =
+        route_table::create(std::make_shared<const table>(make_table(2, {split})), {});
+    int next = 0;
+    for (int call = 0; call < 1000; ++call) {
+        const auto& part = choose_part(*trial->match("/trial/1", "desk.example"), random);
+        next += part.service_ == "dialer-next" ? 1 : 0;
+    }
+    lesson::shows("a tenth of the calls try the next dialer", next > 70 && next < 130);
+
     // A caller's limit is for the whole system; each target grants a share of it by its weight.
     const auto shares = share_limit(*route, "desk", dialer.default_limit_);
     const double whole = shares[0].requests_per_second_ + shares[1].requests_per_second_;
