--- a/libs/daemon/control_group.cpp
+++ b/libs/daemon/control_group.cpp
@@ -20,6 +20,7 @@
 auto names_of(const std::vector<peer_address>& seeds) -> std::vector<std::string>
 {
     std::vector<std::string> names;
+    names.reserve(seeds.size());
     for (const auto& seed : seeds) {
         names.push_back(to_text(seed));
     }
