Count a leaving node as busy from the first moment

Ruled out: the end of a connection with its GOAWAY unread (data sent before a reset stays readable).

Change: the worker is noted as busy before the loop is told.

Test first: a_leaving_node_is_busy_from_the_first_moment failed three times of three before the change and passed three times of three after it.

--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -150,10 +150,7 @@
      * `connection: close`, and the node counts as busy until then. */
     void begin_shutdown(std::chrono::milliseconds grace)
     {
-        if (std::exchange(in_grace_, true)) {
-            return;
-        }
-        ++node_.calls_in_flight();
+        in_grace_ = true;
         caller_listener_->close();
         for (const auto& connection : std::set(caller_connections_)) {
             connection->close_after_next_answer();
@@ -236,6 +233,12 @@
 
 void node_worker::begin_shutdown(std::chrono::milliseconds grace)
 {
+    if (std::exchange(is_leaving_, true)) {
+        return;
+    }
+    // Noted here and not in the loop: between two calls the node would be taken for idle, and
+    // ended, before the loop has told its peers.
+    ++loop_->node_.calls_in_flight();
     QMetaObject::invokeMethod(
         &loop_->context_, [this, grace] { loop_->begin_shutdown(grace); }, Qt::QueuedConnection);
 }
--- a/libs/request_path/node_worker.h
+++ b/libs/request_path/node_worker.h
@@ -34,7 +34,8 @@
     ~node_worker();
 
     /** Stops listening and closes idle connections after \p grace, within which requests that were
-     * on their way are still answered; requests in flight go on. */
+     * on their way are still answered; requests in flight go on. The node counts as busy from
+     * before this returns until the grace has ended. */
     void begin_shutdown(std::chrono::milliseconds grace);
 
     /** Returns the addresses listened on, with their actual ports. */
@@ -44,6 +45,7 @@
     node_worker() = default;
 
     struct loop;
+    bool is_leaving_ = false;
     std::unique_ptr<QThread> thread_;
     std::unique_ptr<loop> loop_;
     node_addresses addresses_;
--- a/libs/request_path/test/correctness/shutdown.cpp
+++ b/libs/request_path/test/correctness/shutdown.cpp
@@ -82,3 +82,18 @@
     BOOST_TEST(holds_whole_answer(caller->received()));
     BOOST_TEST(caller->received().find("connection: close") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(a_leaving_node_is_busy_from_the_first_moment)
+{
+    const counting_target target;
+    node_fixture nodes(call_path::local, target.server_.port());
+    const auto caller = nodes.call();
+    caller->write("GET /x HTTP/1.1\r\nhost: a\r\n\r\n");
+    BOOST_TEST(wait_until([&] { return holds_whole_answer(caller->received()); }));
+    BOOST_TEST(wait_until([&] { return nodes.front().state_.calls_in_flight() == 0; }));
+    nodes.front().state_.begin_shutdown();
+    nodes.front().worker_->begin_shutdown(std::chrono::seconds(60));
+    BOOST_TEST(nodes.front().state_.calls_in_flight() == 1); // the idle caller may be sending
+    caller->close();
+    BOOST_TEST(wait_until([&] { return nodes.front().state_.calls_in_flight() == 0; }));
+}
