Let the client close a link whose server leaves

Cause: a leaving node closed its link as soon as its last stream had ended. Change: a server that has sent GOAWAY and all its answers waits for the client to close, which it does once its last stream has ended, for 1 s at the most; the node counts as busy until then, and takes no new links. A client whose server leaves ends with closed_by_peer and not with protocol_error. Tests: transport_test a_connection_that_shuts_down_is_closed_by_the_client and ..._ends_though_the_client_does_not_close.

--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -145,13 +145,15 @@
         peer_connections_.insert(std::move(connection));
     }
 
-    /** Closes the listener and tells peers to send nothing new. Callers whose connections are
+    /** Closes the listeners and tells peers to send nothing new. Callers whose connections are
      * idle may be sending a request at this moment: they are answered for \p grace, with
-     * `connection: close`, and the node counts as busy until then. */
+     * `connection: close`. The node counts as busy until then, and until peers have closed their
+     * connections: they have read all answers. */
     void begin_shutdown(std::chrono::milliseconds grace)
     {
         in_grace_ = true;
         caller_listener_->close();
+        peer_listener_->close();
         for (const auto& connection : std::set(caller_connections_)) {
             connection->close_after_next_answer();
         }
@@ -160,19 +162,26 @@
         }
         QObject::connect(&grace_timer_, &QTimer::timeout, &context_, [this] {
             if (caller_connections_.empty() || monotonic_now() > grace_end_) {
-                end_grace();
+                close_idle_callers();
+                if (peer_connections_.empty()) {
+                    end_grace();
+                }
             }
         });
         grace_end_ = monotonic_now() + grace;
         grace_timer_.start(grace_check_period);
     }
 
-    void end_grace()
+    void close_idle_callers()
     {
-        grace_timer_.stop();
         for (const auto& connection : std::set(caller_connections_)) {
             connection->close_when_idle();
         }
+    }
+
+    void end_grace()
+    {
+        grace_timer_.stop();
         if (std::exchange(in_grace_, false)) {
             --node_.calls_in_flight();
         }
--- a/libs/transport/h2_callbacks.cpp
+++ b/libs/transport/h2_callbacks.cpp
@@ -50,6 +50,7 @@
         if (self.ended_) {
             return NGHTTP2_ERR_CALLBACK_FAILURE;
         }
+        self.peer_is_leaving_ = self.peer_is_leaving_ || frame->hd.type == NGHTTP2_GOAWAY;
         if (stream == nullptr ||
             (frame->hd.type != NGHTTP2_HEADERS && frame->hd.type != NGHTTP2_DATA)) {
             return 0;
--- a/libs/transport/h2_connection.h
+++ b/libs/transport/h2_connection.h
@@ -77,6 +77,9 @@
     /** A connection without streams that was quiet for so long ends, and no PING is sent while it
      * has none; 0: it is kept, and watched by PINGs all the time. */
     std::chrono::milliseconds idle_after_{0};
+    /** How long a connection that was shut down waits for the peer to close it, which a peer does
+     * as soon as its last stream has ended. */
+    std::chrono::milliseconds linger_{1'000};
     std::uint32_t streams_ = 1'000;            ///< Concurrent streams accepted.
     std::uint32_t window_bytes_ = 256U * 1024; ///< Receive window of one stream.
     std::size_t header_bytes_ = 32U * 1024;    ///< Header fields of one message.
@@ -115,7 +118,9 @@
     void close(connection_end end = connection_end::closed_by_us);
     /** Ends the connection once what is queued has been sent. */
     void close_after_flush(connection_end end);
-    /** Server: takes no further requests (GOAWAY), finishes those it has, then ends. */
+    /** Server: takes no further requests (GOAWAY), finishes those it has, then lets the client close
+     * the connection: a close with requests unread would reset it, and answers that the client has
+     * not read yet would be lost. */
     void begin_shutdown();
 
     [[nodiscard]] auto is_open() const -> bool;
--- a/libs/transport/h2_state.cpp
+++ b/libs/transport/h2_state.cpp
@@ -34,9 +34,9 @@
     QObject::connect(socket, &QTcpSocket::readyRead, socket, [this] { on_readable(); });
     QObject::connect(socket, &QTcpSocket::bytesWritten, socket, [this] { flush(); });
     QObject::connect(socket, &QTcpSocket::disconnected, socket,
-                     [this] { end(connection_end::closed_by_peer); });
+                     [this] { on_lost(connection_end::closed_by_peer); });
     QObject::connect(socket, &QTcpSocket::errorOccurred, socket, [this] {
-        end(connected_ ? connection_end::closed_by_peer : connection_end::refused);
+        on_lost(connected_ ? connection_end::closed_by_peer : connection_end::refused);
     });
     QObject::connect(&timer_, &QTimer::timeout, socket, [this] { on_timer(); });
     timer_.setSingleShot(true);
@@ -104,6 +104,10 @@
 {
     const auto keep = owner_->shared_from_this();
     const auto quiet = std::chrono::milliseconds(quiet_.elapsed());
+    if (lingering_) {
+        end(connection_end::closed_by_us);
+        return;
+    }
     if (is_idle()) {
         if (quiet >= limits_.idle_after_) {
             end(connection_end::closed_by_us);
@@ -139,8 +143,12 @@
     }
     busy_ = false;
     if (nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0) {
+        if (going_away_) {
+            linger();
+            return;
+        }
         end_after_flush_ =
-            going_away_ ? connection_end::closed_by_us : connection_end::protocol_error;
+            peer_is_leaving_ ? connection_end::closed_by_peer : connection_end::protocol_error;
     }
     if (end_after_flush_) {
         if (socket_->bytesToWrite() == 0 && nghttp2_session_want_write(session_) == 0) {
@@ -151,6 +159,18 @@
     tell_writable();
 }
 
+void h2_connection::state::linger()
+{
+    if (!std::exchange(lingering_, true)) {
+        timer_.start(limits_.linger_);
+    }
+}
+
+void h2_connection::state::on_lost(connection_end reason)
+{
+    end(lingering_ ? connection_end::closed_by_us : reason);
+}
+
 void h2_connection::state::tell_writable()
 {
     std::vector<stream_id> drained;
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -63,7 +63,9 @@
     }
     bool connected_ = false;
     bool ended_ = false;
-    bool going_away_ = false; ///< We sent GOAWAY.
+    bool going_away_ = false;     ///< We sent GOAWAY.
+    bool peer_is_leaving_ = false; ///< The peer sent GOAWAY.
+    bool lingering_ = false;      ///< All is sent: the peer is to close the connection.
     bool busy_ = false;       ///< Inside nghttp2: output waits until the outermost call returns.
     std::uint64_t received_ = 0;
     std::uint64_t sent_ = 0;
@@ -78,8 +80,11 @@
     void make_session();
     void on_readable();
     void on_timer();
+    /** The socket has ended. */
+    void on_lost(connection_end reason);
     void arm_timer();
     void flush();
+    void linger();
     void tell_writable();
     void drop_closed_later();
     void end(connection_end end);
--- a/libs/transport/test/correctness/h2_streams.cpp
+++ b/libs/transport/test/correctness/h2_streams.cpp
@@ -153,6 +153,44 @@
     BOOST_TEST((server.ends() == std::vector{connection_end::closed_by_us}));
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_that_shuts_down_is_closed_by_the_client)
+{
+    const h2_server server([&](h2_connection& connection, stream_id id, const header_list&) {
+        connection.respond(id, {{":status", "200"}}, true);
+        connection.begin_shutdown();
+        return stream_hooks();
+    });
+    std::optional<connection_end> client_end;
+    bool was_server_open = false;
+    connection_hooks hooks;
+    hooks.on_ended_ = [&](connection_end end) {
+        client_end = end;
+        was_server_open = server.connections()[0]->is_open();
+    };
+    const auto client = dial_h2(server.port(), std::move(hooks));
+    seen answer;
+    (void)client->request(request_fields("/"), true, answer.hooks());
+    BOOST_TEST(wait_until([&] { return client_end.has_value(); }));
+    BOOST_TEST(answer.ended_);
+    BOOST_TEST((*client_end == connection_end::closed_by_peer));
+    BOOST_TEST(was_server_open);
+    BOOST_TEST(wait_until([&] { return !server.ends().empty(); }));
+    BOOST_TEST((server.ends()[0] == connection_end::closed_by_us));
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_shuts_down_ends_though_the_client_does_not_close)
+{
+    connection_limits limits;
+    limits.linger_ = std::chrono::milliseconds(50);
+    const h2_server server(
+        [](h2_connection&, stream_id, const header_list&) { return stream_hooks(); }, limits);
+    const auto silent = raw_socket::dial(server.port());
+    BOOST_TEST(wait_until([&] { return !server.connections().empty(); }));
+    server.connections()[0]->begin_shutdown();
+    BOOST_TEST(wait_until([&] { return !server.ends().empty(); }));
+    BOOST_TEST((server.ends()[0] == connection_end::closed_by_us));
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_that_shuts_down_finishes_what_it_has_and_takes_nothing_new)
 {
     stream_id held = 0;
