Redial a replica that speaks, and choose targets by what their nodes report

Cause: after all power was lost, replicas dialled others that were not up yet; those dials hang for 1 s, so that a leader was elected 0.8 s after the last replica was up, and nodes got their table up to 0.5 s after that. And calls went to slow, busy and failing targets as often as to others. Change: a replica that hears another redials it when its own dial hangs; pre-votes are asked again sooner. Nodes beside targets send pace, load and error share with every answer; callers take the better of two.

--- a/libs/bench/node_cost.cpp
+++ b/libs/bench/node_cost.cpp
@@ -5,7 +5,7 @@
 #include "bench/cost_meter.h"
 #include "bench/sample_table.h"
 #include "policy/admission.h"
-#include "policy/route_table.h"
+#include "policy/target_choice.h"
 
 namespace sycamorewinch {
 
--- a/libs/consensus/raft_election.cpp
+++ b/libs/consensus/raft_election.cpp
@@ -57,7 +57,8 @@
     leader_.clear();
     votes_ = {options_.self_};
     // Asking again costs little and disturbs nobody.
-    election_due_ = now + uniform_between(options_.random_, options_.heartbeat_, options_.lease_);
+    election_due_ =
+        now + uniform_between(options_.random_, options_.heartbeat_ / 2, 2 * options_.heartbeat_);
     if (votes_.size() >= quorum()) {
         become_candidate(now);
         return;
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -61,6 +61,12 @@
     return announcement;
 }
 
+/** What is kept of a target beside this node from one announcement to the next. */
+struct target_gate {
+    std::shared_ptr<admission> admission_;
+    std::shared_ptr<target_meter> meter_;
+};
+
 /** A node: subscribes upwards, registers targets, and carries calls on its workers. */
 class node_role {
   public:
@@ -167,8 +173,8 @@
     {
         const bool was_announced = settings_.leave_notice_.count() > 0;
         state_.begin_shutdown();
-        for (const auto& [name, gate] : admissions_) {
-            gate->set_draining(true);
+        for (const auto& [name, gate] : gates_) {
+            gate.admission_->set_draining(true);
         }
         tell(registry_.drain_all());
         for (const auto& worker : workers_) {
@@ -323,15 +329,16 @@
         auto local = std::make_shared<local_targets>();
         for (const auto& target : registry_.targets()) {
             const auto& record = target.record_;
-            auto& gate = admissions_[{record.service_, record.target_}];
+            auto& [gate, meter] = gates_[{record.service_, record.target_}];
             const auto slots = record.slots_ + settings_.requests_ahead_;
             if (!gate) {
                 gate = std::make_shared<admission>(slots);
+                meter = std::make_shared<target_meter>();
             }
             gate->set_slots(slots);
             gate->set_draining(record.state_ != target_state::up);
             local->push_back(
-                {record.service_, record.target_, target.announcement_.address_, gate});
+                {record.service_, record.target_, target.announcement_.address_, gate, meter});
         }
         state_.publish_targets(std::move(local));
     }
@@ -449,7 +456,7 @@
     target_registry registry_;
     target_directory directory_;
     crash_records crashes_;
-    std::map<std::pair<std::string, std::string>, std::shared_ptr<admission>> admissions_;
+    std::map<std::pair<std::string, std::string>, target_gate> gates_; ///< By service and target.
     admin_server admin_;
     upstream_link link_;
     run_client runs_;
--- a/libs/daemon/replica_links.cpp
+++ b/libs/daemon/replica_links.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr auto redial_after = std::chrono::milliseconds(200);
+/** A dial that takes longer than several round trips between zones may wait for a packet that was
+ * lost because the replica was down. */
+constexpr duration hanging_after = std::chrono::milliseconds(100);
 constexpr std::size_t max_name_length = 64;
 constexpr std::size_t max_links = 64;
 /** A replica must notice a silent link, and one that came back, well within a few elections. */
@@ -95,21 +98,26 @@
 void replica_links::dial(const std::string& name)
 {
     auto& link = links_.at(name);
+    const auto self = std::make_shared<std::weak_ptr<peer_client>>();
     peer_client_hooks hooks;
     hooks.on_ready_ = [this, name] {
         open_channel(name);
     };
-    hooks.on_ended_ = [this, name](connection_end) {
-        redial_later(name);
+    hooks.on_ended_ = [this, name, self](connection_end) {
+        if (const auto client = self->lock()) {
+            on_ended(name, *client);
+        }
     };
+    link.dialled_at_ = monotonic_now();
     link.client_ = peer_client::dial(link.address_, key_, std::move(hooks), link_limits);
+    *self = link.client_;
 }
 
-void replica_links::redial_later(const std::string& name)
+void replica_links::on_ended(const std::string& name, const peer_client& client)
 {
     const auto found = links_.find(name);
-    if (found == links_.end()) {
-        return; // let go of meanwhile
+    if (found == links_.end() || found->second.client_.get() != &client) {
+        return; // let go of or replaced meanwhile
     }
     hooks_.on_disconnected_(name);
     found->second.channel_.reset();
@@ -121,6 +129,20 @@
     });
 }
 
+/** A replica that speaks can be reached now: a dial from before it was up need not time out. */
+void replica_links::redial_if_hanging(const std::string& name)
+{
+    auto& link = links_.at(name);
+    if (link.channel_ || monotonic_now() - link.dialled_at_ < hanging_after) {
+        return;
+    }
+    const auto hanging = std::move(link.client_);
+    dial(name);
+    if (hanging) {
+        hanging->close();
+    }
+}
+
 void replica_links::open_channel(const std::string& name)
 {
     auto& link = links_.at(name);
@@ -170,6 +192,7 @@
         log_event(log_level::warning, "bad_replica_message", {{"from", from}});
         return;
     }
+    redial_if_hanging(key);
     if (kind == replica_payload::join) {
         hooks_.on_join_(body);
         return;
--- a/libs/daemon/replica_links.h
+++ b/libs/daemon/replica_links.h
@@ -70,13 +70,15 @@
         peer_address address_;
         std::shared_ptr<peer_client> client_;
         std::shared_ptr<message_channel> channel_;
+        instant dialled_at_{};
     };
 
     [[nodiscard]] auto key_of(const std::string& name) const -> std::string;
     [[nodiscard]] auto find_or_dial(const std::string& key) -> bool;
     void dial(const std::string& name);
     void open_channel(const std::string& name);
-    void redial_later(const std::string& name);
+    void on_ended(const std::string& name, const peer_client& client);
+    void redial_if_hanging(const std::string& name);
     void on_message(std::string_view bytes);
     void send_bytes(const std::string& to, std::string_view bytes);
 
--- a/libs/policy/route_table.h
+++ b/libs/policy/route_table.h
@@ -90,21 +90,4 @@
 [[nodiscard]] auto part_for(const service_route& route, std::string_view service)
     -> const service_route*;
 
-/** Returns the names of the targets that this node leaves out now: those that fail, never more than
- * half of all, and those that cannot be reached. */
-[[nodiscard]] auto ejected_targets(const service_route& route, instant now)
-    -> std::vector<std::string>;
-
-/** Picks a target of \p route by weight, leaving out the names in \p excluded unless all are;
- * returns nullptr when there is none. */
-[[nodiscard]] auto choose_target(const service_route& route,
-                                 const std::vector<std::string>& excluded,
-                                 const random_hook& random) -> const weighted_target*;
-
-/** The same, but chooses among the targets in \p zone first, where the row has no weights of its
- * own and \p zone is not empty. */
-[[nodiscard]] auto choose_near_target(const service_route& route, std::string_view zone,
-                                      const std::vector<std::string>& excluded,
-                                      const random_hook& random) -> const weighted_target*;
-
 } // namespace sycamorewinch
--- /dev/null
+++ b/libs/policy/target_choice.cpp
@@ -0,0 +1,111 @@
+#include "policy/target_choice.h"
+
+#include <algorithm>
+
+namespace sycamorewinch {
+
+namespace {
+
+using candidates = std::vector<const weighted_target*>;
+
+/** Returns the cost of \p target, 0 when nothing is known of it. */
+auto cost_of(const weighted_target& target, instant now) -> double
+{
+    return target.health_ ? target.health_->cost(now) : 0;
+}
+
+auto better_of_two(const candidates& targets, instant now, const random_hook& random)
+    -> const weighted_target*
+{
+    const auto first = uniform_below(random, targets.size());
+    if (targets.size() == 1) {
+        return targets.front();
+    }
+    const auto second = (first + 1 + uniform_below(random, targets.size() - 1)) % targets.size();
+    const auto* one = targets[first];
+    const auto* other = targets[second];
+    const auto cost = cost_of(*one, now);
+    const auto other_cost = cost_of(*other, now);
+    // Of a target that nothing is known of, the only way to learn is to try.
+    const bool are_known = cost > 0 && other_cost > 0;
+    return are_known && other_cost < cost ? other : one;
+}
+
+} // namespace
+
+auto ejected_targets(const service_route& route, instant now) -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const auto& target : route.targets_) {
+        if (target.health_ && target.health_->is_ejected(now)) {
+            names.push_back(target.record_.target_);
+        }
+    }
+    if (names.size() * 2 > route.targets_.size()) {
+        names.clear();
+    }
+    for (const auto& target : route.targets_) {
+        const auto& name = target.record_.target_;
+        if (target.health_ && target.health_->is_unreachable(now) &&
+            std::ranges::find(names, name) == names.end()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+auto choose_target(const service_route& route, const std::vector<std::string>& excluded,
+                   const random_hook& random) -> const weighted_target*
+{
+    const auto is_excluded = [&excluded](const weighted_target& target) {
+        return std::ranges::find(excluded, target.record_.target_) != excluded.end();
+    };
+    double total = 0;
+    for (const auto& target : route.targets_) {
+        total += is_excluded(target) ? 0 : target.weight_;
+    }
+    if (total <= 0) {
+        return excluded.empty() ? nullptr : choose_target(route, {}, random);
+    }
+    auto point = uniform_unit(random) * total;
+    const weighted_target* last = nullptr;
+    for (const auto& target : route.targets_) {
+        if (is_excluded(target)) {
+            continue;
+        }
+        last = &target;
+        point -= target.weight_;
+        if (point < 0) {
+            break;
+        }
+    }
+    return last;
+}
+
+auto choose_light_target(const service_route& route, std::string_view zone,
+                         const std::vector<std::string>& excluded, instant now,
+                         const random_hook& random) -> const weighted_target*
+{
+    const bool has_weights = route.row_ != nullptr && !route.row_->weights_.empty();
+    if (has_weights) {
+        return choose_target(route, excluded, random);
+    }
+    candidates left;
+    candidates near;
+    for (const auto& target : route.targets_) {
+        if (std::ranges::find(excluded, target.record_.target_) != excluded.end()) {
+            continue;
+        }
+        left.push_back(&target);
+        const bool is_failing = target.health_ && target.health_->is_failing();
+        if (target.record_.availability_zone_ == zone && !is_failing) {
+            near.push_back(&target);
+        }
+    }
+    if (left.empty()) {
+        return choose_target(route, excluded, random);
+    }
+    return better_of_two(near.empty() ? left : near, now, random);
+}
+
+} // namespace sycamorewinch
--- a/libs/policy/target_health.cpp
+++ b/libs/policy/target_health.cpp
@@ -4,6 +4,33 @@
 
 namespace sycamorewinch {
 
+namespace {
+
+constexpr double one = 1'000;
+/** A load that was reported longer ago says nothing of now. */
+constexpr duration load_lifetime = std::chrono::seconds(3);
+/** What an error costs, in aims: the caller comes back, and is answered late. */
+constexpr double aims_per_error = 4;
+
+} // namespace
+
+void target_health::on_status(const target_status& status, instant now)
+{
+    pace_ = status.pace_;
+    errors_ = status.errors_;
+    load_ = status.in_flight_ * static_cast<std::uint32_t>(one) /
+            std::max<std::uint32_t>(status.slots_, 1);
+    reported_us_ = now.time_since_epoch().count();
+}
+
+auto target_health::cost(instant now) const -> double
+{
+    const auto age = now.time_since_epoch() - duration(reported_us_);
+    const auto load = age < load_lifetime ? load_ / one : 0;
+    const auto busy = 1 + load * load; // a nearly full target answers later, or turns calls away
+    return pace_ / one * busy + errors_ / one * aims_per_error;
+}
+
 void target_health::on_failure(instant now)
 {
     const auto failures = ++failures_;
--- a/libs/policy/target_health.h
+++ b/libs/policy/target_health.h
@@ -1,5 +1,6 @@
 /** \file
- * What a node itself saw of a target, and whether it leaves the target out for a while.
+ * What a node knows of a target that it calls: what it saw itself, what the node beside the target
+ * reported, and whether the target is left out for a while.
  *
  * Only this outranks what a target says of itself. After failures_to_eject failures in a row a
  * target is left out, for a time that doubles while it goes on failing. When more than half of a
@@ -12,6 +13,7 @@
 #include <cstdint>
 
 #include "base/time.h"
+#include "policy/target_status.h"
 
 namespace sycamorewinch {
 
@@ -21,6 +23,7 @@
     static constexpr std::uint32_t failures_to_eject = 5;
     static constexpr duration first_ejection = std::chrono::seconds(1);
     static constexpr duration longest_ejection = std::chrono::seconds(16);
+    static constexpr std::uint32_t failing_errors = 250; ///< In thousandths of the answers.
 
     /** An answer came, whatever it said. */
     void on_answer() { failures_ = 0; }
@@ -29,6 +32,17 @@
     /** It, or the node beside it, could not be reached: it is left out at once. */
     void on_unreachable(instant now);
 
+    /** The node beside it reported. */
+    void on_status(const target_status& status, instant now);
+
+    /** Returns the time that a call is expected to cost there, in aims of its row, with the errors
+     * that are to be expected; 0 when nothing was reported. */
+    [[nodiscard]] auto cost(instant now) const -> double;
+
+    /** Returns whether it answers so many calls with errors that another availability zone is the
+     * better choice. */
+    [[nodiscard]] auto is_failing() const -> bool { return errors_ >= failing_errors; }
+
     /** Returns whether it is left out because it could not be reached. */
     [[nodiscard]] auto is_unreachable(instant now) const -> bool
     {
@@ -44,6 +58,10 @@
     std::atomic<std::uint32_t> failures_{0}; ///< In a row.
     std::atomic<std::int64_t> ejected_until_us_{0};
     std::atomic<std::int64_t> unreachable_until_us_{0};
+    std::atomic<std::uint32_t> pace_{0};   ///< As in target_status.
+    std::atomic<std::uint32_t> errors_{0}; ///< As in target_status.
+    std::atomic<std::uint32_t> load_{0};   ///< In flight, in thousandths of the slots.
+    std::atomic<std::int64_t> reported_us_{0};
 };
 
 } // namespace sycamorewinch
--- /dev/null
+++ b/libs/policy/target_status.h
@@ -0,0 +1,34 @@
+/** \file
+ * How busy, quick and sound a target is, as the node beside it tells the nodes that call it.
+ *
+ * That node carries every request to its target, so it knows without asking. The status travels
+ * with each answer and refusal, which keeps it fresh where it is needed and costs no message.
+ */
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sycamorewinch {
+
+/** One target at one moment. */
+struct target_status {
+    /** How long it lately took for a request, in thousandths of what the request's row aims at; 0:
+     * not known. */
+    std::uint32_t pace_ = 0;
+    std::uint32_t in_flight_ = 0; ///< Requests it has now.
+    std::uint32_t slots_ = 0;     ///< Requests it runs at once.
+    std::uint32_t errors_ = 0;    ///< Lately answered with an error, in thousandths.
+
+    [[nodiscard]] auto operator==(const target_status&) const -> bool = default;
+};
+
+/** Returns \p status as one short line of text. */
+[[nodiscard]] auto to_text(const target_status& status) -> std::string;
+
+/** Reads a status back; nothing when \p text is not one. */
+[[nodiscard]] auto parse_target_status(std::string_view text) -> std::optional<target_status>;
+
+} // namespace sycamorewinch
--- a/libs/policy/test/correctness/routing.cpp
+++ b/libs/policy/test/correctness/routing.cpp
@@ -2,7 +2,7 @@
 
 #include <map>
 
-#include "policy/route_table.h"
+#include "policy/target_choice.h"
 
 using namespace sycamorewinch;
 
@@ -108,9 +108,10 @@
         route_table::create(std::make_shared<const table>(make_table(1, {one})), targets);
     const auto& route = *routes->match("/dialer");
     const auto random = seeded_random(1);
+    const instant now{std::chrono::seconds(1)};
     for (int call = 0; call < 100; ++call) {
-        BOOST_TEST(choose_near_target(route, "b", {}, random)->record_.target_ == "b1");
-        BOOST_TEST(choose_near_target(route, "b", {"b1"}, random)->record_.target_ != "b1");
-        BOOST_TEST(choose_near_target(route, "a", {"a1"}, random)->record_.target_ == "a2");
+        BOOST_TEST(choose_light_target(route, "b", {}, now, random)->record_.target_ == "b1");
+        BOOST_TEST(choose_light_target(route, "b", {"b1"}, now, random)->record_.target_ != "b1");
+        BOOST_TEST(choose_light_target(route, "a", {"a1"}, now, random)->record_.target_ == "a2");
     }
 }
--- /dev/null
+++ b/libs/policy/test/correctness/target_choice.cpp
@@ -0,0 +1,128 @@
+// Which target takes a call, by what the nodes beside the targets reported.
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "policy/target_choice.h"
+#include "policy/target_meter.h"
+
+using namespace sycamorewinch;
+
+namespace {
+
+constexpr instant now{std::chrono::seconds(100)};
+constexpr int calls = 1'000;
+
+/** A service without weights; the first letter of a target's name is its zone. */
+struct service {
+    explicit service(const std::map<std::string, target_status>& reports)
+    {
+        for (const auto& [name, report] : reports) {
+            weighted_target target{{.target_ = name}, 1, std::make_shared<target_health>()};
+            target.record_.availability_zone_ = name.substr(0, 1);
+            if (report.slots_ > 0) {
+                target.health_->on_status(report, now);
+            }
+            route_.targets_.push_back(std::move(target));
+        }
+    }
+
+    auto shares(std::string_view zone, instant when = now) -> std::map<std::string, int>
+    {
+        std::map<std::string, int> counts;
+        const auto random = seeded_random(1);
+        for (int call = 0; call < calls; ++call) {
+            ++counts[choose_light_target(route_, zone, {}, when, random)->record_.target_];
+        }
+        return counts;
+    }
+
+    service_route route_;
+};
+
+constexpr target_status quick{.pace_ = 200, .slots_ = 10};
+constexpr target_status slow{.pace_ = 500, .slots_ = 10};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_quick_target_gets_more_and_a_slow_one_is_still_tried)
+{
+    auto shares = service({{"a1", quick}, {"a2", slow}, {"a3", slow}}).shares("a");
+    BOOST_TEST(shares["a1"] > calls / 2);
+    BOOST_TEST(shares["a2"] > calls / 20);
+    BOOST_TEST(shares["a3"] > calls / 20);
+}
+
+BOOST_AUTO_TEST_CASE(a_busy_target_gets_less)
+{
+    auto busy = quick;
+    busy.in_flight_ = 10;
+    auto idle = quick;
+    idle.pace_ = 300;
+    BOOST_TEST(service({{"a1", busy}, {"a2", idle}}).shares("a")["a2"] == calls);
+    // What was reported long ago says nothing of now.
+    const auto later = now + std::chrono::seconds(10);
+    BOOST_TEST(service({{"a1", busy}, {"a2", idle}}).shares("a", later)["a1"] == calls);
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_fails_quickly_does_not_attract_calls)
+{
+    const target_status failing{.pace_ = 10, .slots_ = 10, .errors_ = 400};
+    BOOST_TEST(service({{"a1", failing}, {"a2", slow}}).shares("a")["a2"] == calls);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_target_is_tried)
+{
+    auto shares = service({{"a1", quick}, {"a2", {}}}).shares("a");
+    BOOST_TEST(shares["a1"] > calls / 3);
+    BOOST_TEST(shares["a2"] > calls / 3);
+}
+
+BOOST_AUTO_TEST_CASE(the_zone_is_left_when_all_targets_there_fail_and_not_when_they_are_slow)
+{
+    const target_status failing{.pace_ = 200, .slots_ = 10, .errors_ = 300};
+    auto shares = service({{"a1", failing}, {"b1", quick}, {"b2", slow}}).shares("a");
+    BOOST_TEST(shares["b1"] + shares["b2"] > calls * 9 / 10);
+    const target_status late{.pace_ = 1'500, .slots_ = 10};
+    shares = service({{"a1", late}, {"b1", quick}}).shares("a");
+    BOOST_TEST(shares["a1"] == calls);
+}
+
+BOOST_AUTO_TEST_CASE(a_meter_follows_a_target_that_turns_slow_and_back)
+{
+    constexpr duration aim = std::chrono::milliseconds(300);
+    target_meter meter;
+    BOOST_TEST(meter.pace() == 0U);
+    meter.on_answer(std::chrono::milliseconds(90), aim);
+    BOOST_TEST(meter.pace() == 300U);
+    for (int answer = 0; answer < 40; ++answer) {
+        meter.on_answer(std::chrono::milliseconds(450), aim);
+    }
+    BOOST_TEST(meter.pace() > 1'300U);
+    for (int answer = 0; answer < 100; ++answer) {
+        meter.on_answer(std::chrono::milliseconds(90), aim);
+    }
+    BOOST_TEST(meter.pace() == 300U);
+}
+
+BOOST_AUTO_TEST_CASE(a_meter_counts_errors_and_forgets_them)
+{
+    target_meter meter;
+    for (int answer = 0; answer < 20; ++answer) {
+        meter.on_error();
+    }
+    BOOST_TEST(meter.errors() > 600U);
+    for (int answer = 0; answer < 200; ++answer) {
+        meter.on_answer(std::chrono::milliseconds(1), {});
+    }
+    BOOST_TEST(meter.errors() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_report_is_read_as_it_was_written)
+{
+    const target_status report{.pace_ = 312, .in_flight_ = 4, .slots_ = 9, .errors_ = 17};
+    BOOST_TEST((parse_target_status(to_text(report)) == report));
+    for (const auto* text : {"", "1", "1,2,3", "1,2,3,", "1,2,3,4,5", "a,2,3,4", "-1,2,3,4"}) {
+        BOOST_TEST(!parse_target_status(text).has_value());
+    }
+}
--- a/libs/policy/test/correctness/target_health.cpp
+++ b/libs/policy/test/correctness/target_health.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "policy/route_table.h"
+#include "policy/target_choice.h"
 
 using namespace sycamorewinch;
 
--- a/libs/policy/test/performance/limit_error.cpp
+++ b/libs/policy/test/performance/limit_error.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "policy/admission.h"
+#include "policy/target_choice.h"
 
 using namespace sycamorewinch;
 
--- a/libs/policy/test/performance/rush.cpp
+++ b/libs/policy/test/performance/rush.cpp
@@ -9,6 +9,7 @@
 
 #include "policy/admission.h"
 #include "policy/retry_policy.h"
+#include "policy/target_choice.h"
 
 using namespace sycamorewinch;
 
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -8,6 +8,7 @@
 
 #include "observability/log.h"
 #include "policy/limit_share.h"
+#include "policy/target_choice.h"
 #include "request_path/peer_headers.h"
 
 namespace sycamorewinch {
@@ -109,8 +110,7 @@
 
     void attempt()
     {
-        const auto* target = choose_near_target(*route_, environment_.node_.preferred_zone(),
-                                                excluded(), environment_.random_);
+        const auto* target = choose();
         if (target == nullptr) {
             refuse(make_refusal(refusal_reason::no_target));
             return;
@@ -148,6 +148,16 @@
         }
     }
 
+    /** A limit is shared out evenly over the targets, and so are the calls of who has one. */
+    [[nodiscard]] auto choose() const -> const weighted_target*
+    {
+        if (is_limited(row_->limit_of(request_.caller_))) {
+            return choose_target(*route_, excluded(), environment_.random_);
+        }
+        return choose_light_target(*route_, environment_.node_.preferred_zone(), excluded(),
+                                   monotonic_now(), environment_.random_);
+    }
+
     void set_travelling_terms()
     {
         request_.time_left_ =
@@ -179,6 +189,11 @@
     {
         const auto self = shared_from_this();
         exchange_hooks hooks;
+        hooks.on_status_ = [health = health_](const target_status& status) {
+            if (health) {
+                health->on_status(status, monotonic_now());
+            }
+        };
         hooks.on_response_ = [self](message_head head) {
             self->on_response(std::move(head));
         };
--- a/libs/request_path/exchange.h
+++ b/libs/request_path/exchange.h
@@ -14,6 +14,7 @@
 
 #include "http1/http1_parser.h"
 #include "policy/refusal.h"
+#include "policy/target_status.h"
 
 namespace sycamorewinch {
 
@@ -51,6 +52,8 @@
 
 /** What the starter of an exchange hears. */
 struct exchange_hooks {
+    /** How the target is doing, before an answer or a refusal. */
+    std::function<void(const target_status& status)> on_status_;
     std::function<void(message_head head)> on_response_;
     std::function<void(std::string_view bytes)> on_body_;
     std::function<void()> on_end_;
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -15,6 +15,8 @@
 
 /** A target may take at least this long after its caller has gone. */
 constexpr std::chrono::milliseconds detached_time{10'000};
+/** Answers from here on are errors of the target. */
+constexpr unsigned first_error_status = 500;
 
 /** One exchange; kept alive by the connection's hooks and the controls. */
 class local_exchange : public std::enable_shared_from_this<local_exchange> {
@@ -44,8 +46,10 @@
         const auto terms = node_.dialect().read_terms_(request_.head_);
         const auto* route = routes->match(request_.head_.path_, terms.host_);
         row_ = route != nullptr ? route->row_->service_ : request_.service_;
+        aim_ = route != nullptr ? route->row_->target_latency_ : duration(0);
         share_ = granted_share(route, request_);
         admission_ = target->admission_;
+        meter_ = target->meter_;
         address_ = target->address_;
         if (const auto refusal = try_to_admit()) {
             wait_or_refuse(*refusal);
@@ -319,10 +323,12 @@
             return; // the rest of it is of no interest
         }
         responded_ = true;
+        has_error_ = head.status_ >= first_error_status;
         guard_->on_answered();
         if (run_) {
             run_->on_response(head);
         }
+        tell_status();
         hooks_.on_response_(std::move(head));
     }
 
@@ -333,7 +339,14 @@
             on_rejected();
             return;
         }
-        line().note_service_time(row_, monotonic_now() - sent_at_);
+        const auto taken = monotonic_now() - sent_at_;
+        if (has_error_) {
+            meter_->on_error();
+        }
+        else {
+            meter_->on_answer(taken, aim_);
+            line().note_service_time(row_, taken);
+        }
         release_slot();
         if (run_) {
             run_->finish();
@@ -345,6 +358,7 @@
     /** The target says that it has not run the request. */
     void on_rejected()
     {
+        meter_->on_error();
         release_slot();
         if (run_) {
             run_->release();
@@ -359,6 +373,7 @@
             on_rejected();
             return;
         }
+        meter_->on_error();
         release_slot();
         const bool was_sent = failure != exchange_failure::not_sent;
         const bool has_broken =
@@ -382,9 +397,19 @@
         }
     }
 
+    /** Tells the caller's node how the target is doing. */
+    void tell_status()
+    {
+        if (meter_ && hooks_.on_status_) {
+            hooks_.on_status_({meter_->pace(), admission_->in_flight(), admission_->slots(),
+                               meter_->errors()});
+        }
+    }
+
     void refuse(const refusal& refusal)
     {
         ended_ = true;
+        tell_status();
         hooks_.on_refused_(refusal);
     }
 
@@ -415,6 +440,7 @@
     // caller's next try.
     void detach()
     {
+        hooks_.on_status_ = nullptr;
         hooks_.on_response_ = [](const message_head&) {
         };
         hooks_.on_body_ = [](std::string_view) {
@@ -445,11 +471,13 @@
     target_connections& connections_;
     exchange_request request_;
     std::string row_; ///< Names the row that the request belongs to here.
+    duration aim_{0}; ///< Of that row; zero: none.
     exchange_hooks hooks_;
     instant started_; ///< Since when time_left_ runs.
     instant sent_at_{};
     limit_share share_;
     std::shared_ptr<admission> admission_; ///< Outlives the ticket.
+    std::shared_ptr<target_meter> meter_;
     admission_ticket ticket_;
     peer_address address_;
     std::shared_ptr<http1_client_connection> connection_;
@@ -462,6 +490,7 @@
     bool is_rejected_ = false;              ///< The target says that it does not run it.
     bool body_ended_ = false;
     bool responded_ = false;
+    bool has_error_ = false; ///< The target answered with an error of its own.
     bool ended_ = false;
 };
 
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -17,6 +17,7 @@
 #include "observability/metrics.h"
 #include "policy/admission.h"
 #include "policy/route_table.h"
+#include "policy/target_meter.h"
 #include "request_path/call_dialect.h"
 #include "request_path/crash_guard.h"
 #include "request_path/run_gateway.h"
@@ -30,6 +31,7 @@
     std::string target_;
     peer_address address_;
     std::shared_ptr<admission> admission_;
+    std::shared_ptr<target_meter> meter_;
 };
 
 /** All targets beside this node. */
--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -155,6 +155,7 @@
     head.content_length_ = parse_count(find_header(headers, "content-length"));
     head.has_body_ = !last;
     head.headers_ = ordinary_fields(headers);
+    remove_header(head.headers_, status_header);
     return head;
 }
 
@@ -162,6 +163,7 @@
 {
     remove_header(headers, refusal_header);
     remove_header(headers, outcome_header);
+    remove_header(headers, status_header);
 }
 
 } // namespace sycamorewinch
--- a/libs/request_path/peer_headers.h
+++ b/libs/request_path/peer_headers.h
@@ -27,6 +27,9 @@
 /** Reads a request back from another node's fields. */
 [[nodiscard]] auto from_peer_headers(const header_list& headers, bool last) -> exchange_request;
 
+/** How the target is doing, with each answer and refusal. */
+constexpr std::string_view status_header = "sycamorewinch-target-status";
+
 /** Returns the fields of an answer. */
 [[nodiscard]] auto to_peer_response(const message_head& head) -> header_list;
 /** Returns the fields of a refusal. */
--- a/libs/request_path/peer_service.cpp
+++ b/libs/request_path/peer_service.cpp
@@ -49,6 +49,9 @@
     {
         const auto self = shared_from_this();
         exchange_hooks hooks;
+        hooks.on_status_ = [self](const target_status& status) {
+            self->target_status_ = to_text(status);
+        };
         hooks.on_response_ = [self](const message_head& head) {
             self->respond(to_peer_response(head), !head.has_body_);
         };
@@ -75,10 +78,13 @@
         return hooks;
     }
 
-    void respond(const header_list& headers, bool last)
+    void respond(header_list headers, bool last)
     {
         if (const auto connection = connection_.lock()) {
             body_open_ = !last;
+            if (!target_status_.empty()) {
+                headers.push_back({std::string(status_header), target_status_});
+            }
             connection->respond(stream_, headers, last);
         }
     }
@@ -120,6 +126,7 @@
     node_state& node_;
     std::weak_ptr<h2_connection> connection_;
     stream_id stream_;
+    std::string target_status_; ///< How the target is doing.
     exchange_controls controls_;
     bool body_open_ = false;
     bool done_ = false;
--- a/libs/request_path/test/node_fixture.cpp
+++ b/libs/request_path/test/node_fixture.cpp
@@ -83,7 +83,8 @@
     }
     auto targets = std::make_shared<local_targets>();
     targets->push_back(
-        {row.service_, "d1", {"127.0.0.1", target_port}, std::make_shared<admission>(slots)});
+        {row.service_, "d1", {"127.0.0.1", target_port}, std::make_shared<admission>(slots),
+         std::make_shared<target_meter>()});
     back().state_.publish_targets(std::move(targets));
 }
 
--- a/tutorial/lesson_05_routing/main.cpp
+++ b/tutorial/lesson_05_routing/main.cpp
@@ -5,7 +5,7 @@
 #include "../lesson.h"
 #include "policy/admission.h"
 #include "policy/limit_share.h"
-#include "policy/route_table.h"
+#include "policy/target_choice.h"
 
 using namespace sycamorewinch;
 
