Add a fault soak of real processes, and logs that wait for no reader

Cause: promises were proved under virtual time and in a fixed failure script; nothing drew faults at random for the real programs. A log line to a pipe whose reader had stopped held the process. Change: libs/soak and sycamorewinch-soak: proxies that delay, cut one or both ways, forget or reset connections; processes killed, paused, asked to end, wiped; edits and races; it judges from callers, targets' journals, versions in force and the table read at the end. Lines go out when the descriptor takes them whole at once; lost ones are counted in log_lines_lost. Tests: soak_test (each broken promise is noticed), soak_seeded in ctest, observability_test a_reader_that_stops_costs_lines_and_holds_nobody.

--- /dev/null
+++ b/apps/sycamorewinch-soak/main.cpp
@@ -0,0 +1,102 @@
+/** \file
+ * The fault soak: real processes on loopback under load, faults and edits, watched for broken
+ * promises. Ends with status 1 when one was broken.
+ */
+#include <filesystem>
+#include <iostream>
+
+#include <QCoreApplication>
+#include <boost/program_options.hpp>
+#include <fmt/core.h>
+
+#include "soak/soak_run.h"
+
+namespace {
+
+using namespace sycamorewinch;
+namespace po = boost::program_options;
+
+constexpr int exit_broken = 1;
+constexpr int exit_wrong_arguments = 2;
+
+auto make_options() -> po::options_description
+{
+    po::options_description options("sycamorewinch-soak");
+    auto add = options.add_options();
+    add("seeds", po::value<std::uint64_t>()->default_value(1), "how many runs");
+    add("from", po::value<std::uint64_t>()->default_value(1), "seed of the first run");
+    add("seconds", po::value<unsigned>()->default_value(10), "how long faults come in each run");
+    add("nodes", po::value<unsigned>()->default_value(6), "nodes, with a target each, 2 to 250");
+    add("per-second", po::value<double>()->default_value(50), "calls of each of two rows");
+    add("port", po::value<std::uint16_t>()->default_value(21000), "first of the ports used");
+    add("work", po::value<std::string>()->default_value("/tmp/sycamorewinch-soak"),
+        "folder for data, logs and journals; those of a broken run are kept");
+    add("help", "show this help");
+    return options;
+}
+
+/** Plays one seed and prints its account; returns whether every promise was kept. */
+auto play(std::uint64_t seed, const po::variables_map& values) -> bool
+{
+    const auto work = fmt::format("{}/seed-{}", values["work"].as<std::string>(), seed);
+    std::filesystem::remove_all(work);
+    std::filesystem::create_directories(work);
+    soak_options options;
+    options.seed_ = seed;
+    options.place_ = {QCoreApplication::applicationDirPath().toStdString(), work,
+                      values["port"].as<std::uint16_t>()};
+    options.size_.nodes_ = values["nodes"].as<unsigned>();
+    options.size_.length_ = std::chrono::seconds(values["seconds"].as<unsigned>());
+    options.calls_per_second_ = values["per-second"].as<double>();
+    const auto outcome = run_soak(options);
+    if (!outcome) {
+        fmt::print("seed {}: not run: {}\n", seed, outcome.error().message_);
+        return false;
+    }
+    const auto& counts = outcome->counts_;
+    fmt::print("seed {}: {} processes, {} faults; {} calls, {} answered, {} refused as not run, {} "
+               "unknown; {} runs; {} edits accepted; {} looks at versions\n",
+               seed, outcome->processes_, outcome->faults_, counts.calls_, counts.answered_,
+               counts.refused_not_run_, counts.unknown_, counts.runs_, counts.edits_accepted_,
+               counts.versions_seen_);
+    for (const auto& line : outcome->broken_) {
+        fmt::print("  BROKEN: {}\n", line);
+    }
+    if (!outcome->broken_.empty()) {
+        for (const auto& line : outcome->account_) {
+            fmt::print("  fault: {}\n", line);
+        }
+        fmt::print("  logs: {}\n", work);
+        return false;
+    }
+    std::filesystem::remove_all(work);
+    return true;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    const QCoreApplication application(argc, argv);
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, make_options()), values);
+        po::notify(values);
+    }
+    catch (const po::error& problem) {
+        std::cerr << problem.what() << '\n' << make_options();
+        return exit_wrong_arguments;
+    }
+    if (values.contains("help")) {
+        std::cout << make_options();
+        return 0;
+    }
+    const auto from = values["from"].as<std::uint64_t>();
+    std::uint64_t broken = 0;
+    for (auto seed = from; seed < from + values["seeds"].as<std::uint64_t>(); ++seed) {
+        broken += play(seed, values) ? 0 : 1;
+        std::fflush(stdout);
+    }
+    fmt::print("{} seeds, {} with a broken promise\n", values["seeds"].as<std::uint64_t>(), broken);
+    return broken == 0 ? 0 : exit_broken;
+}
--- a/libs/observability/log.cpp
+++ b/libs/observability/log.cpp
@@ -5,15 +5,17 @@
 #include <mutex>
 #include <optional>
 
+#include <unistd.h>
+
 #include <QDateTime>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <fmt/core.h>
-#include <spdlog/sinks/stdout_sinks.h>
-#include <spdlog/spdlog.h>
+#include <spdlog/logger.h>
 
 #include "base/enum_names.h"
 #include "observability/line_budget.h"
+#include "observability/ready_sink.h"
 
 namespace sycamorewinch {
 
@@ -44,8 +46,8 @@
 
 auto make_logger() -> std::shared_ptr<spdlog::logger>
 {
-    auto logger = std::make_shared<spdlog::logger>(
-        "sycamorewinch", std::make_shared<spdlog::sinks::stdout_sink_mt>());
+    auto logger =
+        std::make_shared<spdlog::logger>("sycamorewinch", make_ready_sink(STDOUT_FILENO));
     logger->set_pattern("%v"); // the line is already JSON
     logger->set_level(spdlog::level::trace);
     return logger;
--- a/libs/observability/log.h
+++ b/libs/observability/log.h
@@ -1,6 +1,6 @@
 /** \file
  * Structured logs: one JSON object a line on standard output. Each kind of event has a budget of
- * lines (observability/line_budget.h).
+ * lines (observability/line_budget.h), and no line is waited for (observability/ready_sink.h).
  *
  * \code
  * log_event(log_level::info, "table_in_force", {{"version", version}, {"zone", zone}});
--- a/libs/observability/test/error/log_lines.cpp
+++ b/libs/observability/test/error/log_lines.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <iostream>
 #include <string>
 
@@ -51,6 +52,38 @@
     BOOST_TEST(object.value("event").toString().toStdString() == "odd");
 }
 
+BOOST_AUTO_TEST_CASE(a_reader_that_stops_costs_lines_and_holds_nobody)
+{
+    std::array<int, 2> ends{};
+    BOOST_REQUIRE(::pipe(ends.data()) == 0);
+    std::cout.flush();
+    const int kept = ::dup(STDOUT_FILENO);
+    BOOST_REQUIRE(::dup2(ends[1], STDOUT_FILENO) >= 0);
+    const std::string text(1'000, 'x');
+    constexpr int lines = 300; // more than a pipe holds
+    for (int line = 0; line < lines; ++line) {
+        log_event(log_level::info, "stuck_reader", {{"text", text}});
+    }
+    std::string read_back(1U << 20U, '\0');
+    const auto held = ::read(ends[0], read_back.data(), read_back.size());
+    BOOST_REQUIRE(held > 0);
+    log_event(log_level::info, "reader_is_back");
+    const auto count = ::read(ends[0], read_back.data(), read_back.size());
+    BOOST_REQUIRE(::dup2(kept, STDOUT_FILENO) >= 0);
+    for (const int end : {kept, ends[0], ends[1]}) {
+        ::close(end);
+    }
+    BOOST_REQUIRE(count > 0);
+    read_back.resize(static_cast<std::size_t>(count));
+    const auto out = static_cast<int>(held) / static_cast<int>(text.size()); // about
+    BOOST_TEST(out < lines);
+    const auto first = QByteArray::fromStdString(read_back.substr(0, read_back.find('\n')));
+    const auto lost = QJsonDocument::fromJson(first).object();
+    BOOST_TEST(lost.value("event").toString().toStdString() == "log_lines_lost");
+    BOOST_TEST(lost.value("lines").toInteger() >= lines - out);
+    BOOST_TEST(read_back.find("reader_is_back") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(lines_below_the_level_are_dropped)
 {
     set_log_level(log_level::error);
--- /dev/null
+++ b/libs/soak/soak_system.cpp
@@ -0,0 +1,286 @@
+#include "soak/soak_system.h"
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+
+#include <fmt/core.h>
+
+#include "base/random.h"
+#include "observability/log.h"
+
+namespace sycamorewinch {
+
+namespace {
+
+/** Ports of each kind of address, from the first port on. */
+constexpr unsigned control_peers = 0;
+constexpr unsigned control_admins_at = 10;
+constexpr unsigned relay_peers = 20;
+constexpr unsigned relay_admins = 40;
+constexpr unsigned node_peers = 100;
+constexpr unsigned node_callers = 400;
+constexpr unsigned node_admins_at = 700;
+constexpr unsigned target_ports = 1'000;
+constexpr unsigned link_ports = 1'300;
+
+constexpr unsigned zones = 3;
+/** Services take targets in turn. */
+constexpr std::array service_names{"directory", "dialer"};
+
+void write_secret(const std::string& file)
+{
+    std::ofstream out(file);
+    const auto random = system_random();
+    out << fmt::format("{:016x}{:016x}{:016x}\n", random(), random(), random());
+}
+
+} // namespace
+
+soak_system::soak_system(soak_place place, const soak_size& size)
+    : place_(std::move(place)), size_(size)
+{
+}
+
+auto soak_system::start(soak_place place, const soak_size& size)
+    -> result<std::unique_ptr<soak_system>>
+{
+    std::unique_ptr<soak_system> system(new soak_system(std::move(place), size));
+    write_secret(system->path("key"));
+    write_secret(system->token_file());
+    const auto started = system->start_controls()
+                             .and_then([&] { return system->start_relays(); })
+                             .and_then([&] { return system->start_nodes(); });
+    if (!started) {
+        return tl::unexpected(started.error());
+    }
+    return system;
+}
+
+auto soak_system::path(const std::string& name) const -> std::string
+{
+    return place_.work_folder_ + "/" + name;
+}
+
+auto soak_system::token_file() const -> std::string
+{
+    return path("token");
+}
+
+auto soak_system::address(unsigned offset) const -> peer_address
+{
+    return {"127.0.0.1", static_cast<std::uint16_t>(place_.first_port_ + offset)};
+}
+
+auto soak_system::zone_of(unsigned index) const -> std::string
+{
+    return fmt::format("zone-{}", index % zones);
+}
+
+auto soak_system::add_link(const peer_address& target) -> result<peer_address>
+{
+    const auto listen = address(link_ports + links());
+    auto proxy = fault_proxy::start(listen, target);
+    if (!proxy) {
+        return tl::unexpected(proxy.error());
+    }
+    links_.push_back(std::move(*proxy));
+    return listen;
+}
+
+auto soak_system::add_links(const std::vector<peer_address>& targets) -> result<std::string>
+{
+    std::string list;
+    for (const auto& target : targets) {
+        const auto link = add_link(target);
+        if (!link) {
+            return tl::unexpected(link.error());
+        }
+        list += (list.empty() ? "" : ",") + to_text(*link);
+    }
+    return list;
+}
+
+auto soak_system::start_daemon(const std::string& name, std::vector<std::string> arguments)
+    -> result<void>
+{
+    arguments.push_back("--name=" + name);
+    arguments.push_back("--cluster-key-file=" + path("key"));
+    arguments.push_back("--operator-token-file=" + token_file());
+    auto child = child_process::start(
+        {place_.bin_folder_ + "/sycamorewinchd", std::move(arguments), path(name + ".log")});
+    if (!child) {
+        return tl::unexpected(child.error());
+    }
+    processes_[name] = std::move(*child);
+    return {};
+}
+
+auto soak_system::start_controls() -> result<void>
+{
+    for (unsigned self = 0; self < size_.controls_; ++self) {
+        std::string peers;
+        for (unsigned other = 0; other < size_.controls_; ++other) {
+            auto at = address(control_peers + other);
+            if (other != self) {
+                const auto link = add_link(at);
+                if (!link) {
+                    return tl::unexpected(link.error());
+                }
+                at = *link;
+            }
+            peers += fmt::format("{}control-{}={}", other > 0 ? "," : "", other, to_text(at));
+        }
+        const auto name = fmt::format("control-{}", self);
+        auto started = start_daemon(
+            name, {"--role=control", "--zone=" + zone_of(self), "--control-peers=" + peers,
+                   "--listen-peers=" + to_text(address(control_peers + self)),
+                   "--listen-admin=" + to_text(address(control_admins_at + self)),
+                   "--data-dir=" + path("data-" + name)});
+        if (!started) {
+            return started;
+        }
+    }
+    return {};
+}
+
+auto soak_system::start_relays() -> result<void>
+{
+    std::vector<peer_address> controls;
+    for (unsigned index = 0; index < size_.controls_; ++index) {
+        controls.push_back(address(control_peers + index));
+    }
+    for (unsigned index = 0; index < size_.relays_; ++index) {
+        const auto upstreams = add_links(controls);
+        if (!upstreams) {
+            return tl::unexpected(upstreams.error());
+        }
+        auto started = start_daemon(
+            fmt::format("relay-{}", index),
+            {"--role=relay", "--zone=" + zone_of(index), "--upstreams=" + *upstreams,
+             "--listen-peers=" + to_text(address(relay_peers + index)),
+             "--listen-admin=" + to_text(address(relay_admins + index))});
+        if (!started) {
+            return started;
+        }
+    }
+    return {};
+}
+
+auto soak_system::start_nodes() -> result<void>
+{
+    std::vector<peer_address> relays;
+    for (unsigned index = 0; index < size_.relays_; ++index) {
+        relays.push_back(address(relay_peers + index));
+    }
+    for (unsigned index = 0; index < size_.nodes_; ++index) {
+        const auto upstreams = add_links(relays);
+        const auto caller = add_link(address(node_callers + index));
+        if (!upstreams || !caller) {
+            return tl::unexpected(upstreams ? caller.error() : upstreams.error());
+        }
+        callers_.push_back(*caller);
+        nodes_.push_back(to_text(address(node_admins_at + index)));
+        auto started = start_daemon(
+            fmt::format("node-{}", index),
+            {"--role=node", "--zone=" + zone_of(index), "--upstreams=" + *upstreams,
+             "--listen-peers=" + to_text(address(node_peers + index)),
+             "--listen-callers=" + to_text(address(node_callers + index)),
+             "--listen-admin=" + nodes_.back(), "--proof-period-ms=500",
+             "--proof-timeout-ms=2000"});
+        if (!started) {
+            return started;
+        }
+        const std::string service = service_names.at(index % service_names.size());
+        const auto name = fmt::format("target-{}", index);
+        auto target = child_process::start(
+            {place_.bin_folder_ + "/sycamorewinch-standin",
+             {"target", "--service=" + service, "--target=" + name,
+              "--listen=" + to_text(address(target_ports + index)),
+              "--node-admin=" + nodes_.back(), "--delay-ms=5",
+              "--journal=" + path("ran-" + name)},
+             path(name + ".log")});
+        if (!target) {
+            return tl::unexpected(target.error());
+        }
+        processes_[name] = std::move(*target);
+    }
+    return {};
+}
+
+auto soak_system::control_admins() const -> std::string
+{
+    std::string list;
+    for (unsigned index = 0; index < size_.controls_; ++index) {
+        list += (index > 0 ? "," : "") + to_text(address(control_admins_at + index));
+    }
+    return list;
+}
+
+auto soak_system::journals() const -> std::vector<std::string>
+{
+    std::vector<std::string> files;
+    for (unsigned index = 0; index < size_.nodes_; ++index) {
+        files.push_back(path(fmt::format("ran-target-{}", index)));
+    }
+    return files;
+}
+
+void soak_system::begin(const soak_fault& fault)
+{
+    if (fault.action_ == soak_action::link) {
+        links_.at(fault.link_)->set_fault(fault.link_fault_);
+        return;
+    }
+    const auto found = processes_.find(fault.process_);
+    if (found == processes_.end()) {
+        return;
+    }
+    auto& process = *found->second;
+    switch (fault.action_) {
+    case soak_action::pause:
+        process.pause();
+        return;
+    case soak_action::terminate:
+        process.terminate();
+        return;
+    case soak_action::wipe:
+        process.kill();
+        std::filesystem::remove_all(path("data-" + fault.process_));
+        return;
+    default:
+        process.kill();
+    }
+}
+
+void soak_system::end(const soak_fault& fault)
+{
+    if (fault.action_ == soak_action::link) {
+        links_.at(fault.link_)->set_fault(link_fault::none);
+    }
+    else if (processes_.contains(fault.process_)) {
+        restart(fault.process_);
+    }
+}
+
+void soak_system::restart(const std::string& process)
+{
+    auto& child = *processes_.at(process);
+    child.resume();
+    if (const auto started = child.start_again(); !started) {
+        log_event(log_level::error, "restart_failed",
+                  {{"process", process}, {"reason", started.error().message_}});
+    }
+}
+
+void soak_system::heal()
+{
+    for (const auto& link : links_) {
+        link->set_fault(link_fault::none);
+    }
+    for (const auto& [name, process] : processes_) {
+        restart(name);
+    }
+}
+
+} // namespace sycamorewinch
--- /dev/null
+++ b/libs/soak/soak_system.h
@@ -0,0 +1,72 @@
+/** \file
+ * The processes and links of one soak: three control processes, relays, and nodes with a target each,
+ * all on loopback. Replicas, upstreams, targets and callers are reached through proxies.
+ */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/child_process.h"
+#include "soak/fault_proxy.h"
+#include "soak/soak_plan.h"
+
+namespace sycamorewinch {
+
+/** Where programs, ports and files are. */
+struct soak_place {
+    std::string bin_folder_;  ///< Holds the programs.
+    std::string work_folder_; ///< Gets data, logs and journals.
+    std::uint16_t first_port_ = 0;
+};
+
+/** The running system. Everything ends with it. */
+class soak_system {
+  public:
+    [[nodiscard]] static auto start(soak_place place, const soak_size& size)
+        -> result<std::unique_ptr<soak_system>>;
+
+    /** Injects \p fault, and ends it again. Edits are not its business. */
+    void begin(const soak_fault& fault);
+    void end(const soak_fault& fault);
+    /** Ends every fault that is on. */
+    void heal();
+
+    /** Where callers call, through a proxy each. */
+    [[nodiscard]] auto callers() const -> const std::vector<peer_address>& { return callers_; }
+    /** The control processes' admin addresses, separated by commas. */
+    [[nodiscard]] auto control_admins() const -> std::string;
+    [[nodiscard]] auto node_admins() const -> const std::vector<std::string>& { return nodes_; }
+    [[nodiscard]] auto links() const -> unsigned { return static_cast<unsigned>(links_.size()); }
+    [[nodiscard]] auto process_count() const -> std::size_t { return processes_.size(); }
+    [[nodiscard]] auto place() const -> const soak_place& { return place_; }
+    [[nodiscard]] auto token_file() const -> std::string;
+    /** The files in which targets note what they ran. */
+    [[nodiscard]] auto journals() const -> std::vector<std::string>;
+
+  private:
+    soak_system(soak_place place, const soak_size& size);
+
+    auto start_controls() -> result<void>;
+    auto start_relays() -> result<void>;
+    auto start_nodes() -> result<void>;
+    auto start_daemon(const std::string& name, std::vector<std::string> arguments) -> result<void>;
+    /** Puts a proxy in front of \p target and returns where it listens. */
+    auto add_link(const peer_address& target) -> result<peer_address>;
+    auto add_links(const std::vector<peer_address>& targets) -> result<std::string>;
+    [[nodiscard]] auto address(unsigned offset) const -> peer_address;
+    [[nodiscard]] auto path(const std::string& name) const -> std::string;
+    [[nodiscard]] auto zone_of(unsigned index) const -> std::string;
+    void restart(const std::string& process);
+
+    soak_place place_;
+    soak_size size_;
+    std::map<std::string, std::unique_ptr<child_process>> processes_; ///< By name.
+    std::vector<std::unique_ptr<fault_proxy>> links_;
+    std::vector<peer_address> callers_;
+    std::vector<std::string> nodes_;
+};
+
+} // namespace sycamorewinch
--- a/libs/standin/load_maker.cpp
+++ b/libs/standin/load_maker.cpp
@@ -59,6 +59,10 @@
         if (!options_.key_prefix_.empty()) {
             record->key_ = options_.key_prefix_ + "-" + std::to_string(started_);
             head.headers_.push_back({"idempotency-key", record->key_});
+            head.path_ += options_.has_key_in_path_ ? "/" + record->key_ : "";
+        }
+        if (options_.on_begin_) {
+            options_.on_begin_(record->key_);
         }
         const auto began = monotonic_now();
         const auto self = shared_from_this();
@@ -67,6 +71,9 @@
             record->status_ = answer.status_;
             self->note_answer(answer, *record);
         };
+        hooks.on_body_ = [record](std::string_view bytes) {
+            record->body_ += bytes;
+        };
         hooks.on_end_ = [self, node, connection, record, began] {
             self->outcome_.seconds_.push_back(to_seconds(monotonic_now() - began));
             if (connection->is_reusable()) {
--- a/libs/standin/load_maker.h
+++ b/libs/standin/load_maker.h
@@ -21,6 +21,7 @@
     unsigned status_ = 0; ///< 0: no whole answer.
     std::string refusal_; ///< Empty: answered by a target.
     std::string outcome_; ///< Of a refusal: `not-run` or `unknown`.
+    std::string body_;    ///< Of the answer.
 };
 
 /** What load to make. */
@@ -33,6 +34,9 @@
     unsigned concurrency_ = 1;
     double per_second_ = 0;  ///< Above 0: starts calls at this rate.
     std::string key_prefix_; ///< Given: each call has the idempotency key PREFIX-NUMBER.
+    bool has_key_in_path_ = false; ///< The key is a further part of each call's path.
+    /** Is told the key of each call as it begins. */
+    std::function<void(const std::string& key)> on_begin_;
     /** Is told of each call as it ends. */
     std::function<void(const call_record& record)> on_call_;
 };
