--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -6,9 +6,9 @@
 
 #include <QTimer>
 
-#include "observability/log.h"
 #include "policy/limit_share.h"
 #include "policy/target_choice.h"
+#include "request_path/call_log.h"
 #include "request_path/peer_headers.h"
 
 namespace sycamorewinch {
@@ -175,8 +175,7 @@
 
     [[nodiscard]] auto is_untried_left() const -> bool
     {
-        return tried_.size() < route_->targets_.size() &&
-               full_targets_ <= full_targets_before_last;
+        return tried_.size() < route_->targets_.size() && full_targets_ <= full_targets_before_last;
     }
 
     /** Whether no further target would be tried after the one chosen or being chosen. */
@@ -246,6 +245,7 @@
         const auto decision = decide_retry(question_of(refusal), state().budget());
         if (decision == retry_decision::retry) {
             state().count_retry(*retry_reason_of(refusal.reason_));
+            log_decision(call_event::retried, name_of(refusal.reason_), refusal.outcome_);
             attempt();
             return;
         }
@@ -358,6 +358,8 @@
         }
         end();
         state().count_refusal(refusal_reason::target_failed);
+        log_decision(call_event::cut, name_of(refusal_reason::target_failed),
+                     request_outcome::unknown);
         if (const auto connection = connection_.lock()) {
             connection->abort();
         }
@@ -415,6 +417,7 @@
     void on_cancelled()
     {
         if (!ended_) {
+            log_decision(call_event::abandoned, "caller_gone", request_outcome::unknown);
             cancel_exchange();
             end();
         }
@@ -434,28 +437,27 @@
     {
         end();
         state().count_refusal(refusal.reason_);
-        log_refusal(refusal);
+        log_decision(call_event::refused, name_of(refusal.reason_), refusal.outcome_);
         if (const auto connection = connection_.lock()) {
             answer_refusal(*connection, environment_.node_.dialect(), refusal, request_.service_);
         }
     }
 
-    void log_refusal(const refusal& refusal)
+    void log_decision(call_event event, std::string_view reason, request_outcome outcome) const
     {
         const auto table = routes_ ? routes_->table_in_force() : nullptr;
-        log_event(log_level::info, "call_refused",
-                  {{"request", request_id_},
-                   {"route", row_ != nullptr ? row_->service_ : std::string()},
-                   {"service", request_.service_},
-                   {"priority", request_.priority_},
-                   {"target", request_.target_},
-                   {"reason", name_of(refusal.reason_)},
-                   {"outcome", name_of(refusal.outcome_)},
-                   {"attempts", attempts_},
-                   {"reached", reached_},
-                   {"targets", route_ != nullptr ? route_->targets_.size() : 0},
-                   {"after_ms", to_milliseconds(monotonic_now() - started_)},
-                   {"version", table ? table->version_.number_ : 0}});
+        log_call(event,
+                 {.request_ = request_id_,
+                  .row_ = row_ != nullptr ? row_->service_ : std::string(),
+                  .service_ = request_.service_,
+                  .target_ = request_.target_,
+                  .priority_ = request_.priority_,
+                  .attempts_ = attempts_,
+                  .reached_ = reached_,
+                  .targets_ = route_ != nullptr ? route_->targets_.size() : 0,
+                  .version_ = table ? table->version_.number_ : 0,
+                  .age_ = monotonic_now() - started_},
+                 reason, outcome);
     }
 
     void end()
