--- a/libs/policy/target_choice.cpp
+++ b/libs/policy/target_choice.cpp
@@ -8,8 +8,8 @@
 
 using candidates = std::vector<const weighted_target*>;
 
-/** What a call to another availability zone must save, in aims of its row: such calls are slower and
- * the links dear. */
+/** What a call to another availability zone must save, in aims of its row: such calls are slower
+ * and the links dear. */
 constexpr double cost_of_crossing = 1;
 
 /** Returns the cost of \p target; 0 when nothing is known of it. */
@@ -18,19 +18,9 @@
     return target.health_ ? target.health_->cost(now) : 0;
 }
 
-auto better_of_two(const candidates& targets, instant now, const random_hook& random)
+auto better_of(const weighted_target* one, const weighted_target* other, instant now)
     -> const weighted_target*
 {
-    if (targets.empty()) {
-        return nullptr;
-    }
-    const auto first = uniform_below(random, targets.size());
-    if (targets.size() == 1) {
-        return targets.front();
-    }
-    const auto second = (first + 1 + uniform_below(random, targets.size() - 1)) % targets.size();
-    const auto* one = targets[first];
-    const auto* other = targets[second];
     const auto cost = cost_of(*one, now);
     const auto other_cost = cost_of(*other, now);
     // Of a target that nothing is known of, the only way to learn is to try.
@@ -38,6 +28,19 @@
     return are_known && other_cost < cost ? other : one;
 }
 
+/** Returns the best of three draws, of which the first two differ; nullptr without \p targets. */
+auto draw_light(const candidates& targets, instant now, const random_hook& random)
+    -> const weighted_target*
+{
+    if (targets.size() <= 1) {
+        return targets.empty() ? nullptr : targets.front();
+    }
+    const auto first = uniform_below(random, targets.size());
+    const auto second = (first + 1 + uniform_below(random, targets.size() - 1)) % targets.size();
+    const auto third = uniform_below(random, targets.size());
+    return better_of(better_of(targets[first], targets[second], now), targets[third], now);
+}
+
 auto is_worth_crossing(const weighted_target& near, const weighted_target& far, instant now) -> bool
 {
     const auto cost = cost_of(far, now);
@@ -111,8 +114,8 @@
             (is_near ? near : far).push_back(&target);
         }
     }
-    const auto* nearby = better_of_two(near, now, random);
-    const auto* away = better_of_two(far, now, random);
+    const auto* nearby = draw_light(near, now, random);
+    const auto* away = draw_light(far, now, random);
     if (nearby == nullptr || away == nullptr) {
         const auto* only = nearby != nullptr ? nearby : away;
         return only != nullptr ? only : choose_target(route, excluded, random);
--- a/libs/policy/target_choice.h
+++ b/libs/policy/target_choice.h
@@ -1,7 +1,7 @@
 /** \file
  * Which target of a service takes a call.
  *
- * Where an operator gave weights, they decide. Elsewhere the better of two targets drawn at random
+ * Where an operator gave weights, they decide. Elsewhere the best of three targets drawn at random
  * is taken, by what the nodes beside them last reported (target_health::cost): quick and idle ones
  * get more, and nodes that heard the same report do not all rush to one target. A node stays in its
  * own availability zone unless a target of another one is known to be better by far.
@@ -23,7 +23,7 @@
                                  const std::vector<std::string>& excluded,
                                  const random_hook& random) -> const weighted_target*;
 
-/** Picks the better of two targets, of those in \p zone first, leaving out the names in \p excluded
+/** Picks the best of a few targets, of those in \p zone first, leaving out the names in \p excluded
  * unless all are; without a zone all are alike. Rows with weights are left to them. */
 [[nodiscard]] auto choose_light_target(const service_route& route, std::string_view zone,
                                        const std::vector<std::string>& excluded, instant now,
--- a/libs/policy/target_health.cpp
+++ b/libs/policy/target_health.cpp
@@ -9,6 +9,8 @@
 constexpr double one = 1'000;
 /** A load that was reported longer ago says nothing of now. */
 constexpr duration load_lifetime = std::chrono::seconds(3);
+/** A target of which nothing was heard for so long may have become another one: it is tried. */
+constexpr duration status_lifetime = std::chrono::seconds(10);
 /** What an error costs, in aims: the caller comes back, and is answered late. */
 constexpr double aims_per_error = 4;
 
@@ -26,6 +28,9 @@
 auto target_health::cost(instant now) const -> double
 {
     const auto age = now.time_since_epoch() - duration(reported_us_);
+    if (age >= status_lifetime) {
+        return 0;
+    }
     const auto load = age < load_lifetime ? load_ / one : 0;
     const auto busy = 1 + load * load; // a nearly full target answers later, or turns calls away
     return pace_ / one * busy + errors_ / one * aims_per_error;
--- a/libs/policy/target_health.h
+++ b/libs/policy/target_health.h
@@ -35,7 +35,7 @@
     void on_status(const target_status& status, instant now);
 
     /** Returns the time that a call is expected to cost there, in aims of its row, with the errors
-     * that are to be expected; 0 when nothing was reported. */
+     * that are to be expected; 0 when nothing was reported lately. */
     [[nodiscard]] auto cost(instant now) const -> double;
 
     /** Returns whether it is left out because it could not be reached. */
