--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -9,6 +9,7 @@
 #include "policy/limit_share.h"
 #include "policy/target_choice.h"
 #include "request_path/call_log.h"
+#include "request_path/held_answer.h"
 #include "request_path/peer_headers.h"
 
 namespace sycamorewinch {
@@ -17,8 +18,6 @@
 
 constexpr std::size_t max_replay_bytes = 64U * 1024;
 constexpr std::size_t high_water_bytes = 256U * 1024;
-/** A longer answer is passed on as it comes, and cannot be tried for again once it has begun. */
-constexpr std::size_t max_held_answer_bytes = 64U * 1024;
 /** Where so many targets in a row had no slot, the next one has the last say: asking all of a large
  * service would take longer than the caller waits, and most of the nodes' time in a rush. */
 constexpr unsigned full_targets_before_last = 2;
@@ -234,7 +233,7 @@
         }
         ran_ = ran_ || refusal.outcome_ != request_outcome::not_run;
         reached_ += refusal.reached_target_ ? 1 : 0;
-        drop_held_answer();
+        held_answer_.drop();
         note_failure(refusal.reason_);
         full_targets_ += refusal.reason_ == refusal_reason::target_full ? 1 : 0;
         crashes_ += refusal.reason_ == refusal_reason::target_failed ? 1 : 0;
@@ -292,40 +291,22 @@
             health_->on_answer();
         }
         environment_.node_.dialect().clean_answer_(head.headers_);
-        const bool is_short =
-            !head.has_body_ || head.content_length_.value_or(UINT64_MAX) <= max_held_answer_bytes;
-        if (is_short) {
-            held_answer_ = std::move(head);
+        if (held_answer::is_short(head)) {
+            held_answer_.begin(std::move(head));
             return;
         }
         responded_ = true;
         connection->respond(std::move(head));
     }
 
-    // An answer is held until it is whole, so that one that breaks off can be tried for again.
-    void drop_held_answer()
-    {
-        held_answer_.reset();
-        held_body_.clear();
-    }
-
-    void send_held_answer(http1_server_connection& connection)
-    {
-        if (held_answer_) {
-            responded_ = true;
-            connection.respond(std::move(*held_answer_));
-            connection.write(held_body_);
-        }
-    }
-
     void on_response_body(std::string_view bytes)
     {
         const auto connection = connection_.lock();
         if (ended_ || !connection) {
             return;
         }
-        if (held_answer_) {
-            held_body_ += bytes;
+        if (held_answer_.is_begun()) {
+            held_answer_.add(bytes);
             return;
         }
         connection->write(bytes);
@@ -342,7 +323,8 @@
         end();
         state().record_call(monotonic_now() - started_);
         if (const auto connection = connection_.lock()) {
-            send_held_answer(*connection);
+            responded_ = true;
+            held_answer_.send(*connection);
             connection->finish();
         }
     }
@@ -486,8 +468,7 @@
     std::vector<std::string> tried_;
     std::string replay_;
     QTimer deadline_;
-    std::optional<message_head> held_answer_;
-    std::string held_body_;
+    held_answer held_answer_;
     unsigned attempts_ = 0;
     unsigned reached_ = 0; ///< Attempts that a target had, or may have had.
     unsigned crashes_ = 0; ///< Attempts that broke at the target.
--- a/libs/request_path/exchange.h
+++ b/libs/request_path/exchange.h
@@ -62,6 +62,23 @@
     std::function<void()> on_writable_; ///< Room for more of the request's body.
 };
 
+/** Returns hooks for an exchange that goes on after its starter has gone. */
+[[nodiscard]] inline auto hooks_for_nobody() -> exchange_hooks
+{
+    exchange_hooks hooks;
+    hooks.on_response_ = [](const message_head&) {
+    };
+    hooks.on_body_ = [](std::string_view) {
+    };
+    hooks.on_end_ = [] {
+    };
+    hooks.on_refused_ = [](const refusal&) {
+    };
+    hooks.on_broken_ = [] {
+    };
+    return hooks;
+}
+
 /** What the starter of an exchange can do. */
 struct exchange_controls {
     std::function<void(std::string_view bytes)> write_; ///< A part of the request's body.
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -441,18 +441,7 @@
     // caller's next try.
     void detach()
     {
-        hooks_.on_status_ = nullptr;
-        hooks_.on_response_ = [](const message_head&) {
-        };
-        hooks_.on_body_ = [](std::string_view) {
-        };
-        hooks_.on_end_ = [] {
-        };
-        hooks_.on_refused_ = [](const refusal&) {
-        };
-        hooks_.on_broken_ = [] {
-        };
-        hooks_.on_writable_ = nullptr;
+        hooks_ = hooks_for_nobody();
         connection_->pause_reading(false);
         const auto self = shared_from_this();
         QTimer::singleShot(std::max(request_.time_left_, detached_time),
