--- a/libs/soak/fault_proxy.cpp
+++ b/libs/soak/fault_proxy.cpp
@@ -39,8 +39,8 @@
 
 fault_proxy::~fault_proxy()
 {
-    while (!passages_.empty()) {
-        end(passages_.front());
+    for (const auto& passage : std::list(passages_)) {
+        end(passage);
     }
 }
 
@@ -141,9 +141,8 @@
 
 void fault_proxy::end(const std::shared_ptr<passage>& passage)
 {
-    const auto keep = passage;
     passages_.remove(passage);
-    for (auto* socket : {keep->caller_.get(), keep->target_.get()}) {
+    for (auto* socket : {passage->caller_.get(), passage->target_.get()}) {
         socket->disconnect();
         if (fault_ == link_fault::reset) {
             abort_with_reset(*socket);
@@ -152,8 +151,8 @@
             socket->disconnectFromHost(); // after what was written is sent
         }
     }
-    keep->caller_.release()->deleteLater();
-    keep->target_.release()->deleteLater();
+    passage->caller_.release()->deleteLater();
+    passage->target_.release()->deleteLater();
 }
 
 } // namespace sycamorewinch
--- a/libs/soak/fault_proxy.h
+++ b/libs/soak/fault_proxy.h
@@ -58,6 +58,7 @@
     void accept();
     void pump(const std::shared_ptr<passage>& passage);
     [[nodiscard]] auto is_open_towards(bool target, const passage& passage) const -> bool;
+    /** \p passage must not be the list's own. */
     void end(const std::shared_ptr<passage>& passage);
 
     peer_address target_;
