--- a/libs/observability/log.cpp
+++ b/libs/observability/log.cpp
@@ -46,8 +46,7 @@
 
 auto make_logger() -> std::shared_ptr<spdlog::logger>
 {
-    auto logger =
-        std::make_shared<spdlog::logger>("sycamorewinch", make_ready_sink(STDOUT_FILENO));
+    auto logger = std::make_shared<spdlog::logger>("sycamorewinch", make_ready_sink(STDOUT_FILENO));
     logger->set_pattern("%v"); // the line is already JSON
     logger->set_level(spdlog::level::trace);
     return logger;
--- a/libs/observability/ready_sink.h
+++ b/libs/observability/ready_sink.h
@@ -15,8 +15,8 @@
 
 namespace sycamorewinch {
 
-/** Returns a sink that writes to \p descriptor, which stays open. Safe from any thread. Lines longer
- * than a pipe takes at once (4096 bytes) are left out. */
+/** Returns a sink that writes to \p descriptor, which stays open. Safe from any thread. Lines
+ * longer than a pipe takes at once (4096 bytes) are left out. */
 [[nodiscard]] auto make_ready_sink(int descriptor) -> std::shared_ptr<spdlog::sinks::sink>;
 
 } // namespace sycamorewinch
--- a/libs/request_path/test/correctness/full_targets.cpp
+++ b/libs/request_path/test/correctness/full_targets.cpp
@@ -40,7 +40,7 @@
     BOOST_TEST(wait_until([&] { return holds_whole_answer(caller->received()); }));
     BOOST_TEST(caller->received().find("sycamorewinch-refusal: target_full") != std::string::npos);
     BOOST_TEST(caller->received().find("sycamorewinch-outcome: not-run") != std::string::npos);
-    auto& tries = nodes.front().metrics_.count(
-        "sycamorewinch_retries_total", "", {{"reason", "target_full"}, {"service", "dialer"}});
+    auto& tries = nodes.front().metrics_.count("sycamorewinch_retries_total", "",
+                                               {{"reason", "target_full"}, {"service", "dialer"}});
     BOOST_TEST(tries.value() == most_further_tries);
 }
--- a/libs/request_path/test/node_fixture.cpp
+++ b/libs/request_path/test/node_fixture.cpp
@@ -82,9 +82,11 @@
         publish(*front_, row, far_address);
     }
     auto targets = std::make_shared<local_targets>();
-    targets->push_back(
-        {row.service_, "d1", {"127.0.0.1", target_port}, std::make_shared<admission>(slots),
-         std::make_shared<target_meter>()});
+    targets->push_back({row.service_,
+                        "d1",
+                        {"127.0.0.1", target_port},
+                        std::make_shared<admission>(slots),
+                        std::make_shared<target_meter>()});
     back().state_.publish_targets(std::move(targets));
 }
 
--- a/libs/soak/child_process.h
+++ b/libs/soak/child_process.h
@@ -1,6 +1,6 @@
 /** \file
- * A real process that the soak starts, signals and starts again. It only ever ends processes that it
- * started itself, by their ids.
+ * A real process that the soak starts, signals and starts again. It only ever ends processes that
+ * it started itself, by their ids.
  */
 #pragma once
 
@@ -50,8 +50,8 @@
 
     child_command command_;
     std::unique_ptr<QProcess> process_;
-    bool is_ending_ = false;        ///< Asked to end.
-    bool is_wanted_again_ = false;  ///< To be started once it has ended.
+    bool is_ending_ = false;       ///< Asked to end.
+    bool is_wanted_again_ = false; ///< To be started once it has ended.
 };
 
 } // namespace sycamorewinch
--- a/libs/soak/fault_proxy.h
+++ b/libs/soak/fault_proxy.h
@@ -24,12 +24,12 @@
 /** How a link misbehaves. */
 enum class link_fault : std::uint8_t {
     none,
-    delayed,       ///< Everything arrives a while later.
-    silent,        ///< Nothing passes either way, and nobody is told; it passes once it is over.
-    silent_to,     ///< Nothing passes towards the listener's target.
-    silent_from,   ///< Nothing passes back from it.
-    forgotten,     ///< Open connections are silent for good; new ones work.
-    reset,         ///< Open connections are reset, and new ones as they come.
+    delayed,     ///< Everything arrives a while later.
+    silent,      ///< Nothing passes either way, and nobody is told; it passes once it is over.
+    silent_to,   ///< Nothing passes towards the listener's target.
+    silent_from, ///< Nothing passes back from it.
+    forgotten,   ///< Open connections are silent for good; new ones work.
+    reset,       ///< Open connections are reset, and new ones as they come.
 };
 
 constexpr enum_names<link_fault, 7> link_fault_names{
--- a/libs/soak/soak_plan.cpp
+++ b/libs/soak/soak_plan.cpp
@@ -80,11 +80,10 @@
 
 auto to_text(const soak_fault& fault) -> std::string
 {
-    const auto what = fault.action_ == soak_action::link
-                          ? fmt::format("link {} {}", fault.link_,
-                                        link_fault_names.name(fault.link_fault_))
-                          : fmt::format("{} {}", soak_action_names.name(fault.action_),
-                                        fault.process_);
+    const auto what =
+        fault.action_ == soak_action::link
+            ? fmt::format("link {} {}", fault.link_, link_fault_names.name(fault.link_fault_))
+            : fmt::format("{} {}", soak_action_names.name(fault.action_), fault.process_);
     return fmt::format("{} ms for {} ms: {}", fault.at_.count(), fault.lasts_.count(), what);
 }
 
--- a/libs/soak/soak_plan.h
+++ b/libs/soak/soak_plan.h
@@ -1,6 +1,6 @@
 /** \file
- * Which faults a run injects, when and where: drawn from one seed, so that a run can be played again
- * with the same faults.
+ * Which faults a run injects, when and where: drawn from one seed, so that a run can be played
+ * again with the same faults.
  */
 #pragma once
 
@@ -51,8 +51,8 @@
 /** Returns one line of text for the account. */
 [[nodiscard]] auto to_text(const soak_fault& fault) -> std::string;
 
-/** Returns the faults of \p seed by their time. They come in series and overlap; at most one disk is
- * lost, because the group of three bears no more. */
+/** Returns the faults of \p seed by their time. They come in series and overlap; at most one disk
+ * is lost, because the group of three bears no more. */
 [[nodiscard]] auto make_soak_plan(std::uint64_t seed, const soak_size& size)
     -> std::vector<soak_fault>;
 
--- a/libs/soak/soak_run.cpp
+++ b/libs/soak/soak_run.cpp
@@ -82,10 +82,8 @@
   private:
     auto tool_arguments() -> QStringList
     {
-        return {QStringLiteral("--control"),
-                QString::fromStdString(system_.control_admins()),
-                QStringLiteral("--token-file"),
-                QString::fromStdString(system_.token_file()),
+        return {QStringLiteral("--control"), QString::fromStdString(system_.control_admins()),
+                QStringLiteral("--token-file"), QString::fromStdString(system_.token_file()),
                 QStringLiteral("--json")};
     }
 
@@ -157,9 +155,9 @@
     {
         const auto name = fmt::format("edit-{}", ++edits_);
         const auto timeout = QString::number(2'000 + edits_);
-        operate({QStringLiteral("--edit-id"), QString::fromStdString(name),
-                 QStringLiteral("table"), QStringLiteral("set"), QStringLiteral("directory"),
-                 QStringLiteral("timeout_ms"), timeout},
+        operate({QStringLiteral("--edit-id"), QString::fromStdString(name), QStringLiteral("table"),
+                 QStringLiteral("set"), QStringLiteral("directory"), QStringLiteral("timeout_ms"),
+                 timeout},
                 [this, name](int status, const auto& output) { note_edit(name, status, output); });
     }
 
@@ -235,12 +233,13 @@
     {
         look_timer_.stop();
         system_.heal();
-        const auto is_served = [&] { return probe_is_answered(); };
+        const auto is_served = [&] {
+            return probe_is_answered();
+        };
         if (!wait_until(is_served, recovery_time)) {
             break_promise("no call is answered within 17 s after the last fault");
         }
-        if (!wait_until([&] { return is_in_force(book_.newest_accepted()); },
-                        recovery_time)) {
+        if (!wait_until([&] { return is_in_force(book_.newest_accepted()); }, recovery_time)) {
             break_promise(fmt::format("version {} is not in force everywhere 17 s after the last "
                                       "fault",
                                       book_.newest_accepted()));
--- a/libs/soak/soak_run.h
+++ b/libs/soak/soak_run.h
@@ -1,6 +1,6 @@
 /** \file
- * One run of the soak: the system under load and faults, watched for broken promises, then healed and
- * given time to recover.
+ * One run of the soak: the system under load and faults, watched for broken promises, then healed
+ * and given time to recover.
  */
 #pragma once
 
--- a/libs/soak/soak_system.cpp
+++ b/libs/soak/soak_system.cpp
@@ -48,9 +48,10 @@
     std::unique_ptr<soak_system> system(new soak_system(std::move(place), size));
     write_secret(system->path("key"));
     write_secret(system->token_file());
-    const auto started = system->start_controls()
-                             .and_then([&] { return system->start_relays(); })
-                             .and_then([&] { return system->start_nodes(); });
+    const auto started =
+        system->start_controls().and_then([&] { return system->start_relays(); }).and_then([&] {
+            return system->start_nodes();
+        });
     if (!started) {
         return tl::unexpected(started.error());
     }
@@ -155,11 +156,11 @@
         if (!upstreams) {
             return tl::unexpected(upstreams.error());
         }
-        auto started = start_daemon(
-            fmt::format("relay-{}", index),
-            {"--role=relay", "--zone=" + zone_of(index), "--upstreams=" + *upstreams,
-             "--listen-peers=" + to_text(address(relay_peers + index)),
-             "--listen-admin=" + to_text(address(relay_admins + index))});
+        auto started =
+            start_daemon(fmt::format("relay-{}", index),
+                         {"--role=relay", "--zone=" + zone_of(index), "--upstreams=" + *upstreams,
+                          "--listen-peers=" + to_text(address(relay_peers + index)),
+                          "--listen-admin=" + to_text(address(relay_admins + index))});
         if (!started) {
             return started;
         }
@@ -181,13 +182,13 @@
         }
         callers_.push_back(*caller);
         nodes_.push_back(to_text(address(node_admins_at + index)));
-        auto started = start_daemon(
-            fmt::format("node-{}", index),
-            {"--role=node", "--zone=" + zone_of(index), "--upstreams=" + *upstreams,
-             "--listen-peers=" + to_text(address(node_peers + index)),
-             "--listen-callers=" + to_text(address(node_callers + index)),
-             "--listen-admin=" + nodes_.back(), "--proof-period-ms=500",
-             "--proof-timeout-ms=2000"});
+        auto started =
+            start_daemon(fmt::format("node-{}", index),
+                         {"--role=node", "--zone=" + zone_of(index), "--upstreams=" + *upstreams,
+                          "--listen-peers=" + to_text(address(node_peers + index)),
+                          "--listen-callers=" + to_text(address(node_callers + index)),
+                          "--listen-admin=" + nodes_.back(), "--proof-period-ms=500",
+                          "--proof-timeout-ms=2000"});
         if (!started) {
             return started;
         }
@@ -196,9 +197,8 @@
         auto target = child_process::start(
             {place_.bin_folder_ + "/sycamorewinch-standin",
              {"target", "--service=" + service, "--target=" + name,
-              "--listen=" + to_text(address(target_ports + index)),
-              "--node-admin=" + nodes_.back(), "--delay-ms=5",
-              "--journal=" + path("ran-" + name)},
+              "--listen=" + to_text(address(target_ports + index)), "--node-admin=" + nodes_.back(),
+              "--delay-ms=5", "--journal=" + path("ran-" + name)},
              path(name + ".log")});
         if (!target) {
             return tl::unexpected(target.error());
--- a/libs/soak/soak_system.h
+++ b/libs/soak/soak_system.h
@@ -1,6 +1,6 @@
 /** \file
- * The processes and links of one soak: three control processes, relays, and nodes with a target each,
- * all on loopback. Replicas, upstreams, targets and callers are reached through proxies.
+ * The processes and links of one soak: three control processes, relays, and nodes with a target
+ * each, all on loopback. Replicas, upstreams, targets and callers are reached through proxies.
  */
 #pragma once
 
--- a/libs/standin/load_maker.h
+++ b/libs/standin/load_maker.h
@@ -32,8 +32,8 @@
     std::string caller_;
     std::uint64_t calls_ = 100;
     unsigned concurrency_ = 1;
-    double per_second_ = 0;  ///< Above 0: starts calls at this rate.
-    std::string key_prefix_; ///< Given: each call has the idempotency key PREFIX-NUMBER.
+    double per_second_ = 0;        ///< Above 0: starts calls at this rate.
+    std::string key_prefix_;       ///< Given: each call has the idempotency key PREFIX-NUMBER.
     bool has_key_in_path_ = false; ///< The key is a further part of each call's path.
     /** Is told the key of each call as it begins. */
     std::function<void(const std::string& key)> on_begin_;
--- a/libs/transport/h2_connection.h
+++ b/libs/transport/h2_connection.h
@@ -118,9 +118,9 @@
     void close(connection_end end = connection_end::closed_by_us);
     /** Ends the connection once what is queued has been sent. */
     void close_after_flush(connection_end end);
-    /** Server: takes no further requests (GOAWAY), finishes those it has, then lets the client close
-     * the connection: a close with requests unread would reset it, and answers that the client has
-     * not read yet would be lost. */
+    /** Server: takes no further requests (GOAWAY), finishes those it has, then lets the client
+     * close the connection: a close with requests unread would reset it, and answers that the
+     * client has not read yet would be lost. */
     void begin_shutdown();
 
     [[nodiscard]] auto is_open() const -> bool;
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -63,10 +63,10 @@
     }
     bool connected_ = false;
     bool ended_ = false;
-    bool going_away_ = false;     ///< We sent GOAWAY.
+    bool going_away_ = false;      ///< We sent GOAWAY.
     bool peer_is_leaving_ = false; ///< The peer sent GOAWAY.
-    bool lingering_ = false;      ///< All is sent: the peer is to close the connection.
-    bool busy_ = false;       ///< Inside nghttp2: output waits until the outermost call returns.
+    bool lingering_ = false;       ///< All is sent: the peer is to close the connection.
+    bool busy_ = false; ///< Inside nghttp2: output waits until the outermost call returns.
     std::uint64_t received_ = 0;
     std::uint64_t sent_ = 0;
 
