--- a/libs/base/result.cpp
+++ b/libs/base/result.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr enum_names<error_kind, 8> error_kind_names{{"invalid_input", "not_found", "conflict",
+constexpr enum_names<error_kind, 9> error_kind_names{{"invalid_input", "not_found", "conflict",
                                                       "unavailable", "unauthorized", "too_large",
-                                                      "corrupt", "io"}};
+                                                      "corrupt", "io", "unsupported"}};
 
 } // namespace
 
--- a/libs/base/result.h
+++ b/libs/base/result.h
@@ -24,6 +24,7 @@
     too_large,     ///< A size limit was exceeded.
     corrupt,       ///< Stored or received data are damaged.
     io,            ///< An operating system call failed.
+    unsupported,   ///< The input names something that this version does not know.
 };
 
 /** Returns the name of \p kind as it appears in logs and responses. */
--- a/libs/daemon/admin_server.cpp
+++ b/libs/daemon/admin_server.cpp
@@ -16,6 +16,7 @@
 {
     switch (kind) {
     case error_kind::invalid_input:
+    case error_kind::unsupported:
         return 400;
     case error_kind::unauthorized:
         return 401;
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -199,6 +199,12 @@
         api.prove_current_ = [this](auto callback) {
             replica_->prove_current(std::move(callback), monotonic_now());
         };
+        api.count_rejected_config_ = [this](error_kind reason) {
+            rejected_configs(reason).add();
+        };
+        for (const auto reason : {error_kind::invalid_input, error_kind::unsupported}) {
+            rejected_configs(reason).add(0); // so that rate queries see the first increment
+        }
         auto serving = interfaces_.serve_control_(api);
         if (!serving) {
             return tl::unexpected(serving.error());
@@ -207,6 +213,13 @@
         return {};
     }
 
+    auto rejected_configs(error_kind reason) -> counter&
+    {
+        return metrics_.count("sycamorewinch_rejected_configs_total",
+                              "Configurations rejected by the external interface, by reason.",
+                              {{"reason", name_of(reason)}});
+    }
+
     [[nodiscard]] auto leader_host() const -> std::string
     {
         const auto& leader = replica_->raft_state().leader();
--- a/libs/daemon/external_interface.h
+++ b/libs/daemon/external_interface.h
@@ -29,6 +29,8 @@
     std::function<std::optional<error>()> not_ready_reason_;
     std::function<void(const accept_command& command, accept_callback callback)> accept_;
     std::function<void(proof_callback callback)> prove_current_;
+    /** To be called for each configuration that the interface rejects as invalid or unsupported. */
+    std::function<void(error_kind reason)> count_rejected_config_;
 };
 
 /** What a node offers to an external interface. The hooks are valid for the lifetime of the role.
