Start waiting requests by the latest start that meets their target latency

Cause: at a target that serves short calls of other targets and long requests of its own, both of one priority, the queue started by arrival.

Change: among equal priorities the request that must start the earliest goes first, and the wait is estimated from the service times of the requests ahead instead of their number. A caller that returns after a refusal has less of its target latency left and so goes before a new one.

--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -106,7 +106,8 @@
             return;
         }
         const auto self = shared_from_this();
-        queue_position_ = queue().enqueue(rank(), [self] { return self->try_start(); });
+        queue_position_ = queue().enqueue(rank(), queue().service_time(row_service_),
+                                          [self] { return self->try_start(); });
         wait_timer_.setSingleShot(true);
         QObject::connect(&wait_timer_, &QTimer::timeout, &wait_timer_, [self] {
             self->leave_queue();
@@ -117,7 +118,8 @@
 
     [[nodiscard]] auto rank() -> queue_rank
     {
-        return {request_.priority_, request_.latency_budget_ <= queue().service_time(row_service_)};
+        return make_queue_rank(request_.priority_, request_.latency_budget_,
+                               queue().service_time(row_service_), monotonic_now());
     }
 
     [[nodiscard]] auto expected_wait() -> duration
--- a/libs/request_path/wait_queue.cpp
+++ b/libs/request_path/wait_queue.cpp
@@ -29,17 +29,31 @@
                : std::min(wait_within_budget, latency_budget / wait_divisor_with_choice);
 }
 
+auto make_queue_rank(std::uint32_t priority, duration latency_budget, duration service_time,
+                     instant now) -> queue_rank
+{
+    const bool is_late = latency_budget <= service_time;
+    return {priority, is_late, is_late ? instant() : now + latency_budget - service_time};
+}
+
 auto wait_queue::expected_wait(const queue_rank& rank, std::uint32_t slots) const -> duration
 {
-    const auto requests_ahead = std::ranges::count_if(
-        waiting_, [&rank](const auto& entry) { return entry.first.rank_ <= rank; });
-    return service_time_ * (requests_ahead + 1) / std::max<std::uint32_t>(slots, 1);
+    auto work_ahead = service_time_; // of a running request
+    for (const auto& [position, request] : waiting_) {
+        if (position.rank_ > rank) {
+            break;
+        }
+        work_ahead += request.service_time_;
+    }
+    return work_ahead / std::max<std::uint32_t>(slots, 1);
 }
 
-auto wait_queue::enqueue(const queue_rank& rank, start_hook start) -> queue_position
+auto wait_queue::enqueue(const queue_rank& rank, duration service_time, start_hook start)
+    -> queue_position
 {
     const queue_position position{rank, next_arrival_++};
-    waiting_.emplace(position, std::move(start));
+    const auto expected = service_time > duration(0) ? service_time : service_time_;
+    waiting_.emplace(position, waiting_request{expected, std::move(start)});
     return position;
 }
 
@@ -51,7 +65,7 @@
     while (!waiting_.empty()) {
         const auto front = waiting_.begin();
         const auto position = front->first;
-        const auto start = front->second;
+        const auto start = front->second.start_;
         if (!start()) {
             break;
         }
--- a/libs/request_path/wait_queue.h
+++ b/libs/request_path/wait_queue.h
@@ -1,14 +1,20 @@
 /** \file
  * The queue of one thread's requests that wait for a free slot of one target.
  *
- * Requests are started in the order of their priority. Among equal priorities, those that can still
- * meet the target latency of their row go first, and among these the one that arrived first. The
- * wait of a new request is estimated from the requests ahead of it and the recent service time of
- * the target. A request whose estimated wait exceeds its limit should be refused at once, so that
- * it can be tried at another target while there is time.
+ * The load that it answers is a target whose slots are all in use, for moments or for seconds, by
+ * rows of unequal length. Requests are started in the order of their priority. Among equal
+ * priorities, those that can still meet the target latency of their row go first, and among these
+ * the one that must start the earliest to do so: a short call that another target waits for goes
+ * before a long request with time to spare, and a caller that returns after a refusal goes before a
+ * new one. The wait of a new request is estimated from the service times of the requests ahead of
+ * it. A request whose estimated wait exceeds its limit should be refused at once, so that it can be
+ * tried at another target while there is time.
  *
  * \code
- * if (queue.expected_wait(rank, slots) < wait_limit) position = queue.enqueue(rank, try_to_start);
+ * const auto rank = make_queue_rank(priority, latency_budget, service_time, now);
+ * if (queue.expected_wait(rank, slots) < wait_limit) {
+ *     position = queue.enqueue(rank, service_time, try_to_start);
+ * }
  * ...
  * queue.start_waiting(); // after each request of this thread that has ended
  * \endcode
@@ -30,10 +36,17 @@
     std::uint32_t priority_ = 0;
     /** The response will exceed the row's target latency even without a wait. */
     bool is_late_ = false;
+    /** Until when the request must start to meet the target latency; the same for all late ones. */
+    instant latest_start_{};
 
     [[nodiscard]] auto operator<=>(const queue_rank&) const = default;
 };
 
+/** Returns the rank of a request that has \p latency_budget left at \p now and that the target
+ * serves in \p service_time. */
+[[nodiscard]] auto make_queue_rank(std::uint32_t priority, duration latency_budget,
+                                   duration service_time, instant now) -> queue_rank;
+
 /** The position of a request in a queue, which also identifies it there. */
 struct queue_position {
     queue_rank rank_;
@@ -57,8 +70,10 @@
     /** Returns the estimated wait of a new request with \p rank at a target with \p slots slots. */
     [[nodiscard]] auto expected_wait(const queue_rank& rank, std::uint32_t slots) const -> duration;
 
-    /** Adds a request; \p start is called when it is first in the queue and a slot may be free. */
-    [[nodiscard]] auto enqueue(const queue_rank& rank, start_hook start) -> queue_position;
+    /** Adds a request that the target is expected to serve in \p service_time; \p start is called
+     * when it is first in the queue and a slot may be free. */
+    [[nodiscard]] auto enqueue(const queue_rank& rank, duration service_time, start_hook start)
+        -> queue_position;
     /** Removes a request that no longer waits. */
     void remove(const queue_position& position) { waiting_.erase(position); }
 
@@ -75,7 +90,12 @@
     [[nodiscard]] auto size() const -> std::size_t { return waiting_.size(); }
 
   private:
-    std::map<queue_position, start_hook> waiting_;
+    struct waiting_request {
+        duration service_time_{0};
+        start_hook start_;
+    };
+
+    std::map<queue_position, waiting_request> waiting_;
     std::uint64_t next_arrival_ = 1;
     duration service_time_{0}; ///< Moving average over the requests of all rows.
     std::map<std::string, duration> row_service_times_; ///< Moving averages by row name.
