Ask callers whom a target rejects to return after one of its requests has ended

Cause: when the target itself answered that it had not run a request, the refusal had no time of its own and callers were asked to return after the default of one second. A target that rejects a part of its requests (a spell of 8 s in which every server of a service rejects 55 of 100) has no queue behind it: the next try is as likely to be taken at once, while a second later the response misses the target latency of most rows.

Change: such a refusal names the time after which the target is expected to end one of its requests, at least 10 ms.

Test: a_caller_whom_the_target_rejects_is_asked_to_return_soon (retry-after 1 before).

--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -16,6 +16,8 @@
 /** Once a caller has disconnected from an unrepeatable request that was sent whole, the target is
  * given at least this long to respond. */
 constexpr std::chrono::milliseconds min_response_time_after_disconnect{10'000};
+/** A target that rejects requests by itself is not expected to accept the next one sooner. */
+constexpr std::chrono::milliseconds min_retry_after_rejection{10};
 /** Responses with this status or a higher one count as errors of the target. */
 constexpr unsigned first_error_status = 500;
 
@@ -368,7 +370,9 @@
         hooks_.on_end_();
     }
 
-    /** Refuses the request after a response by which the target states that it has not run it. */
+    /** Refuses the request after a response by which the target states that it has not run it. The
+     * caller is asked to return after the time in which the target ends one of its requests: a
+     * target may reject a part of its requests while others are served at once. */
     void on_target_stated_not_run()
     {
         meter_->on_error();
@@ -376,7 +380,9 @@
         if (run_) {
             run_->release();
         }
-        refuse({refusal_reason::target_full, request_outcome::not_run, true, {}});
+        const auto retry_after = std::max<duration>(expected_wait(), min_retry_after_rejection);
+        refuse({refusal_reason::target_full, request_outcome::not_run, true,
+                std::chrono::duration_cast<std::chrono::milliseconds>(retry_after)});
     }
 
     void on_failed(exchange_failure failure)
--- a/libs/request_path/test/correctness/full_targets.cpp
+++ b/libs/request_path/test/correctness/full_targets.cpp
@@ -34,6 +34,18 @@
                                records);
 }
 
+/** Returns a mapping by which every answer with status 503 states that its request has not run. */
+auto mapping_of_rejecting_targets() -> header_mapping
+{
+    auto mapping = native_header_mapping();
+    mapping.classify_response_ = [](const exchange_request&, const message_head& response) {
+        constexpr unsigned unavailable_status = 503;
+        return response.status_ == unavailable_status ? response_kind::not_run
+                                                      : response_kind::genuine;
+    };
+    return mapping;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_call_is_refused_after_three_full_targets)
@@ -49,3 +61,21 @@
         "sycamorewinch_retries_total", "", {{"reason", "target_full"}, {"service", "dialer"}});
     BOOST_TEST(retries.value() == max_retries);
 }
+
+// A target may reject a part of its requests although it has room. With a fixed Retry-After of a
+// second, the response of the caller's next try would miss most target latencies.
+BOOST_AUTO_TEST_CASE(a_caller_whom_the_target_rejects_is_asked_to_return_soon)
+{
+    const scripted_server target([](loopback_socket& peer) {
+        peer.clear();
+        peer.write("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n");
+    });
+    constexpr std::uint32_t slots = 10;
+    node_fixture nodes(call_path::through_peer, target.port(), unrepeatable_row(), slots,
+                       mapping_of_rejecting_targets());
+    const auto caller = nodes.connect();
+    caller->write("GET /x HTTP/1.1\r\nhost: a\r\n\r\n");
+    BOOST_TEST(wait_until([&] { return is_complete_response(caller->received()); }));
+    BOOST_TEST(caller->received().find("sycamorewinch-outcome: not-run") != std::string::npos);
+    BOOST_TEST(caller->received().find("retry-after: 0.01") != std::string::npos);
+}
--- a/libs/request_path/test/node_fixture.cpp
+++ b/libs/request_path/test/node_fixture.cpp
@@ -24,9 +24,11 @@
             }};
 }
 
-auto start_node(const std::string& own_address) -> std::unique_ptr<test_node>
+auto start_node(const std::string& own_address, const header_mapping& mapping)
+    -> std::unique_ptr<test_node>
 {
     auto node = std::make_unique<test_node>(own_address);
+    node->state_.set_header_mapping(mapping);
     node->state_.set_run_record_hooks(granting_hooks());
     node->state_.set_crash_report_hook([raw = node.get()](const crash_record& record) {
         const std::lock_guard guard(raw->mutex_);
@@ -70,12 +72,12 @@
 }
 
 node_fixture::node_fixture(call_path path, std::uint16_t target_port, const row& row,
-                           std::uint32_t slots)
+                           std::uint32_t slots, const header_mapping& mapping)
 {
     (void)wait_until([] { return true; }); // creates the Qt application object before any thread
-    entry_node_ = start_node(entry_node_address);
+    entry_node_ = start_node(entry_node_address, mapping);
     if (path == call_path::through_peer) {
-        target_node_ = start_node("127.0.0.1:2");
+        target_node_ = start_node("127.0.0.1:2", mapping);
         publish(*entry_node_, row, to_text(target_node_->worker_->addresses().peers_));
         publish(*target_node_, row, "127.0.0.1:2");
     }
--- a/libs/request_path/test/node_fixture.h
+++ b/libs/request_path/test/node_fixture.h
@@ -41,7 +41,8 @@
 class node_fixture {
   public:
     node_fixture(call_path path, std::uint16_t target_port, const row& row = unrepeatable_row(),
-                 std::uint32_t slots = 1'000);
+                 std::uint32_t slots = 1'000,
+                 const header_mapping& mapping = native_header_mapping());
 
     /** Returns the port that callers connect to. */
     [[nodiscard]] auto caller_port() const -> std::uint16_t;
