Bound what a large response may have in transit between two nodes

The link sends first what was written first, so short calls to the same servers waited for all bodies in transit and missed their deadline, and the requests that needed them ended with 500 (37 of 100 bookings).

Change: the window of a call's stream between nodes is 16 KiB, and the node beside the target reads on from it only when fewer bytes wait. A response that waits for the link so keeps its slot, which limits the bodies on the link and brings the wait queue into play. Control connections keep 256 KiB.

--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -25,11 +25,12 @@
     .ping_interval_ = std::chrono::milliseconds(400),
     .heartbeat_timeout_ = std::chrono::milliseconds(900),
     .handshake_timeout_ = std::chrono::milliseconds(500),
-    .idle_timeout_ = std::chrono::milliseconds(30'000)};
+    .idle_timeout_ = std::chrono::milliseconds(30'000),
+    .window_bytes_ = call_window_bytes};
 /** The idle limit is longer than that of the connecting side, which knows whether it still needs
  * the connection. */
-constexpr connection_limits incoming_peer_limits{.idle_timeout_ =
-                                                     std::chrono::milliseconds(60'000)};
+constexpr connection_limits incoming_peer_limits{.idle_timeout_ = std::chrono::milliseconds(60'000),
+                                                 .window_bytes_ = call_window_bytes};
 
 auto refusal_reason_for(http1_parse_error problem) -> refusal_reason
 {
--- a/libs/request_path/peer_service.cpp
+++ b/libs/request_path/peer_service.cpp
@@ -1,14 +1,16 @@
 #include "request_path/peer_service.h"
 
 #include "request_path/local_exchange.h"
+#include "request_path/peer_exchange.h"
 #include "request_path/peer_headers.h"
 
 namespace sycamorewinch {
 
 namespace {
 
-/** Above this number of unsent bytes, reading from the other side is paused. */
-constexpr std::size_t high_water_bytes = 256U * 1024;
+/** With more unsent bytes than this, reading from the other side is paused. A response that waits
+ * for the link so keeps its slot, which limits the number of bodies on the link. */
+constexpr std::size_t high_water_bytes = call_window_bytes;
 
 /** Connects one HTTP/2 stream to one local exchange. */
 class peer_call : public std::enable_shared_from_this<peer_call> {
--- a/libs/transport/h2_state.cpp
+++ b/libs/transport/h2_state.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-constexpr qint64 socket_high_water_bytes = 256 * 1024;
+/** Frames that are queued behind these bytes can no longer be overtaken by those of another stream.
+ */
+constexpr qint64 socket_high_water_bytes = 16 * 1024;
 constexpr std::int32_t connection_window_bytes = 16 * 1024 * 1024;
 constexpr std::chrono::milliseconds min_timer_interval{5};
 
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -21,7 +21,7 @@
 namespace internal {
 
 /** The on_writable_ hook is called when a stream's queued bytes fall to this limit or below. */
-constexpr std::size_t stream_low_water_bytes = 32U * 1024;
+constexpr std::size_t stream_low_water_bytes = 8U * 1024;
 
 /** One stream: its hooks, the header fields being received and the body bytes to be sent. */
 struct stream_state {
