--- a/libs/request_path/peer_exchange.h
+++ b/libs/request_path/peer_exchange.h
@@ -15,7 +15,7 @@
 
 /** The receive window of a call's stream between two nodes. A node's link is shared by all its
  * calls and sends first what was written first, so a short response waits for the windows of all
- * large ones in transit. Two round trips between availability zones still carry 1 MB/s and more. */
+ * large ones in transit. At a round trip of 10 ms a call still gets 1.6 MB/s. */
 constexpr std::uint32_t call_window_bytes = 16U * 1024;
 
 /** The connections of one thread to other nodes, at most one in use per node. */
