Log the time a call was given, and count only attempts that were made

The lines of calls that time out could not tell a timer that fires early from a caller that states less time: they lacked the time allowed. Each line of a call now has allowed_ms. A call cancelled at its deadline was logged with one attempt too many, since the cancellation was marked by counting another attempt; it is a flag now.

Test: request_path_test the_line_of_a_timed_out_call_has_its_time_allowed_and_its_attempts. It failed before: allowed_ms absent, attempts 2 of a call tried once.

--- a/libs/observability/test/error/log_lines.cpp
+++ b/libs/observability/test/error/log_lines.cpp
@@ -7,36 +7,14 @@
 #include <QByteArray>
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <QTemporaryFile>
 #include <boost/test/unit_test.hpp>
 
 #include "observability/log.h"
 #include "observability/metrics.h"
+#include "standin/captured_output.h"
 
 using namespace sycamorewinch;
 
-namespace {
-
-/** Returns what \p write writes to standard output. */
-template <typename Write>
-auto capture_standard_output(Write write) -> QByteArray
-{
-    QTemporaryFile file;
-    BOOST_REQUIRE(file.open());
-    std::cout.flush();
-    const int saved_descriptor = ::dup(STDOUT_FILENO);
-    BOOST_REQUIRE(::dup2(file.handle(), STDOUT_FILENO) >= 0);
-    write();
-    std::cout.flush();
-    BOOST_REQUIRE(::dup2(saved_descriptor, STDOUT_FILENO) >= 0);
-    ::close(saved_descriptor);
-    QFile output_file(file.fileName());
-    BOOST_REQUIRE(output_file.open(QIODevice::ReadOnly));
-    return output_file.readAll();
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_CASE(line_with_special_characters_is_one_json_object)
 {
     const std::string special_characters = "a\"b\\c\nd\te\x01 {}%s \xc3\xa4";
--- a/libs/request_path/call_log.cpp
+++ b/libs/request_path/call_log.cpp
@@ -19,6 +19,7 @@
                {"reached", fields.reached_},
                {"targets", fields.targets_},
                {"after_ms", to_milliseconds(fields.age_)},
+               {"allowed_ms", to_milliseconds(fields.time_allowed_)},
                {"version", fields.version_}});
 }
 
--- a/libs/request_path/call_log.h
+++ b/libs/request_path/call_log.h
@@ -36,6 +36,7 @@
     unsigned reached_ = 0;      ///< Attempts that a target has or may have received.
     std::size_t targets_ = 0;   ///< Targets of the service that could be chosen.
     std::uint64_t version_ = 0; ///< Version of the table that the call is routed by.
+    duration time_allowed_{0};  ///< From the arrival of the call's header; 0: not yet known.
     duration age_{0};           ///< Time since the call's header arrived.
 };
 
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -240,7 +240,7 @@
 
     void on_refused(unsigned attempt_number, const refusal& refusal)
     {
-        if (ended_ || attempt_number != attempts_) {
+        if (ended_ || is_cancelled_ || attempt_number != attempts_) {
             return;
         }
         may_have_run_ = may_have_run_ || refusal.outcome_ != request_outcome::not_run;
@@ -421,7 +421,7 @@
     {
         const auto controls = std::move(controls_);
         controls_ = {};
-        ++attempts_; // on_refused() ignores a late call by the cancelled attempt
+        is_cancelled_ = true; // on_refused() ignores a late call by the cancelled attempt
         if (controls.cancel_) {
             controls.cancel_();
         }
@@ -450,6 +450,7 @@
                   .reached_ = reached_,
                   .targets_ = route_ != nullptr ? route_->targets_.size() : 0,
                   .version_ = table ? table->version_.number_ : 0,
+                  .time_allowed_ = time_allowed_,
                   .age_ = monotonic_now() - arrived_},
                  reason, outcome);
     }
@@ -490,6 +491,7 @@
     bool body_ended_ = false;
     bool responded_ = false;    ///< The response to the caller has begun.
     bool may_have_run_ = false; ///< At any of the targets tried.
+    bool is_cancelled_ = false; ///< The current attempt was cancelled.
     bool ended_ = false;
 };
 
