End calls at their timeout, not up to 5 % before it

What callers saw: 504 while their server was at work, 4.75 s into a call with a timeout of 5 s, 2.85 s of 3 s, 1.14 s of 1.2 s; others waited up to 5 % longer than their row allows.

Cause: the deadline of a call was a QTimer of the default type, which may expire 5 % of its interval early or late, to merge wake-ups. Intervals of 5 s and more that are multiples of 500 ms expire exactly 250 ms early or late when their end lies in the middle of a second, hence the equal times in the record.

The two failing tests gave up 25 of 50 calls after 950 to 999 ms of 1,000 ms.

Change: libs/event_loop/deadline_timer, a type for bounds that others rely on. It waits with a precise timer and reads the clock before it expires, so a wake-up that comes early only waits again, whatever wakes it. QTimer stays for periodic checks.

--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -4,8 +4,7 @@
 #include <cstdint>
 #include <optional>
 
-#include <QTimer>
-
+#include "event_loop/deadline_timer.h"
 #include "policy/limit_share.h"
 #include "policy/target_choice.h"
 #include "request_path/call_log.h"
@@ -59,7 +58,7 @@
         }
         route_ = &choose_destination(*matched, environment_.random_);
         prepare_request(metadata);
-        start_deadline_timer();
+        deadline_timer_.start_at(arrived_ + time_allowed_);
         start_attempt();
     }
 
@@ -110,14 +109,6 @@
                                                    : environment_.node_.unrouted();
     }
 
-    void start_deadline_timer()
-    {
-        deadline_timer_.setSingleShot(true);
-        QObject::connect(&deadline_timer_, &QTimer::timeout, &deadline_timer_,
-                         [self = shared_from_this()] { self->on_deadline(); });
-        deadline_timer_.start(time_allowed_);
-    }
-
     void start_attempt()
     {
         const auto* target = choose_next_target();
@@ -361,9 +352,7 @@
 
     void on_deadline()
     {
-        if (ended_) {
-            return;
-        }
+        const auto keep = shared_from_this(); // the connection may drop its hooks
         cancel_exchange();
         if (responded_) {
             on_truncated();
@@ -461,7 +450,6 @@
             --environment_.node_.calls_in_flight();
         }
         deadline_timer_.stop();
-        deadline_timer_.disconnect();
         controls_ = {}; // breaks the reference cycle of call, exchange and hooks
     }
 
@@ -481,7 +469,9 @@
     /** The targets that were tried or have no share of the caller's limits. */
     std::vector<std::string> tried_or_without_share_;
     std::string replay_buffer_; ///< The request's body so far, for further attempts.
-    QTimer deadline_timer_;
+    deadline_timer deadline_timer_{[this] {
+        on_deadline();
+    }};
     response_buffer response_buffer_;
     unsigned attempts_ = 0;
     unsigned reached_ = 0;           ///< Attempts that a target has or may have received.
