Read a stated time as a whole number within bounds

A caller that states 12abc or 5e3 as its time was given 12 or 5 ms, and a very negative time overflowed on its way to microseconds, which could leave a call without a deadline (both read from the code, not seen in a run). Both header mappings had a parser of their own; now one, parse_time_allowed, takes a whole number only and clamps it to 0 to 24 h. Any other text counts as no stated time, so the row's timeout holds. deadline_timer caps what it hands to QTimer, which counts in an int.

Tests: request_path_test stated_times.cpp. Its cases of calls without time left pass on the code before, too.

--- a/libs/event_loop/deadline_timer.cpp
+++ b/libs/event_loop/deadline_timer.cpp
@@ -6,6 +6,14 @@
 
 namespace sycamorewinch {
 
+namespace {
+
+/** QTimer counts milliseconds in an int; on_timeout() waits again for the rest of a longer delay.
+ */
+constexpr std::chrono::hours max_interval{24};
+
+} // namespace
+
 deadline_timer::deadline_timer(std::function<void()> on_expired, clock_hook clock)
     : on_expired_(std::move(on_expired)), clock_(std::move(clock))
 {
@@ -33,7 +41,8 @@
 void deadline_timer::wait()
 {
     const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(deadline_ - clock_());
-    timer_.start(std::max(remaining, std::chrono::milliseconds(0)));
+    timer_.start(std::clamp(remaining, std::chrono::milliseconds(0),
+                            std::chrono::milliseconds(max_interval)));
 }
 
 void deadline_timer::on_timeout()
--- a/libs/request_path/native_header_mapping.cpp
+++ b/libs/request_path/native_header_mapping.cpp
@@ -1,7 +1,6 @@
-#include <charconv>
-
 #include "request_path/header_mapping.h"
 #include "request_path/peer_headers.h"
+#include "request_path/time_allowed.h"
 
 namespace sycamorewinch {
 
@@ -9,16 +8,6 @@
 
 constexpr std::string_view default_caller = "anonymous";
 
-auto parse_milliseconds(std::string_view text) -> std::optional<std::chrono::milliseconds>
-{
-    std::int64_t value = 0;
-    const auto [end, error_code] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || error_code != std::errc()) {
-        return std::nullopt;
-    }
-    return std::chrono::milliseconds(value);
-}
-
 auto read_metadata(const message_head& request) -> call_metadata
 {
     const auto caller = find_header(request.headers_, caller_header);
@@ -26,7 +15,7 @@
             std::string(caller.empty() ? default_caller : caller),
             {},
             {},
-            parse_milliseconds(find_header(request.headers_, deadline_header)),
+            parse_time_allowed(find_header(request.headers_, deadline_header)),
             !find_header(request.headers_, retry_header).empty()};
 }
 
