Do not end a working link between nodes because our own event loop stalled

What callers would see: a 502 of the node for calls whose servers are at work, or a second run of a repeatable one.

Change: the time counts from an unanswered PING, and bytes that wait to be read show that the peer is alive. A peer that is silent is still found after heartbeat_timeout_ while this process runs.

Test: transport_test a_stall_of_the_own_event_loop_does_not_end_a_working_connection. It failed before: the connection was closed after a stall of 1.1 s at a timeout of 1 s.

--- a/libs/transport/h2_connection.cpp
+++ b/libs/transport/h2_connection.cpp
@@ -81,6 +81,7 @@
     stream->all_body_submitted_ = last;
     if (state_->idle_timeout_applies()) { // the heartbeat timeout starts with the first stream
         state_->since_last_receive_.restart();
+        state_->since_unanswered_ping_.invalidate();
         state_->streams_[id] = std::move(stream);
         state_->arm_timer();
     }
--- a/libs/transport/h2_connection.h
+++ b/libs/transport/h2_connection.h
@@ -74,7 +74,8 @@
 struct connection_limits {
     /** Time without received bytes before a PING is sent. */
     std::chrono::milliseconds ping_interval_{2'000};
-    /** Time without received bytes before the connection ends. */
+    /** Time without received bytes before the connection ends. Of it, the peer has at least what
+     * lies beyond ping_interval_ to answer a PING, even if this event loop sent it late. */
     std::chrono::milliseconds heartbeat_timeout_{6'000};
     /** Time to connect and to prove the cluster key. */
     std::chrono::milliseconds handshake_timeout_{3'000};
--- a/libs/transport/h2_state.cpp
+++ b/libs/transport/h2_state.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <utility>
 
+#include <sys/socket.h>
+
 #include "transport/h2_callbacks.h"
 
 namespace sycamorewinch {
@@ -55,10 +57,14 @@
         timer_.start(std::max(limits_.idle_timeout_ - since_receive, min_timer_interval));
         return;
     }
-    const auto due =
-        since_receive < limits_.ping_interval_ && connected_
-            ? limits_.ping_interval_ - since_receive
-            : std::min(limits_.ping_interval_, limits_.heartbeat_timeout_ - since_receive);
+    auto due = limits_.heartbeat_timeout_ - since_receive;
+    if (since_unanswered_ping_.isValid()) {
+        const auto since_ping = std::chrono::milliseconds(since_unanswered_ping_.elapsed());
+        due = std::min(limits_.ping_interval_, ping_timeout() - since_ping);
+    }
+    else if (connected_) {
+        due = limits_.ping_interval_ - since_receive;
+    }
     timer_.start(std::max(due, min_timer_interval));
 }
 
@@ -92,6 +98,7 @@
     const auto bytes = socket_->readAll();
     bytes_received_ += static_cast<std::uint64_t>(bytes.size());
     since_last_receive_.restart();
+    since_unanswered_ping_.invalidate();
     inside_nghttp2_ = true;
     const auto bytes_or_error =
         nghttp2_session_mem_recv(session_, reinterpret_cast<const std::uint8_t*>(bytes.data()),
@@ -117,18 +124,58 @@
             end(connection_end_reason::closed_by_us);
         }
     }
-    else if (since_receive >= limits_.heartbeat_timeout_) {
-        end(connected_ ? connection_end_reason::silent : connection_end_reason::refused);
+    else if (!connected_) {
+        if (since_receive >= limits_.heartbeat_timeout_) {
+            end(connection_end_reason::refused);
+        }
     }
-    else if (since_receive >= limits_.ping_interval_ && connected_) {
-        nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
-        flush();
+    else {
+        check_heartbeat();
     }
     if (!ended_) {
         arm_timer();
     }
 }
 
+/** Sends a PING once nothing has arrived for ping_interval_, and ends the connection if the peer
+ * does not answer. The time without bytes alone does not tell: if this event loop stalled, the peer
+ * was not asked, or its answer was not read. */
+void h2_connection::state::check_heartbeat()
+{
+    if (has_unread_bytes()) {
+        return;
+    }
+    if (since_unanswered_ping_.isValid() &&
+        std::chrono::milliseconds(since_unanswered_ping_.elapsed()) >= ping_timeout()) {
+        end(connection_end_reason::silent);
+    }
+    else if (std::chrono::milliseconds(since_last_receive_.elapsed()) >= limits_.ping_interval_) {
+        send_ping();
+    }
+}
+
+void h2_connection::state::send_ping()
+{
+    if (!since_unanswered_ping_.isValid()) {
+        since_unanswered_ping_.start();
+    }
+    nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+    flush();
+}
+
+auto h2_connection::state::ping_timeout() const -> std::chrono::milliseconds
+{
+    return std::max(limits_.heartbeat_timeout_ - limits_.ping_interval_, min_timer_interval);
+}
+
+auto h2_connection::state::has_unread_bytes() const -> bool
+{
+    char byte = 0;
+    const auto descriptor = static_cast<int>(socket_->socketDescriptor());
+    return socket_->bytesAvailable() > 0 ||
+           ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void h2_connection::state::flush()
 {
     if (inside_nghttp2_ || ended_ || !connected_) {
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -58,6 +58,7 @@
     std::optional<connection_end_reason> close_after_flush_;
     QTimer timer_; ///< For PINGs and for the heartbeat, idle and linger timeouts.
     QElapsedTimer since_last_receive_;
+    QElapsedTimer since_unanswered_ping_; ///< Valid from a PING until the next bytes arrive.
     /** Returns whether the connection has no streams and is closed after idle_timeout_, without
      * PINGs and without the heartbeat timeout heartbeat_timeout_. */
     [[nodiscard]] auto idle_timeout_applies() const -> bool
@@ -85,6 +86,11 @@
     void make_session();
     void on_readable();
     void on_timer();
+    void check_heartbeat();
+    void send_ping();
+    /** Returns how long the peer may take to answer a PING. */
+    [[nodiscard]] auto ping_timeout() const -> std::chrono::milliseconds;
+    [[nodiscard]] auto has_unread_bytes() const -> bool;
     /** Handles a socket that was closed or failed. */
     void on_socket_closed(connection_end_reason reason);
     void arm_timer();
--- a/libs/transport/test/error/broken_peers.cpp
+++ b/libs/transport/test/error/broken_peers.cpp
@@ -1,8 +1,9 @@
 // Peers that are unresponsive, unauthenticated or malformed: only their own connection or stream
 // ends, with the right connection_end_reason.
-#include <boost/test/unit_test.hpp>
+#include <thread>
 
 #include <QTcpSocket>
+#include <boost/test/unit_test.hpp>
 
 #include "../h2_fixture.h"
 #include "transport/message_channel.h"
@@ -235,6 +236,27 @@
     BOOST_TEST((closed && !*closed));
 }
 
+BOOST_AUTO_TEST_CASE(a_stall_of_the_own_event_loop_does_not_end_a_working_connection)
+{
+    const h2_server server(
+        [](h2_connection&, stream_id, const header_list&) { return stream_hooks(); });
+    connection_limits limits;
+    limits.ping_interval_ = std::chrono::milliseconds(100);
+    limits.heartbeat_timeout_ = std::chrono::seconds(1);
+    const auto client = dial_h2(server.port(), {}, limits);
+    bool closed = false;
+    stream_hooks hooks;
+    hooks.on_closed_ = [&](bool) {
+        closed = true;
+    };
+    (void)client->request(request_fields("/"), true, std::move(hooks));
+    BOOST_TEST(wait_until([&] { return client->bytes_received() > 0; }));
+    std::this_thread::sleep_for(limits.heartbeat_timeout_ + limits.ping_interval_);
+    run_events(limits.ping_interval_);
+    BOOST_TEST(client->is_open());
+    BOOST_TEST(!closed);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_was_never_sent_is_reported_as_refused)
 {
     std::uint16_t unused = 0;
