Keep callers' connections for their header and idle timeouts

What callers saw: a connection whose request head was still arriving, or that was idle, was closed up to 5 % before the limit of the table in force, 475 ms into a limit of 500 ms.

Change: the timer is a deadline_timer, which never expires early. The linger time after the last response uses the same timer; no test covers it.

--- a/libs/http1/http1_server_connection.cpp
+++ b/libs/http1/http1_server_connection.cpp
@@ -10,6 +10,8 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include "event_loop/deadline_timer.h"
+
 namespace sycamorewinch {
 
 namespace {
@@ -27,7 +29,9 @@
     std::unique_ptr<QTcpSocket> socket_;
     http1_limits limits_;
     server_connection_hooks hooks_;
-    QTimer timer_;
+    deadline_timer timer_{[this] {
+        close_connection();
+    }};
     std::string input_;
     std::optional<http1_parser> parser_;
     std::shared_ptr<request_hooks> request_; ///< Shared: may be reset while a hook runs.
@@ -52,7 +56,6 @@
     void on_head(message_head head);
     void on_parse_error();
     void on_written();
-    void on_timeout();
     void linger();
     void read_input();
     void close_connection();
@@ -87,8 +90,6 @@
     auto* socket = socket_.get();
     socket->setReadBufferSize(read_buffer_bytes);
     socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    timer_.setSingleShot(true);
-    QObject::connect(&timer_, &QTimer::timeout, socket, [this] { on_timeout(); });
     QObject::connect(socket, &QTcpSocket::readyRead, socket, [this] { parse(); });
     QObject::connect(socket, &QTcpSocket::disconnected, socket, [this] { close_connection(); });
     QObject::connect(socket, &QTcpSocket::errorOccurred, socket, [this] { close_connection(); });
@@ -110,11 +111,6 @@
     }
 }
 
-void http1_server_connection::state::on_timeout()
-{
-    close_connection();
-}
-
 /** Shuts down the sending side once everything is written, and keeps reading what the caller sends:
  * closing with unread input would reset the connection, and the caller would lose the response. */
 void http1_server_connection::state::linger()
