Wait for stalled targets and connects as long as the limits state

What callers saw: a response that paused was cut off up to 5 % before the stall timeout, 475 ms into 500 ms; with the default of 10 s that is up to 500 ms early.

Cause: the connect and stall timers of a client connection were QTimers of the default type.

Change: both are deadline_timers. The connect timeout has no test of its own, as nothing on loopback leaves a connect unanswered.

--- a/libs/http1/http1_client_connection.cpp
+++ b/libs/http1/http1_client_connection.cpp
@@ -16,6 +16,7 @@
 #include <QTimer>
 
 #include "base/invariant.h"
+#include "event_loop/deadline_timer.h"
 
 namespace sycamorewinch {
 
@@ -53,8 +54,15 @@
     http1_client_limits limits_;
     std::optional<std::chrono::seconds> keep_alive_time_;
     std::function<void()> silent_hook_;
-    QTimer connect_timer_;
-    QTimer stall_timer_; ///< Runs while a response is incomplete.
+    deadline_timer connect_timer_{[this] {
+        on_disconnected();
+    }};
+    /** Runs while a response is incomplete. */
+    deadline_timer stall_timer_{[this] {
+        if (!is_paused_) {
+            fail(exchange_failure::truncated);
+        }
+    }};
 
     void start_socket(const std::string& host, std::uint16_t port);
     void send(std::string_view bytes);
@@ -96,15 +104,7 @@
     auto* socket = socket_.get();
     idle_timer_.start();
     socket->setReadBufferSize(read_buffer_bytes);
-    connect_timer_.setSingleShot(true);
-    QObject::connect(&connect_timer_, &QTimer::timeout, socket, [this] { on_disconnected(); });
     connect_timer_.start(limits_.connect_timeout_);
-    stall_timer_.setSingleShot(true);
-    QObject::connect(&stall_timer_, &QTimer::timeout, socket, [this] {
-        if (!is_paused_) {
-            fail(exchange_failure::truncated);
-        }
-    });
     QObject::connect(socket, &QTcpSocket::connected, socket, [this, socket] {
         connect_timer_.stop();
         is_connected_ = true;
