Let queued requests wait for a slot as long as they may

What callers saw: a request that waited for a slot of a busy target was refused up to 5 % before its longest wait, 475 ms into 500 ms, though a slot could still become free in time.

Cause: the timer of the wait was a QTimer of the default type.

Change: the timer is a deadline_timer, which exists only while the request is queued; other requests no longer construct one. The queue's reference keeps the exchange alive meanwhile.

--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <QTimer>
 
+#include "event_loop/deadline_timer.h"
 #include "request_path/crash_guard.h"
 #include "request_path/target_limit_share.h"
 #include "request_path/unrepeatable_run.h"
@@ -110,12 +111,15 @@
         const auto self = shared_from_this();
         queue_position_ = queue().enqueue(rank(), queue().service_time(row_service_),
                                           [self] { return self->try_start(); });
-        wait_timer_.setSingleShot(true);
-        QObject::connect(&wait_timer_, &QTimer::timeout, &wait_timer_, [self] {
-            self->leave_queue();
-            self->refuse_not_run(refusal_reason::target_full, self->expected_wait());
-        });
-        wait_timer_.start(std::chrono::duration_cast<std::chrono::milliseconds>(wait_limit));
+        wait_timer_.emplace([this] { on_wait_timeout(); });
+        wait_timer_->start(wait_limit);
+    }
+
+    void on_wait_timeout()
+    {
+        const auto self = shared_from_this(); // leave_queue() destroys the queue's reference
+        leave_queue();
+        refuse_not_run(refusal_reason::target_full, expected_wait());
     }
 
     [[nodiscard]] auto rank() -> queue_rank
@@ -150,8 +154,7 @@
 
     void leave_queue()
     {
-        wait_timer_.stop();
-        wait_timer_.disconnect();
+        wait_timer_.reset();
         if (const auto position = std::exchange(queue_position_, std::nullopt)) {
             queue().remove(*position);
         }
@@ -493,7 +496,7 @@
     peer_address address_;
     std::shared_ptr<http1_client_connection> connection_;
     std::optional<queue_position> queue_position_; ///< Set while the request waits for a slot.
-    QTimer wait_timer_;
+    std::optional<deadline_timer> wait_timer_;     ///< Set while the request is in the queue.
     std::optional<crash_guard> crash_guard_;
     std::unique_ptr<unrepeatable_run> run_; ///< For unrepeatable requests with an idempotency key.
     std::string pending_body_;              ///< Body that arrived before the request could be sent.
