Give keyed runs without their caller their full time

What callers saw: a run under an idempotency key whose caller has disconnected was cut off up to 5 % before its time, with the minimum of 10 s up to 500 ms early, and its key then has no stored response for the caller's retry.

Cause: the time was kept by QTimer::singleShot, which is of the coarse type from 2,000 ms on.

Change: the exchange has a deadline_timer once it is detached. The exchange no longer lives on until that time when the response comes earlier. The minimum is a parameter of start_local_exchange(), so that the test can be short.

--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <optional>
 
-#include <QTimer>
-
 #include "event_loop/deadline_timer.h"
 #include "request_path/crash_guard.h"
 #include "request_path/target_limit_share.h"
@@ -14,9 +12,6 @@
 
 namespace {
 
-/** Once a caller has disconnected from an unrepeatable request that was sent whole, the target is
- * given at least this long to respond. */
-constexpr std::chrono::milliseconds min_response_time_after_disconnect{10'000};
 /** A target that rejects requests by itself is not expected to accept the next one sooner. */
 constexpr std::chrono::milliseconds min_retry_after_rejection{10};
 /** Responses with this status or a higher one count as errors of the target. */
@@ -27,9 +22,10 @@
 class local_exchange : public std::enable_shared_from_this<local_exchange> {
   public:
     local_exchange(node_state& node, target_connections& connections, exchange_request request,
-                   exchange_hooks hooks)
+                   exchange_hooks hooks, std::chrono::milliseconds min_detached_time)
         : node_(node), connections_(connections), request_(std::move(request)),
-          hooks_(std::move(hooks)), time_left_at_(monotonic_now())
+          hooks_(std::move(hooks)), min_detached_time_(min_detached_time),
+          time_left_at_(monotonic_now())
     {
     }
 
@@ -466,14 +462,14 @@
     {
         hooks_ = make_no_op_hooks();
         connection_->pause_reading(false);
-        const auto self = shared_from_this();
-        QTimer::singleShot(std::max(request_.time_left_, min_response_time_after_disconnect),
-                           [self] { self->cancel_detached(); });
+        detached_timer_.emplace([this] { cancel_detached(); });
+        detached_timer_->start(std::max(request_.time_left_, min_detached_time_));
     }
 
     /** Ends an exchange without a caller whose target did not respond in time. */
     void cancel_detached()
     {
+        const auto self = shared_from_this(); // the connection's hooks hold the last reference
         run_.reset();
         if (const auto connection = std::exchange(connection_, nullptr)) {
             connection->cancel();
@@ -487,6 +483,7 @@
     std::string row_service_;    ///< Service of the row that matches, else of the request.
     duration target_latency_{0}; ///< Of the row that matches; zero: none.
     exchange_hooks hooks_;
+    std::chrono::milliseconds min_detached_time_;
     instant time_left_at_; ///< When request_.time_left_ was set.
     instant sent_at_{};
     limit_share limit_share_;
@@ -497,6 +494,7 @@
     std::shared_ptr<http1_client_connection> connection_;
     std::optional<queue_position> queue_position_; ///< Set while the request waits for a slot.
     std::optional<deadline_timer> wait_timer_;     ///< Set while the request is in the queue.
+    std::optional<deadline_timer> detached_timer_; ///< Set once the caller has disconnected.
     std::optional<crash_guard> crash_guard_;
     std::unique_ptr<unrepeatable_run> run_; ///< For unrepeatable requests with an idempotency key.
     std::string pending_body_;              ///< Body that arrived before the request could be sent.
@@ -511,11 +509,11 @@
 } // namespace
 
 auto start_local_exchange(node_state& node, target_connections& connections,
-                          const exchange_request& request, exchange_hooks hooks)
-    -> exchange_controls
+                          const exchange_request& request, exchange_hooks hooks,
+                          std::chrono::milliseconds min_detached_time) -> exchange_controls
 {
-    const auto exchange =
-        std::make_shared<local_exchange>(node, connections, request, std::move(hooks));
+    const auto exchange = std::make_shared<local_exchange>(node, connections, request,
+                                                           std::move(hooks), min_detached_time);
     exchange->start();
     return exchange->controls();
 }
