Limit chunk lines and trailers to the size of a header

What callers saw: a target that sent a chunk line, a chunk extension or trailers without end held the call and its slot, and the node stored all the bytes until the target paused or the call's deadline passed.

Cause: Beast's header limit covers only the head of a message. It asks for more bytes until a chunk line or the trailers are complete, and the connection keeps what was not parsed. Requests had the same gap.

Evidence: http1_test endless_chunk_lines_and_trailers_are_rejected failed on the old code in all three checks (no error after 20,000 bytes). In all 8 cases of request_path_test endless_chunk_framing_cuts_the_response the target sent its 64 MB, and calls were cut only by the stall timeout after it, 10.98 to 12.00 s after they began.

Change: more unparsed bytes than the header limit, while the parser waits for more, are an error of the message, which cuts the response.

--- a/libs/http1/http1_parser.cpp
+++ b/libs/http1/http1_parser.cpp
@@ -194,6 +194,7 @@
 } // namespace
 
 struct http1_parser::state {
+    std::uint32_t header_bytes_ = 0; ///< Limit of the head, of a chunk line and of the trailers.
     std::unique_ptr<beast_parser<true>> request_;
     std::unique_ptr<beast_parser<false>> response_;
     http1_parse_error parse_error_ = http1_parse_error::none;
@@ -213,6 +214,7 @@
 auto http1_parser::for_request(http1_limits limits, http1_parser_hooks hooks) -> http1_parser
 {
     auto parser = std::make_unique<state>();
+    parser->header_bytes_ = limits.header_bytes_;
     parser->request_ = std::make_unique<beast_parser<true>>(limits, std::move(hooks));
     return http1_parser(std::move(parser));
 }
@@ -221,6 +223,7 @@
                                 http1_parser_hooks hooks) -> http1_parser
 {
     auto parser = std::make_unique<state>();
+    parser->header_bytes_ = limits.header_bytes_;
     parser->response_ = std::make_unique<beast_parser<false>>(limits, std::move(hooks));
     if (method == "HEAD") {
         parser->response_->skip_body();
@@ -240,6 +243,10 @@
     if (code && code != http::error::need_more) {
         state_->parse_error_ = to_parse_error(code);
     }
+    else if (code == http::error::need_more && bytes.size() - consumed > state_->header_bytes_) {
+        // Beast limits the head only, not chunk lines and trailers.
+        state_->parse_error_ = http1_parse_error::header_too_large;
+    }
     return consumed;
 }
 
--- a/libs/http1/http1_parser.h
+++ b/libs/http1/http1_parser.h
@@ -2,9 +2,10 @@
  * Incremental HTTP/1.1 message parser and serializer. Wraps Boost.Beast's parser without its I/O.
  *
  * A parser parses one message. Body bytes are passed on as they arrive; only an incomplete header
- * is buffered. Hop-by-hop header fields are removed from the head. Rejected as malformed: more than
- * one length, a transfer coding other than chunked, an HTTP/1.1 request without exactly one Host
- * field, CONNECT, a request target that is neither a path nor an http:// URL (OPTIONS may have
+ * is buffered. The limit of the header also applies to each chunk line and to the trailers.
+ * Hop-by-hop header fields are removed from the head. Rejected as malformed: more than one length,
+ * a transfer coding other than chunked, an HTTP/1.1 request without exactly one Host field,
+ * CONNECT, a request target that is neither a path nor an http:// URL (OPTIONS may have
  * `*`), and an expectation other than 100-continue.
  */
 #pragma once
--- a/libs/http1/test/error/parser_errors.cpp
+++ b/libs/http1/test/error/parser_errors.cpp
@@ -60,6 +60,18 @@
     BOOST_TEST((parse(body, limits).parse_error_ == http1_parse_error::body_too_large));
 }
 
+BOOST_AUTO_TEST_CASE(endless_chunk_lines_and_trailers_are_rejected)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string many(20'000, '0');
+    const auto error_of = [&](const std::string& body) {
+        return parse(head + body).parse_error_;
+    };
+    BOOST_TEST((error_of(many) == http1_parse_error::header_too_large));
+    BOOST_TEST((error_of("3;a=" + many) == http1_parse_error::header_too_large));
+    BOOST_TEST((error_of("3\r\nabc\r\n0\r\na: " + many) == http1_parse_error::header_too_large));
+}
+
 BOOST_AUTO_TEST_CASE(chunked_body_is_decoded_completely)
 {
     const auto chunked = parse("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/libs/request_path/test/error/endless_responses.cpp
+++ b/libs/request_path/test/error/endless_responses.cpp
@@ -161,6 +161,13 @@
     {"header fields", "HTTP/1.1 200 OK\r\n", "a: b\r\n"},
 }};
 
+const std::array<endless_response, 4> endless_framing{{
+    {"chunk size", chunked_head + "4\r\npart\r\n", "0"},
+    {"chunk extension", chunked_head + "4\r\npart\r\n4;a=", "x"},
+    {"trailer line", chunked_head + "4\r\npart\r\n0\r\na: ", "x"},
+    {"trailers", chunked_head + "4\r\npart\r\n0\r\n", "a: b\r\n"},
+}};
+
 const std::array<endless_response, 3> endless_bodies{{
     {"until close", "HTTP/1.1 200 OK\r\n\r\n", "x"},
     {"chunked", chunked_head, "4\r\npart\r\n"},
@@ -178,6 +185,15 @@
     call.check_recovery();
 }
 
+BOOST_DATA_TEST_CASE(endless_chunk_framing_cuts_the_response,
+                     both_paths* boost::unit_test::data::make(endless_framing), path, response)
+{
+    endless_call call(path, response);
+    BOOST_TEST(call.is_caller_closed());
+    BOOST_TEST(call.caller_->received().find("0\r\n\r\n") == std::string::npos);
+    call.check_recovery();
+}
+
 BOOST_DATA_TEST_CASE(an_endless_response_to_another_request_becomes_a_502, both_paths, path)
 {
     endless_call call(path,
