Write no GOAWAY to a socket that the peer has closed

What operators saw: lines "QSocketNotifier: Invalid socket specified" from nodes that shut down.

Cause: when the peer closed a connection that waited for just that after its GOAWAY, the connection ended as closed by us, and that end writes a GOAWAY. The descriptor was gone by then, so Qt tried to watch descriptor -1. The backtrace is QAbstractSocket::errorOccurred, h2_connection::state::end, QIODevice::write, QSocketNotifier. The bytes were dropped with the socket; the line had no other effect found.

The new case of transport_test failed in each of 3 runs on the old code (one message of Qt, none expected).

Change: a closed socket no longer counts as connected, so the end of its connection writes nothing.

Tests: transport_test a_peer_that_closes_after_our_goaway_causes_no_write_to_its_closed_socket; the whole program passes three times, and the shutdown cases of request_path_test wrote no such line in three runs.

--- a/libs/transport/h2_state.cpp
+++ b/libs/transport/h2_state.cpp
@@ -172,6 +172,7 @@
 
 void h2_connection::state::on_socket_closed(connection_end_reason reason)
 {
+    connected_ = false;
     end(awaiting_peer_close_ ? connection_end_reason::closed_by_us : reason);
 }
 
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -64,7 +64,7 @@
     {
         return limits_.idle_timeout_.count() > 0 && connected_ && streams_.empty();
     }
-    bool connected_ = false;
+    bool connected_ = false;       ///< The socket can be written to.
     bool ended_ = false;           ///< end() was called.
     bool goaway_sent_ = false;     ///< We sent GOAWAY.
     bool goaway_received_ = false; ///< The peer sent GOAWAY.
--- a/libs/transport/test/correctness/h2_streams.cpp
+++ b/libs/transport/test/correctness/h2_streams.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "../h2_fixture.h"
+#include "standin/recorded_qt_messages.h"
 
 using namespace sycamorewinch;
 
@@ -191,6 +192,19 @@
     BOOST_TEST((server.ends()[0] == connection_end_reason::closed_by_us));
 }
 
+BOOST_AUTO_TEST_CASE(a_peer_that_closes_after_our_goaway_causes_no_write_to_its_closed_socket)
+{
+    const recorded_qt_messages messages;
+    const h2_server server(
+        [](h2_connection&, stream_id, const header_list&) { return stream_hooks(); });
+    const auto client = dial_h2(server.port());
+    BOOST_TEST(wait_until([&] { return !server.connections().empty(); }));
+    server.connections()[0]->begin_shutdown();
+    BOOST_TEST(wait_until([&] { return !server.ends().empty(); }));
+    BOOST_TEST((server.ends() == std::vector{connection_end_reason::closed_by_us}));
+    BOOST_TEST(messages.text() == "");
+}
+
 BOOST_AUTO_TEST_CASE(after_begin_shutdown_open_requests_finish_and_new_ones_are_refused)
 {
     stream_id held_stream = 0;
