Let the fault soak see calls that end with 504 before their timeout

What callers saw and the soak did not: a node answered 504 before the time that the call was given. No guarantee of the checker compared a 504 with its call's timeout, and no call of the soak was long enough to get one.

Change: a third row of 1,500 ms whose targets take 1,450 ms or never answer; restarts of nodes by SIGTERM, one after another, which overlap with the other faults; two guarantees. No 504 comes before the time the call was given, measured from before the caller sends it. A call that a target ran gets a response, unless its node was killed or the link to it had a fault. Both are lower bounds or facts, so that no load can break them.

--- a/apps/sycamorewinch-soak/main.cpp
+++ b/apps/sycamorewinch-soak/main.cpp
@@ -32,7 +32,7 @@
     add("nodes", po::value<unsigned>()->default_value(6),
         "number of nodes with one target each, 2 to 250");
     add("per-second", po::value<double>()->default_value(50),
-        "calls per second for each of two rows");
+        "calls per second for each of two rows; two fifths for the row of slow targets");
     add("port", po::value<std::uint16_t>()->default_value(21000), "first port of the range used");
     add("work", po::value<std::string>()->default_value("/tmp/sycamorewinch-soak"),
         "directory for data, logs and journals; kept for runs with violations");
@@ -61,10 +61,10 @@
     }
     const auto& counts = outcome->counts_;
     fmt::print("seed {}: {} processes, {} faults; {} calls, {} answered, {} refused as not run, {} "
-               "unknown; {} runs; {} edits accepted; {} version observations\n",
+               "unknown ({} timed out); {} runs; {} edits accepted; {} version observations\n",
                seed, outcome->processes_, outcome->faults_, counts.calls_, counts.answered_,
-               counts.refused_not_run_, counts.unknown_, counts.runs_, counts.edits_accepted_,
-               counts.versions_seen_);
+               counts.refused_not_run_, counts.unknown_, counts.timed_out_, counts.runs_,
+               counts.edits_accepted_, counts.versions_seen_);
     for (const auto& line : outcome->violations_) {
         fmt::print("  VIOLATION: {}\n", line);
     }
--- a/libs/soak/child_process.h
+++ b/libs/soak/child_process.h
@@ -41,6 +41,8 @@
     /** Asks the process to exit (SIGTERM) and returns without waiting. */
     void terminate();
     [[nodiscard]] auto is_running() const -> bool;
+    /** Returns whether the process was asked to exit and still runs. */
+    [[nodiscard]] auto is_terminating() const -> bool { return is_terminating_; }
     /** Starts the process if it is not running. After terminate(), starts it once it has exited. */
     [[nodiscard]] auto restart() -> result<void>;
 
--- a/libs/soak/fault_proxy.h
+++ b/libs/soak/fault_proxy.h
@@ -50,6 +50,7 @@
     ~fault_proxy();
 
     void set_fault(link_fault fault);
+    [[nodiscard]] auto fault() const -> link_fault { return fault_; }
     /** Returns the port listened on. */
     [[nodiscard]] auto port() const -> std::uint16_t;
 
--- a/libs/soak/guarantee_checker.cpp
+++ b/libs/soak/guarantee_checker.cpp
@@ -9,25 +9,26 @@
 namespace {
 
 constexpr unsigned ok_status = 200;
+constexpr unsigned gateway_timeout_status = 504;
 
 } // namespace
 
-void guarantee_checker::record_call_start(const std::string& key, bool is_repeatable)
+void guarantee_checker::record_call_start(const sent_call& call)
 {
     ++counts_.calls_;
-    calls_[key].is_repeatable_ = is_repeatable;
+    auto& call_state = calls_[call.key_];
+    call_state.is_repeatable_ = call.is_repeatable_;
+    call_state.time_allowed_ = call.time_allowed_;
 }
 
-void guarantee_checker::record_call_end(const call_record& call)
+void guarantee_checker::record_call_end(const call_record& call, caller_path path)
 {
     auto& call_state = calls_[call.key_];
     call_state.is_refused_not_run_ = call.outcome_ == "not-run";
+    call_state.is_dropped_ = call.status_ == 0 && path == caller_path::worked;
+    check_response(call);
     if (call.status_ == ok_status) {
         ++counts_.answered_;
-        if (call.body_.find("/" + call.key_ + " ") == std::string::npos) {
-            violations_.push_back(
-                fmt::format("call {} got the wrong response '{}'", call.key_, call.body_));
-        }
     }
     else if (call_state.is_refused_not_run_) {
         ++counts_.refused_not_run_;
@@ -37,6 +38,24 @@
     }
 }
 
+void guarantee_checker::check_response(const call_record& call)
+{
+    if (call.status_ == ok_status && call.body_.find("/" + call.key_ + " ") == std::string::npos) {
+        violations_.push_back(
+            fmt::format("call {} got the wrong response '{}'", call.key_, call.body_));
+    }
+    if (call.status_ != gateway_timeout_status) {
+        return;
+    }
+    ++counts_.timed_out_;
+    const auto time_allowed = calls_[call.key_].time_allowed_;
+    if (call.response_time_ < time_allowed) {
+        violations_.push_back(fmt::format("call {} got 504 after {} us of the {} ms it was given",
+                                          call.key_, call.response_time_.count(),
+                                          time_allowed.count()));
+    }
+}
+
 void guarantee_checker::record_run(const std::string& key)
 {
     ++counts_.runs_;
@@ -91,6 +110,10 @@
             violations.push_back(
                 fmt::format("call {} was refused as not run, but a target ran it", key));
         }
+        if (call->second.is_dropped_) {
+            violations.push_back(
+                fmt::format("a target ran call {}, but its node ended it without a response", key));
+        }
     }
     if (final_version_ < newest_accepted()) {
         violations.push_back(
--- a/libs/soak/soak_plan.cpp
+++ b/libs/soak/soak_plan.cpp
@@ -19,12 +19,23 @@
 constexpr unsigned inverse_series_probability = 5;
 constexpr unsigned faults_per_series = 3;
 constexpr milliseconds series_gap{300};
+/** Between the starts of two restarts of nodes. A restart may begin before the previous one ends.
+ */
+constexpr milliseconds shortest_restart_interval{200};
+constexpr milliseconds longest_restart_interval{1'500};
 
 auto draw_below(const random_hook& random, std::uint64_t count) -> unsigned
 {
     return static_cast<unsigned>(uniform_below(random, count));
 }
 
+auto draw_between(const random_hook& random, milliseconds shortest, milliseconds longest)
+    -> milliseconds
+{
+    return shortest + milliseconds(draw_below(
+                          random, static_cast<std::uint64_t>((longest - shortest).count())));
+}
+
 auto draw_process(const random_hook& random, const soak_size& size) -> std::string
 {
     const std::array kinds{std::pair("control", size.controls_), std::pair("relay", size.relays_),
@@ -48,9 +59,7 @@
     fault.action_ = draw_action(random);
     fault.start_ =
         milliseconds(draw_below(random, static_cast<std::uint64_t>(size.length_.count())));
-    const auto duration_range =
-        static_cast<std::uint64_t>((longest_fault - shortest_fault).count());
-    fault.duration_ = shortest_fault + milliseconds(draw_below(random, duration_range));
+    fault.duration_ = draw_between(random, shortest_fault, longest_fault);
     if (fault.action_ == soak_action::link) {
         fault.link_fault_ = static_cast<link_fault>(1 + draw_below(random, 6));
         fault.link_ = draw_below(random, size.links_);
@@ -67,6 +76,23 @@
     return fault;
 }
 
+/** Restarts the nodes one after another, starting with any of them. */
+void add_node_restarts(const random_hook& random, const soak_size& size,
+                       std::vector<soak_fault>& faults)
+{
+    const auto first_node = draw_below(random, size.nodes_);
+    auto start = draw_between(random, milliseconds(0), size.length_ / 2);
+    for (unsigned number = 0; number < size.nodes_ && start < size.length_; ++number) {
+        soak_fault fault;
+        fault.action_ = soak_action::terminate;
+        fault.process_ = fmt::format("node-{}", (first_node + number) % size.nodes_);
+        fault.start_ = start;
+        fault.duration_ = draw_between(random, shortest_fault, longest_restart_interval);
+        faults.push_back(fault);
+        start += draw_between(random, shortest_restart_interval, longest_restart_interval);
+    }
+}
+
 /** Replaces every wipe but the first by a kill: losing a second disk of three would lose accepted
  * edits. */
 void limit_to_one_wipe(std::vector<soak_fault>& faults)
@@ -105,6 +131,7 @@
             faults.push_back(fault);
         }
     }
+    add_node_restarts(random, size, faults);
     std::erase_if(faults, [&size](const auto& fault) { return fault.start_ >= size.length_; });
     std::ranges::stable_sort(faults, {}, &soak_fault::start_);
     limit_to_one_wipe(faults);
--- a/libs/soak/soak_plan.h
+++ b/libs/soak/soak_plan.h
@@ -52,8 +52,8 @@
 [[nodiscard]] auto to_text(const soak_fault& fault) -> std::string;
 
 /** Returns the faults generated from \p seed, ordered by start. The same fault may occur several
- * times in succession, and faults may overlap. At most one disk is lost in a run, because a group
- * of three replicas does not tolerate more. */
+ * times in succession, and faults may overlap. Each plan also restarts nodes one after another. At
+ * most one disk is lost in a run, because a group of three replicas does not tolerate more. */
 [[nodiscard]] auto make_soak_plan(std::uint64_t seed, const soak_size& size)
     -> std::vector<soak_fault>;
 
--- a/libs/soak/soak_run.cpp
+++ b/libs/soak/soak_run.cpp
@@ -30,7 +30,23 @@
     "service,path_prefix,weights,rate,burst,concurrency,callers,timeout_ms,retries,repeatable,"
     "depends_on\n"
     "directory,/directory,,0,0,0,,2000,2,yes,\n"
-    "dialer,/dialer,,0,0,0,,2000,2,no,directory\n";
+    "dialer,/dialer,,0,0,0,,2000,2,no,directory\n"
+    "archive,/archive,,0,0,0,,1500,1,yes,\n";
+
+/** The calls of one row. */
+struct row_load {
+    std::string service_;
+    std::string method_;
+    std::string key_prefix_;
+    bool is_repeatable_ = true;
+    milliseconds time_allowed_{0}; ///< The row's timeout_ms in its first version; edits raise it.
+    double share_ = 1;             ///< Of soak_options::calls_per_second_.
+};
+
+const row_load directory_load{"directory", "GET", "get", true, milliseconds(2'000)};
+const row_load dialer_load{"dialer", "POST", "post", false, milliseconds(2'000)};
+/** Its targets answer at about the timeout, or not at all. */
+const row_load archive_load{"archive", "GET", "slow", true, milliseconds(1'500), 0.4};
 
 /** Returns the version in force according to a node's metrics; nothing if there is none yet. */
 auto parse_table_version(const std::string& metrics) -> std::optional<std::uint64_t>
@@ -178,31 +194,34 @@
 
     void start_load()
     {
-        const auto calls = options_.calls_per_second_ *
-                           static_cast<double>(options_.size_.length_.count()) / 1'000;
-        for (const bool is_repeatable : {true, false}) {
-            load_options load;
-            load.nodes_ = system_.callers();
-            load.method_ = is_repeatable ? "GET" : "POST";
-            load.path_ = is_repeatable ? "/directory" : "/dialer";
-            load.key_prefix_ = is_repeatable ? "get" : "post";
-            load.append_key_to_path_ = true;
-            load.calls_ = static_cast<std::uint64_t>(calls);
-            load.per_second_ = options_.calls_per_second_;
-            set_call_hooks(load, is_repeatable);
+        for (const auto& row : {directory_load, dialer_load, archive_load}) {
+            auto load = make_load(row);
+            load.per_second_ = options_.calls_per_second_ * row.share_;
+            load.calls_ = static_cast<std::uint64_t>(
+                load.per_second_ * static_cast<double>(options_.size_.length_.count()) / 1'000);
             ++loads_running_;
             loads_.push_back(generate_load(load, [this](const load_result&) { --loads_running_; }));
         }
     }
 
-    void set_call_hooks(load_options& load, bool is_repeatable)
+    auto make_load(const row_load& row) -> load_options
     {
-        load.on_call_started_ = [this, is_repeatable](const std::string& key) {
-            checker_.record_call_start(key, is_repeatable);
+        load_options load;
+        load.nodes_ = system_.callers();
+        load.method_ = row.method_;
+        load.path_ = "/" + row.service_;
+        load.key_prefix_ = row.key_prefix_;
+        load.append_key_to_path_ = true;
+        load.on_call_started_ = [this, row](const call_record& call) {
+            checker_.record_call_start({call.key_, row.is_repeatable_, row.time_allowed_});
+            losses_at_start_[call.key_] = system_.response_losses(call.node_);
         };
         load.on_call_ = [this](const call_record& call) {
-            checker_.record_call_end(call);
+            const auto at_start = losses_at_start_[call.key_];
+            const bool worked = at_start && at_start == system_.response_losses(call.node_);
+            checker_.record_call_end(call, worked ? caller_path::worked : caller_path::failed);
         };
+        return load;
     }
 
     /** Reads each node's version in force. Runs the event loop while waiting, so the timer may call
@@ -262,13 +281,9 @@
     {
         if (!probe_ || probe_done_) {
             probe_done_ = false;
-            load_options load;
-            load.nodes_ = system_.callers();
-            load.path_ = "/directory";
+            auto load = make_load(directory_load);
             load.key_prefix_ = fmt::format("probe{}", ++probes_);
-            load.append_key_to_path_ = true;
             load.calls_ = system_.callers().size();
-            set_call_hooks(load, true);
             probe_ = generate_load(load, [this](const load_result& measured) {
                 const auto answered = measured.by_status_.find(200);
                 is_probe_answered_ = answered != measured.by_status_.end() &&
@@ -319,7 +334,8 @@
     soak_result result_;
     std::vector<std::shared_ptr<void>> loads_;
     std::shared_ptr<void> probe_;
-    std::map<std::string, std::uint64_t> versions_; ///< Latest version by node.
+    std::map<std::string, std::uint64_t> versions_;                  ///< Latest version by node.
+    std::map<std::string, std::optional<unsigned>> losses_at_start_; ///< Response losses, by call.
     unsigned edits_ = 0;
     unsigned probes_ = 0;
     unsigned loads_running_ = 0;
--- a/libs/soak/soak_run.h
+++ b/libs/soak/soak_run.h
@@ -17,7 +17,7 @@
     std::uint64_t seed_ = 1;
     soak_paths paths_;
     soak_size size_;
-    double calls_per_second_ = 100; ///< For each of the two rows of the table.
+    double calls_per_second_ = 100; ///< For each of two rows; two fifths of it to slow targets.
 };
 
 /** Result of a run. */
--- a/libs/soak/soak_system.cpp
+++ b/libs/soak/soak_system.cpp
@@ -1,8 +1,10 @@
 #include "soak/soak_system.h"
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 
 #include <fmt/core.h>
 
@@ -25,8 +27,26 @@
 constexpr unsigned link_ports = 1'300;
 
 constexpr unsigned zones = 3;
-/** Targets are assigned to the services in turn. */
-constexpr std::array service_names{"directory", "dialer"};
+/** Targets are assigned to the services in turn, and those of each service to the zones. */
+constexpr std::array service_names{"directory", "dialer", "archive"};
+constexpr unsigned slow_service = 2;
+/** About the timeout of the row of the slow service, and longer than a run. */
+constexpr std::array slow_target_delays_ms{1'450U, 600'000U};
+
+auto service_of(unsigned index) -> unsigned
+{
+    return (index + index / zones) % static_cast<unsigned>(service_names.size());
+}
+
+/** Returns the arguments that determine how fast a target works. */
+auto speed_arguments(unsigned index) -> std::vector<std::string>
+{
+    if (service_of(index) != slow_service) {
+        return {"--delay-ms=5"};
+    }
+    const auto delay = slow_target_delays_ms.at(index / zones % slow_target_delays_ms.size());
+    return {fmt::format("--delay-ms={}", delay), "--slots=1000"};
+}
 
 void write_secret(const std::string& file)
 {
@@ -181,6 +201,8 @@
             return tl::unexpected(upstreams ? caller.error() : upstreams.error());
         }
         callers_.push_back(*caller);
+        caller_links_.push_back(links() - 1);
+        response_losses_.push_back(0);
         node_admins_.push_back(to_text(address(node_admin_ports + index)));
         auto started =
             start_daemon(fmt::format("node-{}", index),
@@ -192,22 +214,34 @@
         if (!started) {
             return started;
         }
-        const std::string service = service_names.at(index % service_names.size());
-        const auto name = fmt::format("target-{}", index);
-        auto target = child_process::start({paths_.bin_folder_ + "/sycamorewinch-standin",
-                                            {"target", "--service=" + service, "--target=" + name,
-                                             "--listen=" + to_text(address(target_ports + index)),
-                                             "--node-admin=" + node_admins_.back(), "--delay-ms=5",
-                                             "--journal=" + path("ran-" + name)},
-                                            path(name + ".log")});
-        if (!target) {
-            return tl::unexpected(target.error());
+        started = started.and_then([&] { return start_target(index); });
+        if (!started) {
+            return started;
         }
-        processes_[name] = std::move(*target);
     }
     return {};
 }
 
+auto soak_system::start_target(unsigned index) -> result<void>
+{
+    const std::string service = service_names.at(service_of(index));
+    const auto name = fmt::format("target-{}", index);
+    std::vector<std::string> arguments{"target",
+                                       "--service=" + service,
+                                       "--target=" + name,
+                                       "--listen=" + to_text(address(target_ports + index)),
+                                       "--node-admin=" + node_admins_.at(index),
+                                       "--journal=" + path("ran-" + name)};
+    std::ranges::move(speed_arguments(index), std::back_inserter(arguments));
+    auto target = child_process::start(
+        {paths_.bin_folder_ + "/sycamorewinch-standin", std::move(arguments), path(name + ".log")});
+    if (!target) {
+        return tl::unexpected(target.error());
+    }
+    processes_[name] = std::move(*target);
+    return {};
+}
+
 auto soak_system::control_admins() const -> std::string
 {
     std::string list;
@@ -226,8 +260,32 @@
     return files;
 }
 
+void soak_system::count_response_loss(const soak_fault& fault)
+{
+    for (std::size_t node = 0; node < response_losses_.size(); ++node) {
+        const auto name = fmt::format("node-{}", node);
+        const bool is_link_fault =
+            fault.action_ == soak_action::link && fault.link_ == caller_links_[node];
+        // A second SIGTERM ends a process at once.
+        const bool is_process_end =
+            fault.process_ == name &&
+            (fault.action_ == soak_action::kill ||
+             (fault.action_ == soak_action::terminate && processes_.at(name)->is_terminating()));
+        response_losses_[node] += is_link_fault || is_process_end ? 1 : 0;
+    }
+}
+
+auto soak_system::response_losses(std::size_t node) const -> std::optional<unsigned>
+{
+    if (links_.at(caller_links_.at(node))->fault() != link_fault::none) {
+        return std::nullopt;
+    }
+    return response_losses_.at(node);
+}
+
 void soak_system::inject_fault(const soak_fault& fault)
 {
+    count_response_loss(fault);
     if (fault.action_ == soak_action::link) {
         links_.at(fault.link_)->set_fault(fault.link_fault_);
         return;
--- a/libs/soak/soak_system.h
+++ b/libs/soak/soak_system.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,9 @@
 
     /** Addresses of the nodes for callers, through one proxy each. */
     [[nodiscard]] auto callers() const -> const std::vector<peer_address>& { return callers_; }
+    /** Returns the number of faults so far that may have lost responses of \p node to its callers;
+     * nothing while the link to it has a fault. */
+    [[nodiscard]] auto response_losses(std::size_t node) const -> std::optional<unsigned>;
     /** Admin addresses of the control processes, comma-separated. */
     [[nodiscard]] auto control_admins() const -> std::string;
     [[nodiscard]] auto node_admins() const -> const std::vector<std::string>&
@@ -56,6 +60,8 @@
     auto start_controls() -> result<void>;
     auto start_relays() -> result<void>;
     auto start_nodes() -> result<void>;
+    auto start_target(unsigned index) -> result<void>;
+    void count_response_loss(const soak_fault& fault);
     auto start_daemon(const std::string& name, std::vector<std::string> arguments) -> result<void>;
     /** Starts a proxy in front of \p target and returns its listening address. */
     auto add_link(const peer_address& target) -> result<peer_address>;
@@ -71,6 +77,8 @@
     std::vector<std::unique_ptr<fault_proxy>> links_;
     std::vector<peer_address> callers_;
     std::vector<std::string> node_admins_;
+    std::vector<unsigned> caller_links_;    ///< Index of each node's link to its callers.
+    std::vector<unsigned> response_losses_; ///< By node.
 };
 
 } // namespace sycamorewinch
--- a/libs/soak/test/correctness/guarantee_checker.cpp
+++ b/libs/soak/test/correctness/guarantee_checker.cpp
@@ -4,6 +4,7 @@
 #include "soak/guarantee_checker.h"
 
 using namespace sycamorewinch;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -17,13 +18,30 @@
     return {.key_ = key, .status_ = 503, .refusal_ = "target_full", .outcome_ = outcome};
 }
 
+constexpr milliseconds time_allowed{1'500};
+
+auto timed_out(const std::string& key, duration response_time) -> call_record
+{
+    return {.key_ = key,
+            .status_ = 504,
+            .refusal_ = "deadline_passed",
+            .outcome_ = "unknown",
+            .response_time_ = response_time};
+}
+
+auto without_response(const std::string& key) -> call_record
+{
+    return {.key_ = key};
+}
+
 void begin_all(guarantee_checker& checker)
 {
     for (const auto* key : {"a", "b", "c"}) {
-        checker.record_call_start(key, false);
+        checker.record_call_start({key, false, time_allowed});
+    }
+    for (const auto* key : {"d", "e", "f", "g", "h"}) {
+        checker.record_call_start({key, true, time_allowed}); // "e" never ends
     }
-    checker.record_call_start("d", true);
-    checker.record_call_start("e", true); // never ends
 }
 
 /** A run without violations. */
@@ -31,15 +49,19 @@
 {
     guarantee_checker checker;
     begin_all(checker);
-    checker.record_call_end(answered("a"));
+    checker.record_call_end(answered("a"), caller_path::worked);
     checker.record_run("a");
-    checker.record_call_end(refused("b", "not-run"));
-    checker.record_call_end(refused("c", "unknown"));
+    checker.record_call_end(refused("b", "not-run"), caller_path::worked);
+    checker.record_call_end(refused("c", "unknown"), caller_path::worked);
     checker.record_run("c");
-    checker.record_call_end(answered("d"));
+    checker.record_call_end(answered("d"), caller_path::worked);
     checker.record_run("d");
     checker.record_run("d");
     checker.record_run("e");
+    checker.record_call_end(timed_out("f", time_allowed), caller_path::worked);
+    checker.record_call_end(without_response("g"), caller_path::failed);
+    checker.record_run("g");
+    checker.record_call_end(without_response("h"), caller_path::worked); // not run
     checker.record_version("node-1", 2);
     checker.record_version("node-1", 3);
     checker.record_accepted_edit("edit-1", 3);
@@ -55,6 +77,7 @@
     BOOST_TEST(valid_run().violations().empty());
     BOOST_TEST(valid_run().counts().answered_ == 2U);
     BOOST_TEST(valid_run().counts().refused_not_run_ == 1U);
+    BOOST_TEST(valid_run().counts().timed_out_ == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(each_violation_is_reported)
@@ -66,8 +89,17 @@
         [](auto& checker) {
             auto other = answered("e");
             other.body_ = answered("f").body_;
-            checker.record_call_end(other);
+            checker.record_call_end(other, caller_path::worked);
+        },
+        [](auto& checker) {
+            checker.record_call_end(timed_out("e", time_allowed - duration(1)),
+                                    caller_path::worked);
+        },
+        [](auto& checker) {
+            checker.record_call_end(timed_out("e", time_allowed - duration(1)),
+                                    caller_path::failed);
         },
+        [](auto& checker) { checker.record_run("h"); },
         [](auto& checker) { checker.record_version("node-1", 2); },
         [](auto& checker) { checker.record_accepted_edit("edit-2", 3); },
         [](auto& checker) { checker.record_accepted_edit("edit-3", 4); },
--- a/libs/soak/test/correctness/soak_plan.cpp
+++ b/libs/soak/test/correctness/soak_plan.cpp
@@ -28,6 +28,19 @@
     BOOST_TEST(text_of_plan(7) != text_of_plan(8));
 }
 
+BOOST_AUTO_TEST_CASE(every_plan_restarts_each_node)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        std::set<std::string> restarted;
+        for (const auto& fault : make_soak_plan(seed, size)) {
+            if (fault.action_ == soak_action::terminate) {
+                restarted.insert(fault.process_);
+            }
+        }
+        BOOST_TEST(restarted.size() == size.nodes_);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(plans_cover_every_fault_and_wipe_at_most_one_disk)
 {
     std::set<soak_action> actions;
--- a/libs/standin/load_generator.cpp
+++ b/libs/standin/load_generator.cpp
@@ -57,18 +57,20 @@
             head.headers_.push_back({"sycamorewinch-caller", options_.caller_});
         }
         const auto record = std::make_shared<call_record>();
+        record->node_ = node;
         if (!options_.key_prefix_.empty()) {
             record->key_ = options_.key_prefix_ + "-" + std::to_string(started_);
             head.headers_.push_back({"idempotency-key", record->key_});
             head.path_ += options_.append_key_to_path_ ? "/" + record->key_ : "";
         }
         if (options_.on_call_started_) {
-            options_.on_call_started_(record->key_);
+            options_.on_call_started_(*record);
         }
         const auto call_start = monotonic_now();
         const auto self = shared_from_this();
         client_exchange_hooks hooks;
-        hooks.on_response_ = [self, record](const message_head& response) {
+        hooks.on_response_ = [self, record, call_start](const message_head& response) {
+            record->response_time_ = monotonic_now() - call_start;
             record->status_ = response.status_;
             self->record_response(response, *record);
         };
--- a/libs/standin/load_generator.h
+++ b/libs/standin/load_generator.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "http1/http1_client_connection.h"
 #include "transport/peer_connection.h"
 
@@ -17,11 +18,14 @@
 
 /** The result of one call, for comparison with what the targets ran. */
 struct call_record {
-    std::string key_;     ///< Idempotency key.
-    unsigned status_ = 0; ///< 0: no complete response.
-    std::string refusal_; ///< Refusal reason; empty: answered by a target.
-    std::string outcome_; ///< Of a refusal: `not-run` or `unknown`.
-    std::string body_;    ///< Body of the response.
+    std::string key_;      ///< Idempotency key.
+    std::size_t node_ = 0; ///< Index of the node called.
+    unsigned status_ = 0;  ///< 0: no complete response.
+    std::string refusal_;  ///< Refusal reason; empty: answered by a target.
+    std::string outcome_;  ///< Of a refusal: `not-run` or `unknown`.
+    std::string body_;     ///< Body of the response.
+    /** From before the request was sent until the head of the response; 0: no response. */
+    duration response_time_{0};
 };
 
 /** Parameters of a load run. */
@@ -35,8 +39,8 @@
     double per_second_ = 0;    ///< Above 0: starts calls at this rate, whatever is in flight.
     std::string key_prefix_;   ///< If set, each call has the idempotency key PREFIX-NUMBER.
     bool append_key_to_path_ = false; ///< Appends `/KEY` to the path of each call.
-    /** Called with the key of each call when it starts. */
-    std::function<void(const std::string& key)> on_call_started_;
+    /** Called for each call when it starts, with its key and node. */
+    std::function<void(const call_record& record)> on_call_started_;
     /** Called for each call when it ends. */
     std::function<void(const call_record& record)> on_call_;
 };
