Answer the calls still open shortly before the forced end of a node

What callers saw: a reset connection and no answer. Nodes serve on for a leave notice of 2.2 s, so a call taken late in it may last until 7.2 s after SIGTERM with a row timeout of 5 s; the platform kills the process after 6 s.

Cause: a node did not know when it would be killed. It waited for its calls, for the run record (up to 5 s after the notice) and for its peers, without a bound.

Change: the setting shutdown-grace-s, filled in from the platform's GraceS; empty or 0 is no limit. Half a second before that time, or a twelfth of it if that is less, so always within its last sixth, each call of a caller ends as at its deadline: 504 with outcome unknown, or a truncated response if it has begun; its exchange is cancelled. Connections of other nodes are closed, and their callers' nodes decide on a retry. The process ends once this is sent, at the latest half the remaining time later. Until the cut nothing ends early, before or after the notice. A worker now also waits until its sockets have taken all bytes for callers: the call counts as ended when its response is written, not when it is sent.

The sequence moved from node_role.cpp to daemon/node_shutdown.

Tests: request_path_test cut_calls.cpp (calls directly and through a peer, responses that have begun, the node beside the target); daemon_test node_shutdown.cpp; settings_test. With cut_calls() doing nothing, as before, the two cases "goes_without" failed with 124 failures: no caller had a response. The wait for unsent bytes has no test of its own: without it the cases passed in five runs. settings_test, daemon_test, http1_test, transport_test, platform_test pass, request_path_test twice.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -6,6 +6,7 @@
 #include "daemon/admin_server.h"
 #include "daemon/coalesced_call.h"
 #include "daemon/drain_api.h"
+#include "daemon/node_shutdown.h"
 #include "daemon/run_channels.h"
 #include "daemon/target_registry.h"
 #include "daemon/upstream_link.h"
@@ -18,7 +19,6 @@
 namespace {
 
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
-constexpr auto shutdown_check_period = std::chrono::milliseconds(20);
 constexpr auto run_check_period = std::chrono::milliseconds(50);
 /** How long changes of other nodes' targets wait for further ones before the routes are rebuilt.
  * Until then a call to a target that has left is refused by the node beside it and retried. */
@@ -27,8 +27,6 @@
 constexpr auto default_shutdown_grace = std::chrono::milliseconds(1'000);
 /** The same after a leave notice; covers only the requests still in transit. */
 constexpr auto shutdown_grace_after_notice = std::chrono::milliseconds(200);
-/** How long a shutdown waits until all operations on the request record are acknowledged. */
-constexpr duration max_run_record_wait = std::chrono::seconds(5);
 constexpr int default_lease_ms = 5'000;
 constexpr int max_lease_ms = 600'000;
 constexpr int max_slots = 100'000;
@@ -168,17 +166,19 @@
     /** Applies new upstreams; the current connection stays. */
     void reload(const daemon_settings& settings) { link_.set_upstreams(settings.upstreams_); }
 
-    /** Reports not ready and keeps serving for the leave notice, so that callers can move to other
-     * nodes, then stops serving. */
-    void shut_down(const std::function<void()>& done)
+    void shut_down(const std::function<void()>& done) { shutdown_.start(done); }
+
+  private:
+    auto make_shutdown_hooks() -> node_shutdown_hooks
     {
-        has_shutdown_started_ = true;
-        QTimer::singleShot(settings_.leave_notice_, &shutdown_timer_,
-                           [this, done] { stop_serving(done); });
+        return {[this] { stop_serving(); }, [this] { return cut_calls(); },
+                [this] { return state_.calls_in_flight() != 0; },
+                [this] {
+                    return run_client_.unacknowledged_reports() != 0;
+                }};
     }
 
-  private:
-    void stop_serving(const std::function<void()>& done)
+    void stop_serving()
     {
         const bool had_notice = settings_.leave_notice_.count() > 0;
         state_.begin_shutdown();
@@ -190,22 +190,20 @@
             worker->begin_shutdown(had_notice ? shutdown_grace_after_notice
                                               : default_shutdown_grace);
         }
-        const auto record_deadline = monotonic_now() + max_run_record_wait;
-        QObject::connect(
-            &shutdown_timer_, &QTimer::timeout, &shutdown_timer_, [this, done, record_deadline] {
-                const bool is_record_wait_over =
-                    run_client_.unacknowledged_reports() == 0 || monotonic_now() > record_deadline;
-                if (state_.calls_in_flight() == 0 && is_record_wait_over) {
-                    shutdown_timer_.stop();
-                    done();
-                }
-            });
-        shutdown_timer_.start(shutdown_check_period);
+    }
+
+    auto cut_calls() -> std::size_t
+    {
+        std::size_t calls = 0;
+        for (const auto& worker : workers_) {
+            calls += worker->cut_calls();
+        }
+        return calls;
     }
 
     [[nodiscard]] auto is_ready() -> bool
     {
-        return link_.logic().enforced() && !has_shutdown_started_;
+        return link_.logic().enforced() && !shutdown_.has_started();
     }
 
     auto start_external_interface() -> result<void>
@@ -489,10 +487,10 @@
                                       }};
     QTimer lease_timer_;
     QTimer run_timer_;
-    QTimer shutdown_timer_;
     std::vector<std::unique_ptr<node_worker>> workers_;
+    node_shutdown shutdown_{{settings_.leave_notice_, settings_.shutdown_grace_},
+                            make_shutdown_hooks()};
     instant started_at_ = monotonic_now();
-    bool has_shutdown_started_ = false;
     std::shared_ptr<void> external_interface_; ///< Empty without an external interface.
 };
 
--- a/libs/http1/http1_server_connection.cpp
+++ b/libs/http1/http1_server_connection.cpp
@@ -370,6 +370,16 @@
     return static_cast<std::size_t>(state_->socket_->bytesToWrite());
 }
 
+auto http1_server_connection::end_request_time() -> bool
+{
+    const auto hooks = state_->request_;
+    if (!state_->response_pending_ || !hooks || !hooks->on_time_up_) {
+        return false;
+    }
+    hooks->on_time_up_();
+    return true;
+}
+
 void http1_server_connection::close_after_next_response()
 {
     state_->send_connection_close_ = true;
--- a/libs/http1/http1_server_connection.h
+++ b/libs/http1/http1_server_connection.h
@@ -29,6 +29,8 @@
     /** The caller disconnected or violated the protocol; the response can no longer be delivered.
      */
     std::function<void()> on_cancelled_;
+    /** The time for the request has ended; the owner must finish or abort the response. */
+    std::function<void()> on_time_up_;
 };
 
 /** Callbacks of a connection. */
@@ -72,6 +74,8 @@
     void pause_reading(bool paused);
     /** Returns the bytes written that the operating system has not accepted yet. */
     [[nodiscard]] auto queued_bytes() const -> std::size_t;
+    /** Calls on_time_up_ of the current request; returns false if none is in progress. */
+    auto end_request_time() -> bool;
     /** Closes after the next response to be started, which carries `connection: close`. */
     void close_after_next_response();
     /** Closes after the current response, or at once if idle. */
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -70,6 +70,7 @@
             [self] { self->on_request_end(); },
             [self] { self->on_caller_writable(); },
             [self] { self->on_cancelled(); },
+            [self] { self->on_deadline(); },
         };
     }
 
@@ -352,6 +353,9 @@
 
     void on_deadline()
     {
+        if (ended_) {
+            return;
+        }
         const auto keep = shared_from_this(); // the connection may drop its hooks
         cancel_exchange();
         if (responded_) {
--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -1,5 +1,6 @@
 #include "request_path/node_worker.h"
 
+#include <algorithm>
 #include <future>
 #include <set>
 #include <utility>
@@ -152,8 +153,8 @@
     /** Closes the listeners and tells peers to send no new requests. A caller whose connection is
      * idle may be sending a request at this moment: requests that arrive within \p grace get a
      * response with `connection: close`. The thread counts as a call in flight until the grace
-     * period has ended and the peers have closed their connections, and have thus read all
-     * responses. */
+     * period has ended, all bytes for callers are sent, and the peers have closed their
+     * connections, and have thus read all responses. */
     void begin_shutdown(std::chrono::milliseconds grace)
     {
         is_in_grace_period_ = true;
@@ -168,7 +169,7 @@
         QObject::connect(&grace_timer_, &QTimer::timeout, &context_, [this] {
             if (caller_connections_.empty() || monotonic_now() > grace_end_) {
                 close_idle_callers();
-                if (peer_connections_.empty()) {
+                if (peer_connections_.empty() && !has_unsent_bytes()) {
                     end_grace_period();
                 }
             }
@@ -184,6 +185,27 @@
         }
     }
 
+    [[nodiscard]] auto has_unsent_bytes() const -> bool
+    {
+        return std::ranges::any_of(caller_connections_, [](const auto& connection) {
+            return connection->queued_bytes() > 0;
+        });
+    }
+
+    auto cut_calls() -> std::size_t
+    {
+        std::size_t calls = 0;
+        for (const auto& connection : std::set(caller_connections_)) {
+            connection->close_when_idle();
+            calls += connection->end_request_time() ? 1 : 0;
+        }
+        for (const auto& connection : std::set(peer_connections_)) {
+            calls += connection->open_streams();
+            connection->close();
+        }
+        return calls;
+    }
+
     void end_grace_period()
     {
         grace_timer_.stop();
@@ -258,4 +280,13 @@
         Qt::QueuedConnection);
 }
 
+auto node_worker::cut_calls() -> std::size_t
+{
+    std::size_t calls = 0;
+    QMetaObject::invokeMethod(
+        &thread_state_->context_, [&] { calls = thread_state_->cut_calls(); },
+        Qt::BlockingQueuedConnection);
+    return calls;
+}
+
 } // namespace sycamorewinch
--- a/libs/request_path/node_worker.h
+++ b/libs/request_path/node_worker.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 
 #include "request_path/node_state.h"
@@ -37,9 +38,16 @@
     /** Stops listening at once, and closes idle connections of callers after \p grace. Requests
      * that arrive within \p grace still get a response, and requests in flight continue. The thread
      * counts as a call in flight of the node from before this function returns until the grace
-     * period has ended and the peers have closed their connections. */
+     * period has ended, callers have been sent their responses, and the peers have closed their
+     * connections. */
     void begin_shutdown(std::chrono::milliseconds grace);
 
+    /** Ends all calls in progress, and returns how many there were. Callers get the response to a
+     * call whose deadline has passed, or a truncated one if it has begun; the connections of other
+     * nodes are closed. The thread counts as a call in flight until the responses are sent. To be
+     * called after begin_shutdown(). */
+    [[nodiscard]] auto cut_calls() -> std::size_t;
+
     /** Returns the addresses that this worker listens on, with the actual ports. */
     [[nodiscard]] auto addresses() const -> const node_addresses& { return addresses_; }
 
--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -65,6 +65,9 @@
         "node: time without a proof after which it switches to another upstream");
     add("leave-notice-ms", with_default("0"),
         "node: on shutdown, how long it still serves requests while it reports not ready");
+    add("shutdown-grace-s", empty_by_default(),
+        "node: seconds from the request to shut down to the forced end of the process; calls still "
+        "open shortly before it get their last answer; empty or 0: no limit");
     add("requests-ahead", with_default("0"),
         "node: requests sent to a target beyond its slots, to wait there for a slot, 0 to 100");
     add("prefer-own-zone", with_default("no"), "node: yes prefers targets in its own zone");
@@ -170,6 +173,7 @@
 constexpr unsigned max_tolerated_losses = 5;
 constexpr unsigned max_requests_ahead = 100;
 constexpr unsigned max_duration_ms = 60'000;
+constexpr double max_shutdown_grace_s = 3'600;
 
 void read_control_settings(settings_reader& reader, daemon_settings& settings)
 {
@@ -203,6 +207,8 @@
         settings.prefers_own_zone_ = reader.boolean("prefer-own-zone");
         settings.leave_notice_ =
             std::chrono::milliseconds(reader.number("leave-notice-ms", max_duration_ms, 0));
+        settings.shutdown_grace_ =
+            reader.optional_seconds("shutdown-grace-s", max_shutdown_grace_s);
         settings.requests_ahead_ = reader.number("requests-ahead", max_requests_ahead, 0);
         settings.proof_period_ = reader.milliseconds("proof-period-ms", max_duration_ms);
         settings.proof_timeout_ = reader.milliseconds("proof-timeout-ms", max_duration_ms);
--- a/libs/settings/daemon_settings.h
+++ b/libs/settings/daemon_settings.h
@@ -60,6 +60,8 @@
     std::chrono::milliseconds proof_timeout_{8'000};
     /** Node: on shutdown, how long it still serves calls while it reports not ready. */
     std::chrono::milliseconds leave_notice_{0};
+    /** Node: from the request to shut down to the forced end of the process; zero: no limit. */
+    std::chrono::milliseconds shutdown_grace_{0};
     /** Node: requests sent beyond the slots of a target, so that no slot is idle. */
     unsigned requests_ahead_ = 0;
     bool prefers_own_zone_ = false; ///< Node: prefers targets in its own zone.
--- a/libs/settings/settings_reader.cpp
+++ b/libs/settings/settings_reader.cpp
@@ -119,6 +119,25 @@
     return std::chrono::milliseconds(number(name, maximum));
 }
 
+auto settings_reader::optional_seconds(const std::string& name, double maximum)
+    -> std::chrono::milliseconds
+{
+    if (!is_set(name)) {
+        return std::chrono::milliseconds(0);
+    }
+    const auto value = text(name);
+    const auto* end = value.data() + value.size();
+    double seconds = 0;
+    const auto [parsed_end, error_code] =
+        std::from_chars(value.data(), end, seconds, std::chars_format::fixed);
+    // The comparison also rejects "nan".
+    if (error_code != std::errc() || parsed_end != end || !(seconds >= 0 && seconds <= maximum)) {
+        reject(name, value, fmt::format("must be a number of seconds from 0 to {}", maximum));
+        return std::chrono::milliseconds(0);
+    }
+    return std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+}
+
 auto settings_reader::optional_address(const std::string& name) -> std::optional<peer_address>
 {
     return is_set(name) ? std::optional(address(name)) : std::nullopt;
--- a/libs/settings/settings_reader.h
+++ b/libs/settings/settings_reader.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,6 +45,9 @@
     auto boolean(const std::string& name) -> bool;
     /** Returns a duration given as a whole number of milliseconds from 1 to \p maximum. */
     auto milliseconds(const std::string& name, unsigned maximum) -> std::chrono::milliseconds;
+    /** Returns a duration given in seconds, whole or with a decimal fraction, from 0 to \p maximum;
+     * zero if the setting is not set. */
+    auto optional_seconds(const std::string& name, double maximum) -> std::chrono::milliseconds;
     /** Returns an address, or nothing when it is not set. */
     auto optional_address(const std::string& name) -> std::optional<peer_address>;
 
--- a/libs/settings/test/error/invalid_settings.cpp
+++ b/libs/settings/test/error/invalid_settings.cpp
@@ -1,3 +1,4 @@
+#include <QTemporaryFile>
 #include <boost/test/unit_test.hpp>
 
 #include "settings/daemon_settings.h"
@@ -35,6 +36,19 @@
     return parsed ? "accepted" : parsed.error().message_;
 }
 
+/** Returns the grace period read from a settings file with \p value, or -1 ms if it is refused. */
+auto shutdown_grace_of(const std::string& value) -> std::chrono::milliseconds
+{
+    QTemporaryFile file;
+    BOOST_REQUIRE(file.open());
+    file.write(("shutdown-grace-s = " + value + "\n").c_str());
+    file.close();
+    auto arguments = valid_arguments;
+    arguments.push_back("--settings-file=" + file.fileName().toStdString());
+    const auto parsed = parse_daemon_settings(arguments, no_environment);
+    return parsed ? parsed->settings_.shutdown_grace_ : std::chrono::milliseconds(-1);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(valid_settings_are_read)
@@ -64,6 +78,20 @@
                std::string::npos); // abbreviated flags are rejected
 }
 
+BOOST_AUTO_TEST_CASE(the_shutdown_grace_is_in_seconds_and_empty_means_no_limit)
+{
+    BOOST_TEST(shutdown_grace_of("6").count() == 6'000);
+    BOOST_TEST(shutdown_grace_of("2.5").count() == 2'500);
+    BOOST_TEST(shutdown_grace_of("6.0").count() == 6'000);
+    BOOST_TEST(shutdown_grace_of("0").count() == 0);
+    BOOST_TEST(shutdown_grace_of("").count() == 0);
+    for (const std::string value : {"-1", "3601", "six", "6s", "nan", "inf", "1e2"}) {
+        BOOST_TEST(message_with("--shutdown-grace-s=" + value) ==
+                   "setting shutdown-grace-s: '" + value +
+                       "' is not allowed: must be a number of seconds from 0 to 3600");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_flag_overrides_the_environment)
 {
     const environment_lookup environment = [](const std::string& name) {
