End the leave notice at its time, not up to 5 % before it

What callers saw: a node stopped taking calls up to 0.1 s before its leave notice of 2.2 s had passed, and might take them as long after it.

Cause: the notice was a QTimer of the default type, which may expire 5 % of its interval early or late.

Change: the notice is a deadline_timer.

--- a/libs/daemon/node_shutdown.cpp
+++ b/libs/daemon/node_shutdown.cpp
@@ -27,8 +27,6 @@
 node_shutdown::node_shutdown(node_shutdown_times times, node_shutdown_hooks hooks)
     : times_(times), hooks_(std::move(hooks))
 {
-    notice_timer_.setSingleShot(true);
-    QObject::connect(&notice_timer_, &QTimer::timeout, &notice_timer_, [this] { stop_serving(); });
     QObject::connect(&check_timer_, &QTimer::timeout, &check_timer_, [this] { end_if_idle(); });
 }
 
--- a/libs/daemon/node_shutdown.h
+++ b/libs/daemon/node_shutdown.h
@@ -59,7 +59,9 @@
     node_shutdown_times times_;
     node_shutdown_hooks hooks_;
     std::function<void()> done_;
-    QTimer notice_timer_;
+    deadline_timer notice_timer_{[this] {
+        stop_serving();
+    }};
     deadline_timer cut_timer_{[this] {
         cut_calls();
     }};
--- a/libs/daemon/test/correctness/node_shutdown.cpp
+++ b/libs/daemon/test/correctness/node_shutdown.cpp
@@ -1,6 +1,8 @@
 // The order and the times of the steps of a node's shutdown. Lower bounds only: the machine may be
 // busy.
+#include <memory>
 #include <optional>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -52,6 +54,13 @@
     std::optional<node_shutdown> shutdown_;
 };
 
+/** Qt lets timers of 2 s and more expire early by default. */
+constexpr std::chrono::milliseconds long_notice{2'200};
+/** Shutdowns start at even intervals over one second, since Qt rounds timers to parts of a second.
+ */
+constexpr unsigned staggered_shutdowns = 25;
+constexpr std::chrono::milliseconds shutdown_interval{40};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_node_without_calls_ends_after_its_leave_notice)
@@ -63,6 +72,21 @@
     BOOST_TEST(!node.cut_.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(no_leave_notice_ends_before_its_time)
+{
+    std::vector<std::unique_ptr<recorded_shutdown>> nodes;
+    for (unsigned index = 0; index < staggered_shutdowns; ++index) {
+        nodes.push_back(
+            std::make_unique<recorded_shutdown>(node_shutdown_times{.leave_notice_ = long_notice}));
+        run_events(shutdown_interval);
+    }
+    for (const auto& node : nodes) {
+        BOOST_TEST(node->wait_for_end());
+        BOOST_TEST(to_milliseconds(node->stopped_serving_.value_or(duration(0))) >=
+                   long_notice.count());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_node_without_a_limit_waits_for_its_calls)
 {
     recorded_shutdown node({});
