End an exchange whose target sends interim responses without end

What callers saw: 100 or 103 responses that never ended in a final one held the call and its slot until the call's deadline, and each one restarted the stall timeout.

Cause: any number of 1xx responses was read before the final one.

Change: the 1xx responses before a final one may have 64 KiB in total, some thousands of them; beyond that the exchange fails as malformed and its connection is closed.

--- a/libs/http1/http1_client_connection.cpp
+++ b/libs/http1/http1_client_connection.cpp
@@ -25,6 +25,8 @@
 constexpr unsigned first_final_status = 200;
 constexpr unsigned switching_protocols_status = 101;
 constexpr std::size_t low_water_bytes = 64U * 1024;
+/** Largest total size of the 1xx responses before a response. */
+constexpr std::size_t max_informational_bytes = 64U * 1024;
 
 } // namespace
 
@@ -49,6 +51,7 @@
     bool is_closed_ = false;
     bool disconnected_while_paused_ = false; ///< Handled when reading resumes.
     bool is_informational_ = false;          ///< The last parsed head is a 1xx; another follows.
+    std::size_t informational_bytes_ = 0;    ///< Size of the 1xx responses of the exchange.
     int tcp_info_descriptor_ = -1; ///< Duplicate socket descriptor, to tell a FIN from a reset.
     http1_client_limits limits_;
     std::optional<std::chrono::seconds> keep_alive_time_;
@@ -148,6 +151,7 @@
     self.is_paused_ = false;
     self.has_sent_bytes_ = false;
     self.response_done_ = false;
+    self.informational_bytes_ = 0;
     self.request_complete_ = !head.has_body_;
     self.is_chunked_ = head.has_body_ && !head.content_length_;
     remove_hop_headers(head.headers_);
@@ -232,6 +236,11 @@
             fail(exchange_failure::malformed);
             break;
         }
+        informational_bytes_ += is_informational_ ? consumed : 0;
+        if (informational_bytes_ > max_informational_bytes) {
+            fail(exchange_failure::malformed);
+            break;
+        }
         if (parser_->is_done() && is_informational_) {
             start_response_parser();
         }
--- a/libs/request_path/test/error/endless_responses.cpp
+++ b/libs/request_path/test/error/endless_responses.cpp
@@ -168,6 +168,11 @@
     {"trailers", chunked_head + "4\r\npart\r\n0\r\n", "a: b\r\n"},
 }};
 
+const std::array<endless_response, 2> endless_interim_responses{{
+    {"100", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"103 with fields", "", "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n"},
+}};
+
 const std::array<endless_response, 3> endless_bodies{{
     {"until close", "HTTP/1.1 200 OK\r\n\r\n", "x"},
     {"chunked", chunked_head, "4\r\npart\r\n"},
@@ -185,6 +190,16 @@
     call.check_recovery();
 }
 
+BOOST_DATA_TEST_CASE(endless_interim_responses_become_a_502,
+                     both_paths* boost::unit_test::data::make(endless_interim_responses), path,
+                     response)
+{
+    endless_call call(path, response);
+    BOOST_TEST(call.is_caller_closed());
+    BOOST_TEST(call.caller_->received().starts_with("HTTP/1.1 502"));
+    call.check_recovery();
+}
+
 BOOST_DATA_TEST_CASE(endless_chunk_framing_cuts_the_response,
                      both_paths* boost::unit_test::data::make(endless_framing), path, response)
 {
