Forward what a fault proxy read before its link was connected

What was seen: calls of the soak that never ended on a link without a fault, which counted as calls in flight.

Cause: bytes that a caller sent before the proxy's connection to the target was established stayed in the proxy until something else happened on either connection, since nothing forwarded them once it was.

Change: the proxy forwards when a connection is established.

--- a/libs/soak/fault_proxy.cpp
+++ b/libs/soak/fault_proxy.cpp
@@ -99,6 +99,7 @@
                     close(locked_pair);
                 }
             };
+            QObject::connect(endpoint, &QTcpSocket::connected, endpoint, on_progress);
             QObject::connect(endpoint, &QTcpSocket::readyRead, endpoint, on_progress);
             QObject::connect(endpoint, &QTcpSocket::bytesWritten, endpoint, on_progress);
             QObject::connect(endpoint, &QTcpSocket::disconnected, server_.get(), on_closed,
