Give peers their whole handshake and linger timeouts

What peers saw: a handshake was given up, by either side, up to 5 % before its timeout (1,900 ms into 2,000 ms, 475 into 500), and a connection that was shutting down was closed up to 5 % before its peer's time to close it was over.

Cause: the timer of a connection and that of the client's handshake were QTimers of the default type, and that of the server's handshake a QTimer::singleShot of 2 s or more, which is of the same type.

Change: deadline_timer and call_after(). The connection's timer also serves PINGs, the heartbeat and the idle timeout; these read the clock themselves, so they were never early, but had to wait again when woken early.

--- a/libs/transport/h2_state.cpp
+++ b/libs/transport/h2_state.cpp
@@ -6,6 +6,8 @@
 
 #include <sys/socket.h>
 
+#include <QTimer>
+
 #include "transport/h2_callbacks.h"
 
 namespace sycamorewinch {
@@ -43,8 +45,6 @@
         on_socket_closed(connected_ ? connection_end_reason::closed_by_peer
                                     : connection_end_reason::refused);
     });
-    QObject::connect(&timer_, &QTimer::timeout, socket, [this] { on_timer(); });
-    timer_.setSingleShot(true);
     arm_timer();
     flush();
 }
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -11,9 +11,9 @@
 
 #include <QElapsedTimer>
 #include <QTcpSocket>
-#include <QTimer>
 #include <nghttp2/nghttp2.h>
 
+#include "event_loop/deadline_timer.h"
 #include "transport/h2_connection.h"
 
 namespace sycamorewinch {
@@ -56,7 +56,10 @@
     /** Streams above the low-water mark; on_writable_ is called when they fall to it. */
     std::vector<stream_id> above_low_water_;
     std::optional<connection_end_reason> close_after_flush_;
-    QTimer timer_; ///< For PINGs and for the heartbeat, idle and linger timeouts.
+    /** For PINGs and for the heartbeat, idle and linger timeouts. */
+    deadline_timer timer_{[this] {
+        on_timer();
+    }};
     QElapsedTimer since_last_receive_;
     QElapsedTimer since_unanswered_ping_; ///< Valid from a PING until the next bytes arrive.
     /** Returns whether the connection has no streams and is closed after idle_timeout_, without
--- a/libs/transport/peer_connection.cpp
+++ b/libs/transport/peer_connection.cpp
@@ -4,9 +4,10 @@
 
 #include <QHostAddress>
 #include <QTcpSocket>
-#include <QTimer>
 #include <fmt/core.h>
 
+#include "event_loop/call_after.h"
+
 namespace sycamorewinch {
 
 namespace {
@@ -126,12 +127,6 @@
     };
     client->connection_ = h2_connection::create(h2_connection::side::client, std::move(socket),
                                                 std::move(transport_hooks), limits);
-    client->handshake_timer_.setSingleShot(true);
-    QObject::connect(&client->handshake_timer_, &QTimer::timeout, &client->handshake_timer_,
-                     [raw = client.get()] {
-                         const auto keep = raw->shared_from_this();
-                         raw->connection_->close(connection_end_reason::not_ready);
-                     });
     client->handshake_timer_.start(limits.handshake_timeout_);
     client->send_hello();
     return client;
@@ -200,7 +195,7 @@
     -> std::shared_ptr<h2_connection>
 {
     const auto handshake = std::make_shared<server_handshake>();
-    auto* timer_context = socket.get();
+    auto& timer_context = *socket;
     const auto self = std::make_shared<std::weak_ptr<h2_connection>>();
     connection_hooks hooks;
     hooks.on_ended_ = std::move(on_ended);
@@ -226,7 +221,7 @@
     auto connection = h2_connection::create(h2_connection::side::server, std::move(socket),
                                             std::move(hooks), limits);
     *self = connection;
-    QTimer::singleShot(limits.handshake_timeout_, timer_context, [handshake, self] {
+    call_after(limits.handshake_timeout_, timer_context, [handshake, self] {
         const auto pending_connection = self->lock();
         if (pending_connection && !handshake->proved_) {
             pending_connection->close(connection_end_reason::not_ready);
--- a/libs/transport/peer_connection.h
+++ b/libs/transport/peer_connection.h
@@ -14,8 +14,7 @@
 #include <memory>
 #include <string>
 
-#include <QTimer>
-
+#include "event_loop/deadline_timer.h"
 #include "transport/cluster_key.h"
 #include "transport/h2_connection.h"
 
@@ -79,7 +78,10 @@
     std::shared_ptr<h2_connection> connection_;
     std::string nonce_;
     bool ready_ = false;
-    QTimer handshake_timer_; ///< Enforces the handshake timeout.
+    deadline_timer handshake_timer_{[this] {
+        const auto keep = shared_from_this(); // on_ended_ may drop the last reference
+        connection_->close(connection_end_reason::not_ready);
+    }};
 };
 
 /** Receives each request of an authenticated peer and returns the hooks of its stream. */
