Keep clients of the admin address for the whole request timeout

What operators saw: a request to the admin address that was still arriving was dropped as too slow up to 5 % before its timeout.

Cause: the timer of a connection was a QTimer of the default type.

Evidence: the new case opens 20 connections over half a second. On the old code 10 were dropped early, after 475 to 479 ms of 500 ms.

Change: the timer is a deadline_timer.

Tests: the new case and its two neighbours passed three times, daemon_test once as a whole.

--- a/libs/daemon/limited_tcp_server.cpp
+++ b/libs/daemon/limited_tcp_server.cpp
@@ -3,9 +3,9 @@
 #include <memory>
 
 #include <QTcpSocket>
-#include <QTimer>
 
 #include "base/enum_names.h"
+#include "event_loop/deadline_timer.h"
 
 namespace sycamorewinch {
 
@@ -60,11 +60,9 @@
 void limited_tcp_server::watch(QTcpSocket& socket)
 {
     connection_gauge_.set(static_cast<std::uint64_t>(++connection_count_));
-    auto* timer = new QTimer(&socket);
-    timer->setSingleShot(true);
+    const auto timer = std::make_shared<deadline_timer>(
+        [this, &socket] { drop(socket, admin_drop_reason::too_slow); });
     const auto received = std::make_shared<qint64>(0);
-    connect(timer, &QTimer::timeout, &socket,
-            [this, &socket] { drop(socket, admin_drop_reason::too_slow); });
     connect(&socket, &QTcpSocket::readyRead, &socket, [this, &socket, received] {
         *received += socket.bytesAvailable();
         if (*received > limits_.max_request_bytes_) {
--- a/libs/daemon/test/error/admin_server.cpp
+++ b/libs/daemon/test/error/admin_server.cpp
@@ -2,6 +2,7 @@
 
 #include "../raw_http_client.h"
 #include "daemon/admin_server.h"
+#include "standin/connection_lifetimes.h"
 
 using namespace sycamorewinch;
 using namespace sycamorewinch::testing;
@@ -123,6 +124,16 @@
     BOOST_TEST(fixture.dropped(admin_drop_reason::too_slow) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(no_client_is_dropped_within_the_request_timeout)
+{
+    constexpr std::chrono::milliseconds timeout{500};
+    const admin_server_fixture fixture({.request_timeout_ = timeout});
+    for (const auto lifetime :
+         measure_connection_lifetimes(fixture.server_->port(), post("secret", 10))) {
+        BOOST_TEST(to_milliseconds(lifetime) >= timeout.count());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_client_that_disconnects_early_does_not_disturb_the_server)
 {
     admin_server_fixture fixture;
