Use deadline timers for all single-shot timers of the daemon but one

The proof timeout of a control replica was a QTimer of the default type, so a proof could count as failed before its time. Redials, retries, merged reports and the dispatch of run operations do not rely on exact times; they change so that product code has one kind of single-shot timer. The relay's progress report is a coalesced_call now. The exception is the leave notice in node_role.

No test shows the early proof timeout, and it was not measured. daemon_test passed as a whole.

--- a/libs/daemon/coalesced_call.cpp
+++ b/libs/daemon/coalesced_call.cpp
@@ -3,17 +3,14 @@
 namespace sycamorewinch {
 
 coalesced_call::coalesced_call(std::chrono::milliseconds delay, std::function<void()> function)
-    : function_(std::move(function))
+    : delay_(delay), function_(std::move(function))
 {
-    timer_.setSingleShot(true);
-    timer_.setInterval(delay);
-    QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { function_(); });
 }
 
 void coalesced_call::request()
 {
-    if (!timer_.isActive()) {
-        timer_.start();
+    if (!timer_.is_active()) {
+        timer_.start(delay_);
     }
 }
 
--- a/libs/daemon/coalesced_call.h
+++ b/libs/daemon/coalesced_call.h
@@ -16,7 +16,7 @@
 #include <chrono>
 #include <functional>
 
-#include <QTimer>
+#include "event_loop/deadline_timer.h"
 
 namespace sycamorewinch {
 
@@ -33,8 +33,11 @@
     void run_now();
 
   private:
+    std::chrono::milliseconds delay_;
     std::function<void()> function_;
-    QTimer timer_;
+    deadline_timer timer_{[this] {
+        function_();
+    }};
 };
 
 } // namespace sycamorewinch
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -15,6 +15,8 @@
 #include "daemon/publisher_server.h"
 #include "daemon/replica_links.h"
 #include "daemon/run_record_service.h"
+#include "event_loop/call_after.h"
+#include "event_loop/deadline_timer.h"
 #include "observability/log.h"
 #include "storage/replica_store.h"
 
@@ -96,11 +98,6 @@
             publisher_.logic().tick(monotonic_now(), !replica_->raft_state().leader().empty());
             publisher_.process_output();
         });
-        proof_timer_.setSingleShot(true);
-        QObject::connect(&proof_timer_, &QTimer::timeout, &proof_timer_, [this] {
-            ++proof_number_;
-            schedule_proof_failure();
-        });
     }
 
     auto start() -> result<void>
@@ -315,7 +312,7 @@
 
     void schedule_proof_failure()
     {
-        QTimer::singleShot(proof_retry_after, &proof_timer_, [this] {
+        call_after(proof_retry_after, proof_context_, [this] {
             publisher_.logic().on_proof_failed();
             publisher_.process_output();
         });
@@ -446,7 +443,11 @@
     QTimer tick_timer_;
     QTimer group_timer_;
     QTimer lease_timer_;
-    QTimer proof_timer_;
+    deadline_timer proof_timer_{[this] {
+        ++proof_number_;
+        schedule_proof_failure();
+    }};
+    QObject proof_context_;
     std::uint64_t proof_number_ = 0;
     std::shared_ptr<void> external_interface_; ///< Empty without an external interface.
 };
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -3,6 +3,7 @@
 #include <QTimer>
 
 #include "daemon/admin_server.h"
+#include "daemon/coalesced_call.h"
 #include "daemon/peer_listener.h"
 #include "daemon/publisher_server.h"
 #include "daemon/run_channels.h"
@@ -27,7 +28,7 @@
           listener_(secrets.key_, metrics_),
           publisher_(metrics_, {[this] { request_upstream_proof(); },
                                 [this](const auto& report) { report_targets(report); },
-                                [this] { schedule_progress_report(); },
+                                [this] { progress_report_.request(); },
                                 [this](const auto& crashes) {
                                     report_crashes(crashes);
                                 }}),
@@ -56,9 +57,6 @@
         listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
             return publisher_.accept(connection, stream);
         });
-        progress_timer_.setSingleShot(true);
-        QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
-                         [this] { report_progress(); });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_, [this] {
             publisher_.logic().tick(monotonic_now(), link_.is_connected());
             publisher_.process_output();
@@ -115,13 +113,6 @@
         link_.process_output();
     }
 
-    void schedule_progress_report()
-    {
-        if (!progress_timer_.isActive()) {
-            progress_timer_.start(min_progress_interval);
-        }
-    }
-
     void report_progress()
     {
         link_.logic().report_progress(publisher_.logic().progress());
@@ -154,7 +145,9 @@
     peer_listener listener_;
     publisher_server publisher_;
     upstream_link link_;
-    QTimer progress_timer_;
+    coalesced_call progress_report_{min_progress_interval, [this] {
+                                        report_progress();
+                                    }};
     QTimer lease_timer_;
     run_server run_server_;
     run_uplink run_uplink_;
--- a/libs/daemon/replica_links.cpp
+++ b/libs/daemon/replica_links.cpp
@@ -5,6 +5,7 @@
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
 #include "control/membership_planner.h"
+#include "event_loop/call_after.h"
 #include "observability/log.h"
 
 namespace sycamorewinch {
@@ -122,7 +123,7 @@
     }
     hooks_.on_disconnected_(key);
     found->second.channel_.reset();
-    QTimer::singleShot(redial_delay, &context_, [this, key, ended_client = found->second.client_] {
+    call_after(redial_delay, context_, [this, key, ended_client = found->second.client_] {
         const auto link = links_.find(key);
         if (link != links_.end() && link->second.client_ == ended_client) {
             dial(key);
--- a/libs/daemon/replica_links.h
+++ b/libs/daemon/replica_links.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include <QTimer>
+#include <QObject>
 
 #include "consensus/raft_message.h"
 #include "distribution/distribution_message.h"
--- a/libs/daemon/run_channels.cpp
+++ b/libs/daemon/run_channels.cpp
@@ -61,9 +61,6 @@
       operations_(metrics.count("sycamorewinch_run_operations_total",
                                 "Received operations on the record of unrepeatable requests."))
 {
-    dispatch_timer_.setSingleShot(true);
-    QObject::connect(&dispatch_timer_, &QTimer::timeout, &dispatch_timer_,
-                     [this] { forward_operations_(); });
     QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_, [this] {
         forwarder_.tick(monotonic_now());
         send_results();
@@ -110,8 +107,8 @@
 {
     operations_.add(operations.size());
     forwarder_.on_operations(from, std::move(operations), monotonic_now());
-    if (!dispatch_timer_.isActive()) {
-        dispatch_timer_.start(0);
+    if (!dispatch_timer_.is_active()) {
+        dispatch_timer_.start(duration(0));
     }
     send_results();
 }
--- a/libs/daemon/run_channels.h
+++ b/libs/daemon/run_channels.h
@@ -11,6 +11,7 @@
 
 #include <QTimer>
 
+#include "event_loop/deadline_timer.h"
 #include "observability/metrics.h"
 #include "run_record/run_forwarder.h"
 #include "transport/message_channel.h"
@@ -82,7 +83,9 @@
     std::map<run_sender_id, results_hook> senders_;
     run_sender_id next_sender_ = 1;
     counter& operations_;
-    QTimer dispatch_timer_;
+    deadline_timer dispatch_timer_{[this] {
+        forward_operations_();
+    }};
     QTimer tick_timer_;
 };
 
--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -52,8 +52,6 @@
       bytes_received_(metrics.count("sycamorewinch_upstream_bytes_received_total",
                                     "Bytes of messages received from upstreams."))
 {
-    retry_timer_.setSingleShot(true);
-    QObject::connect(&retry_timer_, &QTimer::timeout, &retry_timer_, [this] { dial(); });
     QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_, [this] { tick(); });
 }
 
@@ -70,7 +68,7 @@
     if (const auto& proved_at = subscriber_.proved_current_at()) {
         proof_age_.set(static_cast<std::uint64_t>(to_milliseconds(now - *proved_at)));
     }
-    if (!channel_ && !retry_timer_.isActive() && now - dial_started_at_ >= dial_timeout) {
+    if (!channel_ && !retry_timer_.is_active() && now - dial_started_at_ >= dial_timeout) {
         on_upstream_failed("dial_timeout");
         return;
     }
@@ -153,7 +151,7 @@
 
 void upstream_link::on_upstream_failed(std::string_view reason)
 {
-    if (retry_timer_.isActive()) {
+    if (retry_timer_.is_active()) {
         return; // this failure has been handled already
     }
     selector_.record_failure(current_upstream_, monotonic_now());
@@ -176,7 +174,7 @@
     subscriber_.on_disconnected();
     const auto channel = std::move(channel_);
     const auto client = std::move(client_);
-    retry_timer_.start(std::chrono::duration_cast<std::chrono::milliseconds>(retry_delay));
+    retry_timer_.start(retry_delay);
     log_event(log_level::warning, "upstream_lost",
               {{"upstream", to_text(current_upstream_)},
                {"reason", reason},
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -12,6 +12,7 @@
 
 #include "daemon/upstream_selector.h"
 #include "distribution/subscriber.h"
+#include "event_loop/deadline_timer.h"
 #include "observability/metrics.h"
 #include "transport/message_channel.h"
 #include "transport/peer_connection.h"
@@ -74,7 +75,9 @@
     upstream_link_hooks hooks_;
     std::shared_ptr<peer_client> client_;
     std::shared_ptr<message_channel> channel_;
-    QTimer retry_timer_;
+    deadline_timer retry_timer_{[this] {
+        dial();
+    }};
     QTimer tick_timer_;
     instant dial_started_at_{};
     instant connected_at_{};
