Refuse a request on the head of a response that states it has not run

What callers saw: a target that stated in the head of its response that it had not run the request, but whose body did not end, held the call and its slot until the body stalled or the call's deadline passed. The refusal, which permits to try again, came only after a stall.

Cause: the request was refused only once the body had ended, and any size of body was read.

Change: the refusal is posted when the head has arrived. The rest is read for the connection's reuse only, at most 64 KiB and one second, and not at all if the request is not sent whole.

--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -18,6 +18,10 @@
 constexpr std::chrono::milliseconds min_response_time_after_disconnect{10'000};
 /** A target that rejects requests by itself is not expected to accept the next one sooner. */
 constexpr std::chrono::milliseconds min_retry_after_rejection{10};
+/** The rest of a response by which the target states that it has not run the request is read, so
+ * that its connection can be reused, up to this size and for this long. */
+constexpr std::size_t max_discarded_bytes = 64U * 1024;
+constexpr std::chrono::milliseconds max_discard_time{1'000};
 /** Responses with this status or a higher one count as errors of the target. */
 constexpr unsigned first_error_status = 500;
 
@@ -304,6 +308,7 @@
         };
         hooks.on_body_ = [self](std::string_view bytes) {
             if (self->target_stated_not_run_) {
+                self->discard(bytes.size());
                 return;
             }
             if (self->run_) {
@@ -335,7 +340,11 @@
         }
         target_stated_not_run_ = kind == response_kind::not_run;
         if (target_stated_not_run_) {
-            return; // its body is ignored; the request is refused when it ends
+            // Posted: a short response mostly ends in the same read, and its connection can then
+            // serve a request that waits for the slot.
+            const auto self = shared_from_this();
+            QTimer::singleShot(0, [self] { self->on_not_run_head(); });
+            return;
         }
         responded_ = true;
         is_error_response_ = head.status_ >= first_error_status;
@@ -370,11 +379,49 @@
         hooks_.on_end_();
     }
 
+    /** The head of a response has arrived by which the target states that it has not run the
+     * request. The refusal does not wait for the body. */
+    void on_not_run_head()
+    {
+        if (connection_ && is_request_complete()) {
+            const auto self = shared_from_this();
+            QTimer::singleShot(max_discard_time, [self] { self->close_connection(); });
+        }
+        else {
+            close_connection();
+        }
+        on_target_stated_not_run();
+    }
+
+    /** Counts bytes of a body that is not needed. */
+    void discard(std::size_t count)
+    {
+        discarded_bytes_ += count;
+        if (discarded_bytes_ > max_discarded_bytes) {
+            close_connection();
+        }
+    }
+
+    void close_connection()
+    {
+        if (const auto connection = std::exchange(connection_, nullptr)) {
+            connection->cancel();
+        }
+    }
+
+    [[nodiscard]] auto is_request_complete() const -> bool
+    {
+        return body_ended_ || !request_.head_.has_body_;
+    }
+
     /** Refuses the request after a response by which the target states that it has not run it. The
      * caller is asked to return after the time in which the target ends one of its requests: a
      * target may reject a part of its requests while others are served at once. */
     void on_target_stated_not_run()
     {
+        if (ended_) {
+            return;
+        }
         meter_->on_error();
         release_slot();
         if (run_) {
@@ -442,7 +489,7 @@
 
     void cancel()
     {
-        if (run_ && connection_ && (body_ended_ || !request_.head_.has_body_)) {
+        if (run_ && connection_ && is_request_complete()) {
             continue_without_caller();
             return;
         }
@@ -450,10 +497,7 @@
         leave_queue();
         run_.reset();
         is_held_ = false;
-        if (connection_) {
-            connection_->cancel();
-            connection_.reset();
-        }
+        close_connection();
         release_slot();
     }
 
@@ -472,9 +516,7 @@
     void cancel_detached()
     {
         run_.reset();
-        if (const auto connection = std::exchange(connection_, nullptr)) {
-            connection->cancel();
-        }
+        close_connection();
         release_slot();
     }
 
@@ -499,6 +541,7 @@
     std::string pending_body_;              ///< Body that arrived before the request could be sent.
     bool is_held_ = false;                  ///< The request waits for body bytes that identify it.
     bool target_stated_not_run_ = false;    ///< Its response says that it did not run the request.
+    std::size_t discarded_bytes_ = 0;       ///< Of that response's body.
     bool body_ended_ = false;
     bool responded_ = false;
     bool is_error_response_ = false; ///< The response counts as an error of the target.
--- a/libs/request_path/test/error/endless_responses.cpp
+++ b/libs/request_path/test/error/endless_responses.cpp
@@ -98,11 +98,16 @@
     }};
 };
 
-/** Returns the native mapping extended by a field of responses that belong to another request. */
+/** Returns the native mapping extended by a status that states that the request has not run, and by
+ * a field of responses that belong to another request. */
 auto mapping_with_response_kinds() -> header_mapping
 {
+    constexpr unsigned not_run_status = 429;
     auto mapping = native_header_mapping();
     mapping.classify_response_ = [](const exchange_request&, const message_head& response) {
+        if (response.status_ == not_run_status) {
+            return response_kind::not_run;
+        }
         return find_header(response.headers_, "of-another-request").empty()
                    ? response_kind::genuine
                    : response_kind::mismatched;
@@ -179,6 +184,13 @@
     {"long", "HTTP/1.1 200 OK\r\ncontent-length: 4000000000\r\n\r\n", "x"},
 }};
 
+const std::array<endless_response, 3> endless_not_run_responses{{
+    {"until close", "HTTP/1.1 429 Too Many Requests\r\n\r\n", "x"},
+    {"chunked", "HTTP/1.1 429 Too Many Requests\r\ntransfer-encoding: chunked\r\n\r\n",
+     "4\r\npart\r\n"},
+    {"long", "HTTP/1.1 429 Too Many Requests\r\ncontent-length: 4000000000\r\n\r\n", "x"},
+}};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(an_endless_head_becomes_a_502,
@@ -209,6 +221,38 @@
     call.check_recovery();
 }
 
+BOOST_DATA_TEST_CASE(a_refusal_does_not_wait_for_the_end_of_a_not_run_response,
+                     both_paths* boost::unit_test::data::make(endless_not_run_responses), path,
+                     response)
+{
+    auto row = unrepeatable_row();
+    row.retries_ = 0;
+    endless_call call(path, response, last_get_request, row);
+    BOOST_TEST(call.is_caller_closed());
+    BOOST_TEST(call.caller_->received().starts_with("HTTP/1.1 503"));
+    call.check_recovery();
+}
+
+BOOST_DATA_TEST_CASE(a_connection_is_reused_after_a_short_not_run_response, both_paths, path)
+{
+    const scripted_server target([](loopback_socket& peer) {
+        peer.clear();
+        peer.write("HTTP/1.1 429 Too Many Requests\r\ncontent-length: 4\r\n\r\nbusy");
+    });
+    auto row = unrepeatable_row();
+    row.repeatable_ = true; // an idle connection may then be reused for longer
+    row.retries_ = 0;
+    node_fixture nodes(static_cast<call_path>(path), target.port(), row, 1,
+                       mapping_with_response_kinds());
+    for (int call = 0; call < 2; ++call) {
+        const auto caller = nodes.connect();
+        caller->write(get_request);
+        BOOST_TEST(wait_until([&] { return is_complete_response(caller->received()); }));
+        BOOST_TEST(caller->received().starts_with("HTTP/1.1 503"));
+    }
+    BOOST_TEST(target.connections().size() == 1U);
+}
+
 BOOST_DATA_TEST_CASE(an_endless_response_to_another_request_becomes_a_502, both_paths, path)
 {
     endless_call call(path,
