Give up an endless response whose caller has disconnected

What callers saw: a slot that stayed taken. After a caller had left a keyed unrepeatable request, the node read the target's response at full speed for as long as it came, for at least 10 s and up to the call's deadline.

Cause: such an exchange goes on so that its response can be stored for a retry, bounded only in time. A response above 8 KiB is not stored in any case.

Evidence: in all 6 cases of request_path_test an_endless_response_without_its_caller_is_given_up_as_lost the target sent its 64 MB on the old code.

Change: once 8 MiB of the body have come after the caller left, the exchange is cancelled and its run is reported as lost, as at the time limit, never as released. Shorter responses are still read to their end, since a target may drop a request whose connection closes. The test's node now notes how its runs ended.

--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -16,6 +16,8 @@
 /** Once a caller has disconnected from an unrepeatable request that was sent whole, the target is
  * given at least this long to respond. */
 constexpr std::chrono::milliseconds min_response_time_after_disconnect{10'000};
+/** A longer response than this is not read to its end after its caller has disconnected. */
+constexpr std::size_t max_bytes_after_disconnect = 8U * 1024 * 1024;
 /** A target that rejects requests by itself is not expected to accept the next one sooner. */
 constexpr std::chrono::milliseconds min_retry_after_rejection{10};
 /** The rest of a response by which the target states that it has not run the request is read, so
@@ -315,6 +317,9 @@
                 self->run_->on_body(bytes);
             }
             self->hooks_.on_body_(bytes);
+            if (self->is_without_caller_) {
+                self->count_without_caller(bytes.size());
+            }
         };
         hooks.on_end_ = [self] {
             self->on_end();
@@ -506,13 +511,23 @@
     void continue_without_caller()
     {
         hooks_ = make_no_op_hooks();
+        is_without_caller_ = true;
         connection_->pause_reading(false);
         const auto self = shared_from_this();
         QTimer::singleShot(std::max(request_.time_left_, min_response_time_after_disconnect),
                            [self] { self->cancel_detached(); });
     }
 
-    /** Ends an exchange without a caller whose target did not respond in time. */
+    void count_without_caller(std::size_t count)
+    {
+        bytes_after_disconnect_ += count;
+        if (bytes_after_disconnect_ > max_bytes_after_disconnect) {
+            cancel_detached();
+        }
+    }
+
+    /** Ends an exchange without a caller whose target did not respond in time or whose response is
+     * too long. Its run is lost. */
     void cancel_detached()
     {
         run_.reset();
@@ -542,6 +557,8 @@
     bool is_held_ = false;                  ///< The request waits for body bytes that identify it.
     bool target_stated_not_run_ = false;    ///< Its response says that it did not run the request.
     std::size_t discarded_bytes_ = 0;       ///< Of that response's body.
+    bool is_without_caller_ = false;        ///< The caller has disconnected.
+    std::size_t bytes_after_disconnect_ = 0; ///< Of the response's body.
     bool body_ended_ = false;
     bool responded_ = false;
     bool is_error_response_ = false; ///< The response counts as an error of the target.
--- a/libs/request_path/test/error/endless_responses.cpp
+++ b/libs/request_path/test/error/endless_responses.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view get_request = "GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
 constexpr std::string_view last_get_request =
     "GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+constexpr std::string_view keyed_request =
+    "GET /x HTTP/1.1\r\nhost: a\r\nidempotency-key: k\r\n\r\n";
 
 /** A response that does not end: its first bytes, and the bytes that are repeated after them. */
 struct endless_response {
@@ -293,3 +295,14 @@
     BOOST_TEST(call.caller_->received().ends_with("whole"));
     call.check_recovery();
 }
+
+BOOST_DATA_TEST_CASE(an_endless_response_without_its_caller_is_given_up_as_lost,
+                     both_paths* boost::unit_test::data::make(endless_bodies), path, response)
+{
+    endless_call call(path, response, keyed_request);
+    BOOST_TEST(call.is_target_sending());
+    call.caller_->abort();
+    call.check_recovery();
+    BOOST_TEST(call.nodes_.target_node().run_end_count(run_operation_kind::lose) == 1U);
+    BOOST_TEST(call.nodes_.target_node().run_end_count(run_operation_kind::release) == 0U);
+}
--- a/libs/request_path/test/node_fixture.cpp
+++ b/libs/request_path/test/node_fixture.cpp
@@ -14,13 +14,16 @@
 constexpr std::chrono::milliseconds row_timeout{120'000};
 constexpr std::string_view length_field = "content-length: ";
 
-/** Returns a substitute for the record of unrepeatable requests that grants every attempt. */
-auto granting_hooks() -> run_record_hooks
+/** Returns a substitute for the record of unrepeatable requests that grants every attempt and notes
+ * in \p node how it ended. */
+auto granting_hooks(test_node& node) -> run_record_hooks
 {
     return {[](const run_operation& operation, const reservation_callback& reply) {
                 reply({operation.attempt_, run_verdict::granted, {}});
             },
-            [](const run_operation&) {
+            [&node](const run_operation& operation) {
+                const std::lock_guard guard(node.mutex_);
+                node.run_ends_.push_back(operation.kind_);
             }};
 }
 
@@ -29,7 +32,7 @@
 {
     auto node = std::make_unique<test_node>(own_address);
     node->state_.set_header_mapping(mapping);
-    node->state_.set_run_record_hooks(granting_hooks());
+    node->state_.set_run_record_hooks(granting_hooks(*node));
     node->state_.set_crash_report_hook([raw = node.get()](const crash_record& record) {
         const std::lock_guard guard(raw->mutex_);
         raw->crash_records_.push_back(record);
@@ -61,6 +64,12 @@
         std::ranges::count(crash_records_, event, &crash_record::event_));
 }
 
+auto test_node::run_end_count(run_operation_kind kind) -> std::size_t
+{
+    const std::lock_guard guard(mutex_);
+    return static_cast<std::size_t>(std::ranges::count(run_ends_, kind));
+}
+
 auto unrepeatable_row() -> row
 {
     row row;
--- a/libs/request_path/test/node_fixture.h
+++ b/libs/request_path/test/node_fixture.h
@@ -19,16 +19,19 @@
     through_peer, ///< The node that the caller connects to forwards to another one.
 };
 
-/** A node with one worker, and the crash records that it reports. */
+/** A node with one worker, and the records that it reports. */
 struct test_node {
     metrics_registry metrics_;
     node_state state_;
     std::mutex mutex_;
-    std::vector<crash_record> crash_records_; ///< Reported by this node; guarded by mutex_.
+    std::vector<crash_record> crash_records_;  ///< Reported by this node; guarded by mutex_.
+    std::vector<run_operation_kind> run_ends_; ///< How its runs ended; guarded by mutex_.
     std::unique_ptr<node_worker> worker_;
 
     /** Returns how many crash records of \p event this node has reported. */
     auto crash_record_count(crash_event event) -> std::size_t;
+    /** Returns how many runs of unrepeatable requests have ended with \p kind. */
+    auto run_end_count(run_operation_kind kind) -> std::size_t;
 
     explicit test_node(const std::string& own_address) : state_(own_address, metrics_) {}
 };
