Notice unsolicited bytes on a connection whose reading was paused when its response ended

What callers saw: a response that a target sent without a request could become the answer to the next request on that connection.

Cause: a slow caller pauses the reading of its response. If the last bytes of the response caused the pause, the connection went idle paused: it ignored what came, Qt moved it from the kernel's buffer into its own, where the check before reuse does not look, and the next exchange read it as its response.

Evidence: request_path_test unsolicited_bytes_close_a_connection_whose_reading_was_paused_at_the_end failed on the old code: 20 s after the unsolicited response the connection was open, acquire() returned it, and the body of the next exchange was "unsolicited" instead of "done".

Change: the end of a response ends the pause, so the bytes close the idle connection at once.

--- a/libs/http1/http1_client_connection.cpp
+++ b/libs/http1/http1_client_connection.cpp
@@ -261,6 +261,7 @@
 void http1_client_connection::state::complete()
 {
     is_active_ = false;
+    is_paused_ = false; // unsolicited bytes must be noticed while the connection is idle
     stall_timer_.stop();
     close_tcp_info_descriptor();
     can_reuse_ = can_reuse_ && request_complete_ && input_.empty() && !is_closed_;
