Let the test of an endless body for a slow caller run until the target is blocked

The test looked after 1 s, before a target that writes 64 KiB each millisecond could have sent its 64 MB, so its first check could not fail. It now runs until the target has not sent more for 500 ms.

--- a/libs/request_path/test/error/endless_responses.cpp
+++ b/libs/request_path/test/error/endless_responses.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <utility>
 
 #include <QTimer>
 
@@ -58,6 +59,7 @@
         return !server_.connections().empty() && server_.connections().front()->is_closed();
     }
     [[nodiscard]] auto is_sending() const -> bool { return written_ > 0; }
+    [[nodiscard]] auto sent_bytes() const -> std::uint64_t { return written_; }
     [[nodiscard]] auto has_sent_everything() const -> bool { return written_ >= max_sent_bytes; }
     [[nodiscard]] auto connection_count() const -> std::size_t
     {
@@ -145,6 +147,17 @@
         return wait_until([this] { return target_.is_sending(); });
     }
 
+    /** Runs until the target has not been able to send more for a while, or has sent all. */
+    void run_until_target_is_blocked()
+    {
+        constexpr std::chrono::milliseconds blocked_time{500};
+        std::uint64_t sent = 0;
+        while (!target_.has_sent_everything() &&
+               std::exchange(sent, target_.sent_bytes()) < target_.sent_bytes()) {
+            run_events(blocked_time);
+        }
+    }
+
     /** Checks that the node has closed the target's connection and given up the slot: another
      * request is served on a new connection. */
     void check_recovery()
@@ -270,7 +283,7 @@
     endless_call call(path, response);
     call.caller_->pause_reading(true);
     BOOST_TEST(call.is_target_sending());
-    run_events(std::chrono::milliseconds(1'000));
+    call.run_until_target_is_blocked();
     BOOST_TEST(!call.target_.has_sent_everything());
     BOOST_TEST(!call.target_.is_closed());
     call.caller_->abort();
