--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <optional>
 
+#include <QTimer>
+
 #include "event_loop/deadline_timer.h"
 #include "request_path/crash_guard.h"
 #include "request_path/target_limit_share.h"
@@ -12,8 +14,14 @@
 
 namespace {
 
+/** A longer response than this is not read to its end after its caller has disconnected. */
+constexpr std::size_t max_bytes_after_disconnect = 8U * 1024 * 1024;
 /** A target that rejects requests by itself is not expected to accept the next one sooner. */
 constexpr std::chrono::milliseconds min_retry_after_rejection{10};
+/** The rest of a response by which the target states that it has not run the request is read, so
+ * that its connection can be reused, up to this size and for this long. */
+constexpr std::size_t max_discarded_bytes = 64U * 1024;
+constexpr std::chrono::milliseconds max_discard_time{1'000};
 /** Responses with this status or a higher one count as errors of the target. */
 constexpr unsigned first_error_status = 500;
 
@@ -303,12 +311,16 @@
         };
         hooks.on_body_ = [self](std::string_view bytes) {
             if (self->target_stated_not_run_) {
+                self->discard(bytes.size());
                 return;
             }
             if (self->run_) {
                 self->run_->on_body(bytes);
             }
             self->hooks_.on_body_(bytes);
+            if (self->is_without_caller_) {
+                self->count_without_caller(bytes.size());
+            }
         };
         hooks.on_end_ = [self] {
             self->on_end();
@@ -334,7 +346,11 @@
         }
         target_stated_not_run_ = kind == response_kind::not_run;
         if (target_stated_not_run_) {
-            return; // its body is ignored; the request is refused when it ends
+            // Posted: a short response mostly ends in the same read, and its connection can then
+            // serve a request that waits for the slot.
+            const auto self = shared_from_this();
+            QTimer::singleShot(0, [self] { self->on_not_run_head(); });
+            return;
         }
         responded_ = true;
         is_error_response_ = head.status_ >= first_error_status;
@@ -369,11 +385,53 @@
         hooks_.on_end_();
     }
 
+    /** The head of a response has arrived by which the target states that it has not run the
+     * request. The refusal does not wait for the body. */
+    void on_not_run_head()
+    {
+        if (connection_ && is_request_complete()) {
+            discard_timer_.emplace([this] {
+                const auto self =
+                    shared_from_this(); // the connection's hooks hold the last reference
+                close_connection();
+            });
+            discard_timer_->start(max_discard_time);
+        }
+        else {
+            close_connection();
+        }
+        on_target_stated_not_run();
+    }
+
+    /** Counts bytes of a body that is not needed. */
+    void discard(std::size_t count)
+    {
+        discarded_bytes_ += count;
+        if (discarded_bytes_ > max_discarded_bytes) {
+            close_connection();
+        }
+    }
+
+    void close_connection()
+    {
+        if (const auto connection = std::exchange(connection_, nullptr)) {
+            connection->cancel();
+        }
+    }
+
+    [[nodiscard]] auto is_request_complete() const -> bool
+    {
+        return body_ended_ || !request_.head_.has_body_;
+    }
+
     /** Refuses the request after a response by which the target states that it has not run it. The
      * caller is asked to return after the time in which the target ends one of its requests: a
      * target may reject a part of its requests while others are served at once. */
     void on_target_stated_not_run()
     {
+        if (ended_) {
+            return;
+        }
         meter_->on_error();
         release_slot();
         if (run_) {
@@ -441,7 +499,7 @@
 
     void cancel()
     {
-        if (run_ && connection_ && (body_ended_ || !request_.head_.has_body_)) {
+        if (run_ && connection_ && is_request_complete()) {
             continue_without_caller();
             return;
         }
@@ -449,10 +507,7 @@
         leave_queue();
         run_.reset();
         is_held_ = false;
-        if (connection_) {
-            connection_->cancel();
-            connection_.reset();
-        }
+        close_connection();
         release_slot();
     }
 
@@ -461,19 +516,27 @@
     void continue_without_caller()
     {
         hooks_ = make_no_op_hooks();
+        is_without_caller_ = true;
         connection_->pause_reading(false);
         detached_timer_.emplace([this] { cancel_detached(); });
         detached_timer_->start(std::max(request_.time_left_, min_detached_time_));
     }
 
-    /** Ends an exchange without a caller whose target did not respond in time. */
+    void count_without_caller(std::size_t count)
+    {
+        bytes_after_disconnect_ += count;
+        if (bytes_after_disconnect_ > max_bytes_after_disconnect) {
+            cancel_detached();
+        }
+    }
+
+    /** Ends an exchange without a caller whose target did not respond in time or whose response is
+     * too long. Its run is lost. */
     void cancel_detached()
     {
         const auto self = shared_from_this(); // the connection's hooks hold the last reference
         run_.reset();
-        if (const auto connection = std::exchange(connection_, nullptr)) {
-            connection->cancel();
-        }
+        close_connection();
         release_slot();
     }
 
@@ -495,11 +558,16 @@
     std::optional<queue_position> queue_position_; ///< Set while the request waits for a slot.
     std::optional<deadline_timer> wait_timer_;     ///< Set while the request is in the queue.
     std::optional<deadline_timer> detached_timer_; ///< Set once the caller has disconnected.
+    std::optional<deadline_timer>
+        discard_timer_; ///< Set while the rest of a response is discarded.
     std::optional<crash_guard> crash_guard_;
     std::unique_ptr<unrepeatable_run> run_; ///< For unrepeatable requests with an idempotency key.
     std::string pending_body_;              ///< Body that arrived before the request could be sent.
     bool is_held_ = false;                  ///< The request waits for body bytes that identify it.
     bool target_stated_not_run_ = false;    ///< Its response says that it did not run the request.
+    std::size_t discarded_bytes_ = 0;       ///< Of that response's body.
+    bool is_without_caller_ = false;        ///< The caller has disconnected.
+    std::size_t bytes_after_disconnect_ = 0; ///< Of the response's body.
     bool body_ended_ = false;
     bool responded_ = false;
     bool is_error_response_ = false; ///< The response counts as an error of the target.
