Send the last response of a node that shuts down

What callers saw: after SIGTERM, a call that the node had read and a target had run ended without a response.

Cause: a call stops counting as in flight when its response is written to the socket's buffer, or just before. The main thread may then stop the worker before its event loop has passed the buffer on, and closing the connection discarded it.

Change: closing a connection first passes a finished response on to the system as far as it accepts it at once. A response in progress is still reset.

--- a/libs/http1/http1_server_connection.cpp
+++ b/libs/http1/http1_server_connection.cpp
@@ -261,6 +261,9 @@
         ::setsockopt(static_cast<int>(socket_->socketDescriptor()), SOL_SOCKET, SO_LINGER, &reset,
                      sizeof(reset));
     }
+    else {
+        socket_->flush(); // abort() discards what the system has not accepted yet
+    }
     socket_->abort();
     if (response_pending_) {
         response_pending_ = false;
--- a/libs/http1/http1_server_connection.h
+++ b/libs/http1/http1_server_connection.h
@@ -64,8 +64,8 @@
     void write(std::string_view bytes);
     /** Ends the response; the next request may follow. */
     void finish();
-    /** Closes the connection at once; a response in progress is reset, so that the caller sees it
-     * as truncated. */
+    /** Closes the connection at once. A response in progress is reset, so that the caller sees it
+     * as truncated; a finished one is still sent if the system accepts it without waiting. */
     void abort();
 
     /** Stops or resumes reading the request body. */
--- a/libs/request_path/test/correctness/shutdown.cpp
+++ b/libs/request_path/test/correctness/shutdown.cpp
@@ -1,4 +1,6 @@
 // A node that shuts down under load ends no call early.
+#include <thread>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -99,3 +101,26 @@
     caller->close();
     BOOST_TEST(wait_until([&] { return nodes.entry_node().state_.calls_in_flight() == 0; }));
 }
+
+BOOST_AUTO_TEST_CASE(stopping_a_worker_after_its_last_call_loses_no_response)
+{
+    constexpr unsigned rounds = 20;
+    const scripted_server silent_target([](loopback_socket&) {});
+    auto row = unrepeatable_row();
+    row.timeout_ = std::chrono::milliseconds(100);
+    for (unsigned round = 0; round < rounds; ++round) {
+        node_fixture nodes(call_path::local, silent_target.port(), row);
+        auto& node = nodes.entry_node();
+        const auto caller = nodes.connect();
+        caller->write("GET /x HTTP/1.1\r\nhost: a\r\n\r\n");
+        BOOST_TEST(wait_until([&] { return node.state_.calls_in_flight() == 1; }));
+        node.state_.begin_shutdown();
+        node.worker_->begin_shutdown(std::chrono::milliseconds(0));
+        while (node.state_.calls_in_flight() > 0) {
+            std::this_thread::yield();
+        }
+        node.worker_.reset();
+        BOOST_TEST(wait_until([&] { return caller->is_closed(); }));
+        BOOST_TEST(caller->received().starts_with("HTTP/1.1 504 "));
+    }
+}
