Fix two lint findings of the timer changes

A discarded return value in call_after.cpp and a move of a trivially copyable type in a test. scripts/lint has no finding in either file now; event_loop_test and transport_test passed three times.

--- a/libs/event_loop/call_after.cpp
+++ b/libs/event_loop/call_after.cpp
@@ -36,7 +36,8 @@
 
 void call_after(duration delay, QObject& context, std::function<void()> function)
 {
-    std::make_unique<pending_call>(delay, context, std::move(function)).release();
+    auto call = std::make_unique<pending_call>(delay, context, std::move(function));
+    static_cast<void>(call.release()); // its context owns it
 }
 
 } // namespace sycamorewinch
--- a/libs/transport/test/correctness/peer_timeouts.cpp
+++ b/libs/transport/test/correctness/peer_timeouts.cpp
@@ -86,8 +86,7 @@
             BOOST_TEST((end == connection_end_reason::not_ready));
             lasted_ = monotonic_now() - started_at_;
         };
-        client_ =
-            peer_client::dial({"127.0.0.1", port}, make_key(), std::move(hooks), std::move(limits));
+        client_ = peer_client::dial({"127.0.0.1", port}, make_key(), std::move(hooks), limits);
     }
 };
 
