--- a/libs/request_path/test/correctness/call_timeouts.cpp
+++ b/libs/request_path/test/correctness/call_timeouts.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds call_timeout{1'500};
-/** Calls start at even intervals over one second, since Qt rounds timers to parts of a second. All of
- * them are in flight when the last one starts. */
+/** Calls start at even intervals over one second, since Qt rounds timers to parts of a second. All
+ * of them are in flight when the last one starts. */
 constexpr unsigned call_count = 25;
 constexpr std::chrono::milliseconds call_interval{40};
 constexpr std::chrono::milliseconds shutdown_grace{200};
