Send a finished response whole before an idle connection is closed at shutdown

What callers saw: a caller that reads slowly got its response cut short when its node shut down. A call no longer counts as in flight once its response is written, so its connection counted as idle, and closing it discarded what the system had not taken yet.

Change: a connection with unsent bytes lingers, which ends once the caller has read them or has taken none for the linger timeout; the worker already waits for unsent bytes.

Test: http1_test a_finished_response_to_a_slow_caller_is_not_cut_when_idle_connections_are_closed.

--- a/libs/http1/http1_server_connection.cpp
+++ b/libs/http1/http1_server_connection.cpp
@@ -388,7 +388,13 @@
 {
     state_->close_after_response_ = true;
     state_->send_connection_close_ = true;
-    if (!state_->response_pending_ && !state_->is_lingering_) {
+    if (state_->response_pending_ || state_->is_lingering_) {
+        return;
+    }
+    if (queued_bytes() > 0) {
+        state_->linger();
+    }
+    else {
         state_->close_connection();
     }
 }
