--- a/libs/http1/http1_server_connection.cpp
+++ b/libs/http1/http1_server_connection.cpp
@@ -257,6 +257,9 @@
         ::setsockopt(static_cast<int>(socket_->socketDescriptor()), SOL_SOCKET, SO_LINGER, &reset,
                      sizeof(reset));
     }
+    else {
+        socket_->flush(); // abort() discards what the system has not accepted yet
+    }
     socket_->abort();
     if (response_pending_) {
         response_pending_ = false;
@@ -366,6 +369,16 @@
     return static_cast<std::size_t>(state_->socket_->bytesToWrite());
 }
 
+auto http1_server_connection::end_request_time() -> bool
+{
+    const auto hooks = state_->request_;
+    if (!state_->response_pending_ || !hooks || !hooks->on_time_up_) {
+        return false;
+    }
+    hooks->on_time_up_();
+    return true;
+}
+
 void http1_server_connection::close_after_next_response()
 {
     state_->send_connection_close_ = true;
@@ -375,7 +388,13 @@
 {
     state_->close_after_response_ = true;
     state_->send_connection_close_ = true;
-    if (!state_->response_pending_ && !state_->is_lingering_) {
+    if (state_->response_pending_ || state_->is_lingering_) {
+        return;
+    }
+    if (queued_bytes() > 0) {
+        state_->linger();
+    }
+    else {
         state_->close_connection();
     }
 }
--- a/libs/http1/http1_server_connection.h
+++ b/libs/http1/http1_server_connection.h
@@ -29,6 +29,8 @@
     /** The caller disconnected or violated the protocol; the response can no longer be delivered.
      */
     std::function<void()> on_cancelled_;
+    /** The time for the request has ended; the owner must finish or abort the response. */
+    std::function<void()> on_time_up_;
 };
 
 /** Callbacks of a connection. */
@@ -64,14 +66,16 @@
     void write(std::string_view bytes);
     /** Ends the response; the next request may follow. */
     void finish();
-    /** Closes the connection at once; a response in progress is reset, so that the caller sees it
-     * as truncated. */
+    /** Closes the connection at once. A response in progress is reset, so that the caller sees it
+     * as truncated; a finished one is still sent if the system accepts it without waiting. */
     void abort();
 
     /** Stops or resumes reading the request body. */
     void pause_reading(bool paused);
     /** Returns the bytes written that the operating system has not accepted yet. */
     [[nodiscard]] auto queued_bytes() const -> std::size_t;
+    /** Calls on_time_up_ of the current request; returns false if none is in progress. */
+    auto end_request_time() -> bool;
     /** Closes after the next response to be started, which carries `connection: close`. */
     void close_after_next_response();
     /** Closes after the current response, or at once if idle. */
