Log and count the rate limit that a target states in its responses

The node beside the target now reads the fields of each of its responses, logs target_limit_changed and target_limit_malformed, and shows the limit in two gauges. Nothing acts on it yet.

Responses may overtake each other: one whose request was sent before the limit was stated does not raise or lift it.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -119,6 +119,7 @@
                                          "Calls in progress, from callers and from other nodes.");
         admin_.set_metrics_refresh([this, &in_flight] {
             in_flight.set(static_cast<std::uint64_t>(state_.calls_in_flight().load()));
+            refresh_limit_gauges();
         });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_,
                          [this] { check_leases(); });
@@ -356,6 +357,27 @@
         state_.publish_targets(std::move(local));
     }
 
+    void refresh_limit_gauges()
+    {
+        constexpr double thousandths = 1'000;
+        for (const auto& [name, state] : local_target_states_) {
+            const std::vector<metric_label> labels{{"service", name.first},
+                                                   {"target", name.second}};
+            const auto limit = state.admission_->stated_limit().per_second();
+            metrics_
+                .gauge("sycamorewinch_target_is_rate_limited",
+                       "1 while the target beside this node states a limit of its request rate.",
+                       labels)
+                .set(limit ? 1 : 0);
+            metrics_
+                .gauge("sycamorewinch_target_rate_limit_thousandths",
+                       "The request rate that the target states, in thousandths of a request per "
+                       "second; 0 without a limit.",
+                       labels)
+                .set(static_cast<std::uint64_t>(limit.value_or(0) * thousandths));
+        }
+    }
+
     void publish_routes() { state_.publish_routes(link_.logic().enforced(), directory_.records()); }
 
     // Called on worker threads; continues on the main thread.
--- a/libs/policy/admission_controller.h
+++ b/libs/policy/admission_controller.h
@@ -21,6 +21,7 @@
 #include "policy/limit_share.h"
 #include "policy/rate_limiter.h"
 #include "policy/refusal.h"
+#include "policy/stated_rate_limit.h"
 
 namespace sycamorewinch {
 
@@ -68,6 +69,8 @@
     void set_slots(std::uint32_t slots) { slots_ = slots; }
     [[nodiscard]] auto slots() const -> std::uint32_t { return slots_; }
     [[nodiscard]] auto in_flight() const -> std::uint32_t { return in_flight_; }
+    /** Returns the request rate that the target has stated. */
+    [[nodiscard]] auto stated_limit() -> stated_rate_limit& { return stated_limit_; }
 
   private:
     friend class admission_ticket;
@@ -92,6 +95,7 @@
     std::atomic<std::uint32_t> active_callers_{0};
     std::atomic<std::uint32_t> previous_active_callers_{0}; ///< In the previous period.
     std::atomic<bool> draining_{false};
+    stated_rate_limit stated_limit_;
     std::array<caller_entry, entry_count> entries_;
 };
 
--- a/libs/request_path/header_mapping.h
+++ b/libs/request_path/header_mapping.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "request_path/exchange.h"
+#include "request_path/target_notice.h"
 
 namespace sycamorewinch {
 
@@ -40,6 +41,9 @@
     std::function<void(header_list& fields, const exchange_request& request)> write_target_headers_;
     std::function<response_kind(const exchange_request& request, const message_head& response)>
         classify_response_;
+    /** Reads what the target says about itself in a response; returns nothing if the response was
+     * sent by something other than the target. */
+    std::function<std::optional<target_notice>(const message_head& response)> read_target_notice_;
     /** Removes the header fields that a target may not set in a response. */
     std::function<void(header_list& fields)> strip_response_headers_;
     /** Describes \p refusal to the caller in the head of \p response; may change its status. */
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -6,6 +6,7 @@
 #include <QTimer>
 
 #include "event_loop/deadline_timer.h"
+#include "observability/log.h"
 #include "request_path/crash_guard.h"
 #include "request_path/target_limit_share.h"
 #include "request_path/unrepeatable_run.h"
@@ -344,6 +345,9 @@
             on_failed(exchange_failure::malformed);
             return;
         }
+        if (const auto notice = node_.mapping().read_target_notice_(head)) {
+            on_notice(*notice);
+        }
         target_stated_not_run_ = kind == response_kind::not_run;
         if (target_stated_not_run_) {
             // Posted: a short response mostly ends in the same read, and its connection can then
@@ -362,6 +366,24 @@
         hooks_.on_response_(std::move(head));
     }
 
+    /** Applies what the target says about itself in a response that has arrived. */
+    void on_notice(const target_notice& notice)
+    {
+        if (notice.has_malformed_rate_) {
+            log_event(log_level::warning, "target_limit_malformed",
+                      {{"service", request_.service_}, {"target", request_.target_}});
+        }
+        const bool is_rate_known = notice.max_rate_ || !notice.has_malformed_rate_;
+        if (is_rate_known &&
+            admission_->stated_limit().state(notice.max_rate_, sent_at_, monotonic_now())) {
+            log_event(log_level::info, "target_limit_changed",
+                      {{"service", request_.service_},
+                       {"target", request_.target_},
+                       {"is_limited", notice.max_rate_.has_value()},
+                       {"per_second", notice.max_rate_.value_or(0)}});
+        }
+    }
+
     void on_end()
     {
         connections_.release(address_, std::move(connection_));
--- a/libs/request_path/native_header_mapping.cpp
+++ b/libs/request_path/native_header_mapping.cpp
@@ -40,9 +40,15 @@
 
 auto native_header_mapping() -> header_mapping
 {
-    return {read_metadata, write_target_headers,
+    return {read_metadata,
+            write_target_headers,
             [](const exchange_request&, const message_head&) { return response_kind::genuine; },
-            remove_system_headers, write_refusal};
+            [](const message_head& response) {
+                return read_target_notice(response.headers_, target_limit_header,
+                                          target_leaving_header);
+            },
+            remove_system_headers,
+            write_refusal};
 }
 
 } // namespace sycamorewinch
--- a/libs/request_path/peer_headers.h
+++ b/libs/request_path/peer_headers.h
@@ -24,6 +24,11 @@
  * make calls themselves. */
 constexpr std::string_view retry_header = "sycamorewinch-retry";
 
+/** The requests per second that a target takes from all nodes together, stated in its responses. */
+constexpr std::string_view target_limit_header = "sycamorewinch-target-limit";
+/** Set to `1` in the responses of a target that is leaving. */
+constexpr std::string_view target_leaving_header = "sycamorewinch-target-leaving";
+
 /** Returns the header fields of \p request for another node. */
 [[nodiscard]] auto to_peer_request(const exchange_request& request) -> header_list;
 /** Reads a request from another node's header fields; \p ends_stream: it has no body. */
