Send no new request to a target that says it is leaving in a response

Callers' requests reached a target after it had said Server-Leaving, until its heartbeat reported the drain, or for as long as it ran if it never did: leaving was known from heartbeats alone.

The statement is the same news by a second way. The node beside the target stops admitting at once, on the thread that reads the response; requests that wait in the queue of that thread are tried elsewhere. The registry then marks the target as draining, whatever its later announcements of this start say, and reports it. A new start ends it, and the stated rate too: what an exchange of an earlier start says is dropped. A restart with an unchanged record counts as a change.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -70,6 +70,7 @@
 struct local_target_state {
     std::shared_ptr<admission_controller> admission_;
     std::shared_ptr<target_meter> meter_;
+    std::uint32_t starts_ = 0; ///< As in registered_target.
 };
 
 /** A node: subscribes to an upstream, registers targets, and serves calls on its workers. */
@@ -135,6 +136,8 @@
             state_.set_preferred_zone(settings_.availability_zone_);
         }
         state_.set_crash_report_hook([this](auto record) { post_crash(std::move(record)); });
+        state_.set_leave_hook(
+            [this](const auto& service, const auto& target) { post_leave(service, target); });
         state_.set_run_record_hooks({[this](auto operation, auto reply) {
                                          post_reservation(std::move(operation), std::move(reply));
                                      },
@@ -304,6 +307,21 @@
             Qt::QueuedConnection);
     }
 
+    // Called on worker threads; continues on the main thread.
+    void post_leave(const std::string& service, const std::string& target)
+    {
+        QMetaObject::invokeMethod(
+            &lease_timer_,
+            [this, service, target] {
+                if (const auto changed = registry_.mark_leaving(service, target);
+                    !changed.empty()) {
+                    publish_local_targets();
+                    propagate_changes(changed);
+                }
+            },
+            Qt::QueuedConnection);
+    }
+
     void merge_crashes(const std::vector<crash_record>& records)
     {
         bool changed = false;
@@ -342,13 +360,16 @@
         auto local = std::make_shared<local_targets>();
         for (const auto& target : registry_.targets()) {
             const auto& record = target.record_;
-            auto& [target_admission, meter] =
+            auto& [target_admission, meter, starts] =
                 local_target_states_[{record.service_, record.target_}];
             const auto slots = record.slots_ + settings_.requests_ahead_;
             if (!target_admission) {
                 target_admission = std::make_shared<admission_controller>(slots);
                 meter = std::make_shared<target_meter>();
             }
+            if (std::exchange(starts, target.starts_) != target.starts_) {
+                target_admission->begin_start();
+            }
             target_admission->set_slots(slots);
             target_admission->set_draining(record.state_ != target_state::up);
             local->push_back({record.service_, record.target_, target.announcement_.address_,
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -28,7 +28,11 @@
     const bool has_retired_others = retire_others_at_address(announcement);
     auto& target = targets_[{announcement.service_, announcement.target_}];
     const auto before = target.record_;
-    const bool is_new_start = announcement.started_ != target.announcement_.started_;
+    const bool is_new_start = is_start(target, announcement);
+    if (is_new_start) {
+        ++target.starts_;
+        target.is_leaving_ = false;
+    }
     target.announcement_ = announcement;
     target.has_left_ = false;
     target.lease_end_ = now + announcement.lease_;
@@ -41,17 +45,27 @@
     record.incarnation_ = incarnation_;
     record.slots_ = announcement.slots_;
     // Later announcements of one start give a shorter remaining cold start, which is no change.
-    if (before.target_.empty() || is_new_start) {
+    if (is_new_start) {
         record.cold_start_ = announcement.cold_start_;
     }
     record.state_ = announced_state(target);
-    if (record == before) {
+    if (record == before && !is_new_start) {
         return has_retired_others;
     }
     record.sequence_ = next_sequence();
     return true;
 }
 
+auto target_registry::is_start(const registered_target& target,
+                               const target_announcement& announcement) -> bool
+{
+    const bool was_known = !target.record_.target_.empty();
+    // Without a start number, a target that was gone is taken to have restarted.
+    const bool has_returned =
+        announcement.started_ == 0 && target.record_.state_ == target_state::gone;
+    return !was_known || has_returned || announcement.started_ != target.announcement_.started_;
+}
+
 auto target_registry::is_superseded(const target_announcement& announcement) const -> bool
 {
     for (const auto& [name, target] : targets_) {
@@ -98,8 +112,8 @@
     if (target.has_left_) {
         return target_state::gone;
     }
-    const bool drains =
-        target.announcement_.draining_ || target.drained_by_operator_ || node_drained_;
+    const bool drains = target.announcement_.draining_ || target.is_leaving_ ||
+                        target.drained_by_operator_ || node_drained_;
     return drains ? target_state::draining : target_state::up;
 }
 
@@ -127,6 +141,17 @@
     return changed;
 }
 
+auto target_registry::mark_leaving(const std::string& service, const std::string& target)
+    -> std::vector<target_record>
+{
+    std::vector<target_record> changed;
+    if (const auto found = targets_.find({service, target}); found != targets_.end()) {
+        found->second.is_leaving_ = true;
+        update_state(found->second, changed);
+    }
+    return changed;
+}
+
 auto target_registry::expire(instant now) -> std::vector<target_record>
 {
     std::vector<target_record> changed;
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -37,6 +37,8 @@
     instant lease_end_;
     bool drained_by_operator_ = false; ///< Overrides what the target announces.
     bool has_left_ = false;            ///< It announced leaving and has not restarted since.
+    bool is_leaving_ = false;          ///< It said so in a response, and has not restarted since.
+    std::uint32_t starts_ = 0;         ///< How many starts of it were announced.
 };
 
 /** The targets beside one node. */
@@ -56,6 +58,11 @@
     /** Marks the target named \p target as gone in every service. Returns the changed records. */
     auto withdraw(const std::string& target) -> std::vector<target_record>;
 
+    /** Marks a target that has said it is leaving as draining until it restarts. Returns the
+     * changed records. */
+    auto mark_leaving(const std::string& service, const std::string& target)
+        -> std::vector<target_record>;
+
     /** Marks targets with expired leases as gone; returns the changed records. */
     auto expire(instant now) -> std::vector<target_record>;
 
@@ -90,6 +97,9 @@
     [[nodiscard]] auto targets() const -> std::vector<registered_target>;
 
   private:
+    /** Returns whether \p announcement is the first one of a start of \p target. */
+    [[nodiscard]] static auto is_start(const registered_target& target,
+                                       const target_announcement& announcement) -> bool;
     [[nodiscard]] auto is_superseded(const target_announcement& announcement) const -> bool;
     auto retire_others_at_address(const target_announcement& announcement) -> bool;
     auto next_sequence() -> std::uint64_t;
--- a/libs/daemon/test/correctness/target_registry.cpp
+++ b/libs/daemon/test/correctness/target_registry.cpp
@@ -111,6 +111,27 @@
     BOOST_TEST((state_of(registry, "d1") == target_state::up));
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_says_it_is_leaving_drains_until_it_restarts)
+{
+    target_registry registry("zone-a", "127.0.0.1:1", 5);
+    registry.announce(announcement_of("d1", 100, 1), instant{});
+    BOOST_TEST(registry.mark_leaving("dialer", "d1").size() == 1U);
+    BOOST_TEST(registry.mark_leaving("dialer", "unknown").empty());
+    BOOST_TEST(!registry.announce(announcement_of("d1", 100, 2), instant{}));
+    BOOST_TEST((state_of(registry, "d1") == target_state::draining));
+    BOOST_TEST(registry.announce(announcement_of("d1", 200, 1), instant{}));
+    BOOST_TEST((state_of(registry, "d1") == target_state::up));
+}
+
+BOOST_AUTO_TEST_CASE(a_restart_is_a_change_although_the_record_is_the_same)
+{
+    target_registry registry("zone-a", "127.0.0.1:1", 5);
+    registry.announce(announcement_of("d1", 100, 1), instant{});
+    BOOST_TEST(registry.announce(announcement_of("d1", 200, 1), instant{}));
+    BOOST_TEST(registry.targets().front().starts_ == 2U);
+    BOOST_TEST(!registry.announce(announcement_of("d1", 200, 2), instant{}));
+}
+
 BOOST_AUTO_TEST_CASE(a_target_not_announced_since_the_node_restarted_is_disowned)
 {
     target_registry registry_before_restart("zone-a", "127.0.0.1:1", 5);
--- a/libs/policy/admission_controller.cpp
+++ b/libs/policy/admission_controller.cpp
@@ -35,6 +35,13 @@
     --*caller_count_;
 }
 
+void admission_controller::begin_start()
+{
+    ++start_number_;
+    leaving_ = false;
+    stated_limit_.clear();
+}
+
 auto admission_controller::find_entry(std::string_view caller) -> caller_entry&
 {
     const auto caller_hash = hash_of(caller) | 1U; // 0 marks a free entry
@@ -82,7 +89,7 @@
 auto admission_controller::admit(std::string_view caller, const limit_share& share, instant now)
     -> admission_result
 {
-    if (draining_) {
+    if (draining_ || leaving_) {
         return {{}, refusal_reason::target_draining};
     }
     if (!share.admits_calls_) {
--- a/libs/policy/admission_controller.h
+++ b/libs/policy/admission_controller.h
@@ -66,6 +66,14 @@
 
     /** While \p draining is set, every new request is refused. */
     void set_draining(bool draining) { draining_ = draining; }
+    /** Records that the target has said it is leaving: every new request is refused until
+     * begin_start(). Returns whether this is the first time since then. */
+    auto set_leaving() -> bool { return !leaving_.exchange(true); }
+    /** To be called when the target has started anew: what the earlier start stated is void. */
+    void begin_start();
+    /** Returns the number of calls of begin_start(); a statement holds for the start it was made
+     * in. */
+    [[nodiscard]] auto start_number() const -> std::uint32_t { return start_number_; }
     void set_slots(std::uint32_t slots) { slots_ = slots; }
     [[nodiscard]] auto slots() const -> std::uint32_t { return slots_; }
     [[nodiscard]] auto in_flight() const -> std::uint32_t { return in_flight_; }
@@ -95,6 +103,8 @@
     std::atomic<std::uint32_t> active_callers_{0};
     std::atomic<std::uint32_t> previous_active_callers_{0}; ///< In the previous period.
     std::atomic<bool> draining_{false};
+    std::atomic<bool> leaving_{false};
+    std::atomic<std::uint32_t> start_number_{0};
     stated_rate_limit stated_limit_;
     std::array<caller_entry, entry_count> entries_;
 };
--- a/libs/policy/stated_rate_limit.h
+++ b/libs/policy/stated_rate_limit.h
@@ -34,6 +34,9 @@
      * no limit; its request was sent at \p request_sent. Returns whether the limit changed. */
     auto state(std::optional<double> per_second, instant request_sent, instant now) -> bool;
 
+    /** Lifts the limit. */
+    void clear() { per_second_ = unlimited; }
+
     /** Returns the limit in requests per second; nothing if there is none. */
     [[nodiscard]] auto per_second() const -> std::optional<double>;
 
--- a/libs/policy/test/correctness/admission_controller.cpp
+++ b/libs/policy/test/correctness/admission_controller.cpp
@@ -82,3 +82,18 @@
         BOOST_TEST(!admitted.back().refusal_.has_value());
     }
 }
+
+BOOST_AUTO_TEST_CASE(statements_of_a_target_are_void_after_its_restart)
+{
+    admission_controller controller(10);
+    const auto limits = make_limits(0, 0, 0);
+    controller.stated_limit().state(0, instant(), instant());
+    BOOST_TEST(controller.set_leaving());
+    BOOST_TEST(!controller.set_leaving());
+    controller.set_draining(false); // an announcement sent before
+    BOOST_TEST(
+        (controller.admit("", limits, instant()).refusal_ == refusal_reason::target_draining));
+    controller.begin_start();
+    BOOST_TEST(!controller.admit("", limits, instant()).refusal_.has_value());
+    BOOST_TEST(!controller.stated_limit().per_second().has_value());
+}
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -295,6 +295,7 @@
     void send()
     {
         sent_at_ = monotonic_now();
+        target_start_ = admission_->start_number();
         connection_ = connections_.acquire(address_, !request_.repeatable_);
         const auto connection = connection_; // if start() fails at once, connection_ is reset
         request_.time_left_ =
@@ -407,6 +408,17 @@
     /** Applies what the target says about itself in a response that has arrived. */
     void on_notice(const target_notice& notice)
     {
+        if (admission_->start_number() != target_start_) {
+            return; // from an earlier start of the target
+        }
+        if (notice.is_leaving_ && admission_->set_leaving()) {
+            log_event(log_level::info, "target_leaving",
+                      {{"service", request_.service_}, {"target", request_.target_}});
+            if (node_.on_leave()) {
+                node_.on_leave()(request_.service_, request_.target_);
+            }
+            queue().start_waiting(); // the requests that wait are tried at other targets
+        }
         if (notice.has_malformed_rate_) {
             log_event(log_level::warning, "target_limit_malformed",
                       {{"service", request_.service_}, {"target", request_.target_}});
@@ -615,6 +627,7 @@
     std::chrono::milliseconds min_detached_time_;
     instant time_left_at_; ///< When request_.time_left_ was set.
     instant sent_at_{};
+    std::uint32_t target_start_ = 0; ///< Start of the target that the request was sent in.
     limit_share limit_share_;
     std::shared_ptr<admission_controller> admission_; ///< Must outlive ticket_.
     std::shared_ptr<target_meter> meter_;
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -37,6 +37,9 @@
 /** All targets beside this node. */
 using local_targets = std::vector<local_target>;
 
+/** Takes note that a target beside this node has said it is leaving. Called on worker threads. */
+using leave_hook = std::function<void(const std::string& service, const std::string& target)>;
+
 /** The shared state of one node. */
 class node_state {
   public:
@@ -88,6 +91,11 @@
     void set_crash_report_hook(crash_report_hook port) { crash_report_hook_ = std::move(port); }
     [[nodiscard]] auto crash_hook() const -> const crash_report_hook& { return crash_report_hook_; }
 
+    /** Sets the hook that is called when a target beside this node says that it is leaving. Call
+     * before the workers start. */
+    void set_leave_hook(leave_hook hook) { leave_hook_ = std::move(hook); }
+    [[nodiscard]] auto on_leave() const -> const leave_hook& { return leave_hook_; }
+
     /** Returns the requests known to crash targets. */
     [[nodiscard]] auto crashes() const -> std::shared_ptr<const crash_view>
     {
@@ -116,6 +124,7 @@
     std::string preferred_zone_;
     run_record_hooks run_record_hooks_;
     crash_report_hook crash_report_hook_;
+    leave_hook leave_hook_;
     rcu_cell<crash_view> crashes_{std::make_shared<const crash_view>()};
     std::atomic<bool> shutting_down_{false};
     std::atomic<std::int64_t> in_flight_{0};
