Keep a target that has left out of use after its node has restarted

A node that has restarted knew nothing of what its target had said before. An announcement that was delayed on its way made it report the target as up again, and that record replaced the one that said draining or gone everywhere: callers' requests reached a target that had left.

A target's record now carries the start of the target and the latest start that has said it is leaving, by a response, an announcement or a withdrawal. The latter is merged as a maximum in every directory, in whatever order the records arrive, and is part of the digests, so that a process that was not told is synchronized. Routes leave such a target out; the publisher answers a report that lacks the statement, and the node drains the target. A new start has a larger number and is used at once. With a start number, an announced drain holds until the next start.

Two cases of target_directory fail without the merge. Records have two more fields, so processes built before this change cannot read them.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -472,9 +472,12 @@
         if (has_announcement_period_elapsed()) {
             disown(updates);
         }
-        if (const auto refuted = registry_.refute(updates); !refuted.empty()) {
+        auto changed = registry_.learn_leaving(updates);
+        const auto refuted = registry_.refute(updates);
+        changed.insert(changed.end(), refuted.begin(), refuted.end());
+        if (!changed.empty()) {
             publish_local_targets();
-            propagate_changes(refuted);
+            propagate_changes(changed);
         }
         if (output.enforce_) {
             version_.set(output.enforce_->version_.number_);
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -35,6 +35,8 @@
     }
     target.announcement_ = announcement;
     target.has_left_ = false;
+    const bool is_final = announcement.draining_ && announcement.started_ != 0;
+    target.is_leaving_ = target.is_leaving_ || is_final;
     target.lease_end_ = now + announcement.lease_;
     auto& record = target.record_;
     record.service_ = announcement.service_;
@@ -44,6 +46,8 @@
     record.node_admin_ = node_admin_;
     record.incarnation_ = incarnation_;
     record.slots_ = announcement.slots_;
+    record.started_ = announcement.started_;
+    record.left_start_ = target.is_leaving_ ? announcement.started_ : record.left_start_;
     // Later announcements of one start give a shorter remaining cold start, which is no change.
     if (is_new_start) {
         record.cold_start_ = announcement.cold_start_;
@@ -133,6 +137,7 @@
     for (auto& [name, known] : targets_) {
         if (name.second == target) {
             known.has_left_ = true;
+            known.record_.left_start_ = known.announcement_.started_;
             if (set_state(known, target_state::gone)) {
                 changed.push_back(known.record_);
             }
@@ -147,11 +152,31 @@
     std::vector<target_record> changed;
     if (const auto found = targets_.find({service, target}); found != targets_.end()) {
         found->second.is_leaving_ = true;
+        found->second.record_.left_start_ = found->second.announcement_.started_;
         update_state(found->second, changed);
     }
     return changed;
 }
 
+auto target_registry::learn_leaving(const std::vector<target_record>& received)
+    -> std::vector<target_record>
+{
+    std::vector<target_record> changed;
+    for (const auto& record : received) {
+        const auto found = targets_.find({record.service_, record.target_});
+        if (found == targets_.end() || record.node_address_ != node_address_) {
+            continue;
+        }
+        auto& own = found->second.record_;
+        own.left_start_ = std::max(own.left_start_, record.left_start_);
+        if (has_left(own) && !found->second.is_leaving_) {
+            found->second.is_leaving_ = true;
+            update_state(found->second, changed);
+        }
+    }
+    return changed;
+}
+
 auto target_registry::expire(instant now) -> std::vector<target_record>
 {
     std::vector<target_record> changed;
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -23,6 +23,7 @@
     std::uint32_t slots_ = 0;
     std::chrono::milliseconds cold_start_{0};
     std::chrono::milliseconds lease_{0}; ///< The target renews the announcement within this time.
+    /** It takes no new requests. If started_ is known, this holds until its next start. */
     bool draining_ = false;
     /** Identifies the start of the target: a later start has a larger number; 0 if unknown. */
     std::uint64_t started_ = 0;
@@ -37,7 +38,7 @@
     instant lease_end_;
     bool drained_by_operator_ = false; ///< Overrides what the target announces.
     bool has_left_ = false;            ///< It announced leaving and has not restarted since.
-    bool is_leaving_ = false;          ///< It said so in a response, and has not restarted since.
+    bool is_leaving_ = false;          ///< It said so, and has not restarted since.
     std::uint32_t starts_ = 0;         ///< How many starts of it were announced.
 };
 
@@ -63,6 +64,10 @@
     auto mark_leaving(const std::string& service, const std::string& target)
         -> std::vector<target_record>;
 
+    /** Adopts from \p received records of this node's own targets that they are leaving, which the
+     * node may have been told before it restarted. Returns the changed records. */
+    auto learn_leaving(const std::vector<target_record>& received) -> std::vector<target_record>;
+
     /** Marks targets with expired leases as gone; returns the changed records. */
     auto expire(instant now) -> std::vector<target_record>;
 
--- a/libs/daemon/test/correctness/target_registry.cpp
+++ b/libs/daemon/test/correctness/target_registry.cpp
@@ -123,6 +123,23 @@
     BOOST_TEST((state_of(registry, "d1") == target_state::up));
 }
 
+BOOST_AUTO_TEST_CASE(a_restarted_node_learns_that_its_target_is_leaving)
+{
+    target_registry before_restart("zone-a", "127.0.0.1:1", 5);
+    before_restart.announce(announcement_of("d1", 100, 8), instant{});
+    const auto left = before_restart.withdraw("d1");
+    target_registry registry("zone-a", "127.0.0.1:1", 6);
+    registry.announce(announcement_of("d1", 100, 7), instant{}); // delayed
+    BOOST_TEST((state_of(registry, "d1") == target_state::up));
+    BOOST_TEST(registry.learn_leaving(left).size() == 1U);
+    BOOST_TEST((state_of(registry, "d1") == target_state::draining));
+    BOOST_TEST(registry.learn_leaving(left).empty());
+    registry.announce(announcement_of("d1", 100, 9), instant{});
+    BOOST_TEST((state_of(registry, "d1") == target_state::draining));
+    registry.announce(announcement_of("d1", 200, 1), instant{});
+    BOOST_TEST((state_of(registry, "d1") == target_state::up));
+}
+
 BOOST_AUTO_TEST_CASE(a_restart_is_a_change_although_the_record_is_the_same)
 {
     target_registry registry("zone-a", "127.0.0.1:1", 5);
--- a/libs/distribution/publisher.cpp
+++ b/libs/distribution/publisher.cpp
@@ -56,10 +56,10 @@
     for (const auto& target : report.targets_) {
         if (targets_.merge(target)) {
             leases_.release(target);
-            updates.push_back(target);
+            updates.push_back(*targets_.find(target.service_, target.target_));
         }
         else if (report.holds_leases_ &&
-                 *targets_.find(target.service_, target.target_) == target) {
+                 is_same_version(*targets_.find(target.service_, target.target_), target)) {
             leases_.take_over(target);
         }
     }
@@ -237,18 +237,18 @@
     target_report taken_over{{}, true};
     for (const auto& target : report.targets_) {
         const auto is_merged = targets_.merge(target);
+        const auto* known = targets_.find(target.service_, target.target_);
         if (is_merged) {
             leases_.release(target);
-            updates.targets_.push_back(target);
+            updates.targets_.push_back(*known);
         }
-        const auto* known = targets_.find(target.service_, target.target_);
-        if (report.holds_leases_ && *known == target) {
+        if (report.holds_leases_ && is_same_version(*known, target)) {
             if (!is_merged && !leases_.has_connected_holder(target)) {
                 taken_over.targets_.push_back(target);
             }
             leases_.hold(target, from, subscribers_.at(from).is_relay_);
         }
-        if (!is_merged && *known != target) {
+        if (*known != target) {
             // The sender adopts the known record, or the node announces a newer one.
             send(from, target_report{{*known}, false});
         }
--- a/libs/membership/target_directory.cpp
+++ b/libs/membership/target_directory.cpp
@@ -16,7 +16,14 @@
     }
     const auto name = hash_of(record.target_, hash_of(record.service_));
     const auto with_incarnation = hash_of(std::to_string(record.incarnation_), name);
-    return static_cast<std::uint32_t>(hash_of(std::to_string(record.sequence_), with_incarnation));
+    const auto with_sequence = hash_of(std::to_string(record.sequence_), with_incarnation);
+    return static_cast<std::uint32_t>(hash_of(std::to_string(record.left_start_), with_sequence));
+}
+
+/** Returns whether \p record says anything that \p than, a record of the same target, does not. */
+auto has_news(const target_record& record, const target_record& than) -> bool
+{
+    return is_newer(record, than) || record.left_start_ > than.left_start_;
 }
 
 } // namespace
@@ -36,15 +43,19 @@
     const auto key = key_of(record);
     auto& bucket = buckets_[bucket_of(key)];
     const auto found = bucket.records_.find(key);
+    auto merged = record;
     if (found != bucket.records_.end()) {
-        if (!is_newer(record, found->second)) {
+        const auto& known = found->second;
+        if (!has_news(record, known)) {
             return false;
         }
-        bucket.digest_ -= record_digest(found->second);
+        bucket.digest_ -= record_digest(known);
+        merged = is_newer(record, known) ? record : known;
+        merged.left_start_ = std::max(record.left_start_, known.left_start_);
     }
-    bucket.records_[key] = record;
-    bucket.digest_ += record_digest(record);
-    if (record.state_ == target_state::gone) {
+    bucket.records_[key] = merged;
+    bucket.digest_ += record_digest(merged);
+    if (merged.state_ == target_state::gone) {
         tombstones_[key] = std::nullopt;
     }
     else {
@@ -147,7 +158,7 @@
     for (const auto& record : remote.targets_) {
         remote_records[key_of(record)] = &record;
         if (merge(record)) {
-            merged.target_updates_.push_back(record);
+            merged.target_updates_.push_back(*find(record.service_, record.target_));
         }
     }
     for (const auto index : remote.buckets_) {
@@ -157,7 +168,7 @@
             // resent.
             const auto is_newer_locally = found == remote_records.end()
                                               ? record.state_ != target_state::gone
-                                              : is_newer(record, *found->second);
+                                              : has_news(record, *found->second);
             if (is_newer_locally) {
                 merged.newer_local_.push_back(record);
             }
--- a/libs/membership/target_directory.h
+++ b/libs/membership/target_directory.h
@@ -58,7 +58,7 @@
 /** The records of the known targets by service and name. */
 class target_directory {
   public:
-    /** Stores \p record if it is newer than the stored one; returns whether it was stored. */
+    /** Merges \p record with the stored one; returns whether the stored one changed. */
     auto merge(const target_record& record) -> bool;
 
     /** Removes tombstones that are older than tombstone_retention. */
--- a/libs/membership/target_record.cpp
+++ b/libs/membership/target_record.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr enum_names<target_state, 3> state_names{{"up", "draining", "gone"}};
-constexpr std::size_t record_fields = 10;
+constexpr std::size_t record_fields = 12;
 constexpr std::size_t max_field_bytes = 64;
 
 } // namespace
@@ -25,6 +25,16 @@
            std::tie(than.incarnation_, than.sequence_);
 }
 
+auto is_same_version(const target_record& one, const target_record& other) -> bool
+{
+    return !is_newer(one, other) && !is_newer(other, one);
+}
+
+auto has_left(const target_record& record) -> bool
+{
+    return record.started_ != 0 && record.left_start_ >= record.started_;
+}
+
 void write_target(cbor_writer& writer, const target_record& record)
 {
     writer.array(record_fields).text(record.service_).text(record.target_);
@@ -33,6 +43,7 @@
     writer.number(record.incarnation_).number(record.sequence_);
     writer.number(static_cast<std::uint64_t>(record.state_)).number(record.slots_);
     writer.number(static_cast<std::uint64_t>(record.cold_start_.count()));
+    writer.number(record.started_).number(record.left_start_);
 }
 
 auto read_target(cbor_reader& reader) -> target_record
@@ -53,6 +64,8 @@
     record.state_ = static_cast<target_state>(state);
     record.slots_ = static_cast<std::uint32_t>(reader.number());
     record.cold_start_ = std::chrono::milliseconds(reader.number());
+    record.started_ = reader.number();
+    record.left_start_ = reader.number();
     return record;
 }
 
--- a/libs/membership/target_record.h
+++ b/libs/membership/target_record.h
@@ -30,7 +30,7 @@
 constexpr std::uint64_t sequence_step = 2;
 
 /** One target of one service. The record with the higher (incarnation, sequence) replaces the
- * other, in whatever order they arrive. */
+ * other, in whatever order they arrive; left_start_ is merged. */
 struct target_record {
     std::string service_;
     std::string target_; ///< Unique within its service.
@@ -42,6 +42,11 @@
     target_state state_ = target_state::up;
     std::uint32_t slots_ = 0;                 ///< Maximum number of concurrent requests.
     std::chrono::milliseconds cold_start_{0}; ///< Time from start to full capacity.
+    /** Identifies the start of the target: a later start has a larger number; 0 if unknown. */
+    std::uint64_t started_ = 0;
+    /** The latest start of the target that has said it is leaving; 0: none. Does not fall when
+     * records are merged, since a node that has restarted does not know what was said before. */
+    std::uint64_t left_start_ = 0;
 
     [[nodiscard]] auto operator==(const target_record&) const -> bool = default;
 };
@@ -49,6 +54,12 @@
 /** Returns whether \p record replaces \p than, a record of the same target. */
 [[nodiscard]] auto is_newer(const target_record& record, const target_record& than) -> bool;
 
+/** Returns whether both are the same version of a record, whatever their left_start_ is. */
+[[nodiscard]] auto is_same_version(const target_record& one, const target_record& other) -> bool;
+
+/** Returns whether the start of the target that \p record describes has said it is leaving. */
+[[nodiscard]] auto has_left(const target_record& record) -> bool;
+
 /** Appends \p record to \p writer as one CBOR array. */
 void write_target(cbor_writer& writer, const target_record& record);
 /** Reads one record; check \p reader for errors afterwards. */
--- a/libs/membership/test/correctness/target_directory.cpp
+++ b/libs/membership/test/correctness/target_directory.cpp
@@ -34,6 +34,8 @@
     value.node_address_ = "127.0.0.1:9000";
     value.slots_ = 10;
     value.cold_start_ = std::chrono::milliseconds(1500);
+    value.started_ = 200;
+    value.left_start_ = 100;
     cbor_writer writer;
     write_target(writer, value);
     const auto bytes = writer.take();
@@ -93,3 +95,44 @@
     BOOST_TEST(downstream.merge_buckets(upstream.differing_buckets(downstream.digests()))
                    .newer_local_.empty());
 }
+
+BOOST_AUTO_TEST_CASE(a_target_that_left_is_not_used_again_after_its_node_has_restarted)
+{
+    auto left = record(5, 2, target_state::gone);
+    left.started_ = 100;
+    left.left_start_ = 100;
+    auto announced_late = record(6, 2, target_state::up); // by a node that was not told
+    announced_late.started_ = 100;
+    target_directory in_order;
+    in_order.merge(left);
+    BOOST_TEST(in_order.merge(announced_late));
+    target_directory reversed;
+    reversed.merge(announced_late);
+    BOOST_TEST(reversed.merge(left));
+    for (const auto* directory : {&in_order, &reversed}) {
+        BOOST_TEST((directory->find("dialer", "d1")->state_ == target_state::up));
+        BOOST_TEST(has_left(*directory->find("dialer", "d1")));
+    }
+    auto restarted = record(6, 4, target_state::up);
+    restarted.started_ = 200;
+    BOOST_TEST(in_order.merge(restarted));
+    BOOST_TEST(!has_left(*in_order.find("dialer", "d1")));
+}
+
+BOOST_AUTO_TEST_CASE(a_directory_that_was_not_told_of_a_leave_is_synchronized)
+{
+    auto announced = record(6, 2, target_state::up);
+    announced.started_ = 100;
+    target_directory upstream;
+    target_directory downstream;
+    upstream.merge(announced);
+    downstream.merge(announced);
+    auto left = record(5, 2, target_state::gone);
+    left.left_start_ = 100;
+    upstream.merge(left);
+    const auto contents = upstream.differing_buckets(downstream.digests());
+    BOOST_TEST(contents.buckets_.size() == 1U);
+    BOOST_TEST(downstream.merge_buckets(contents).target_updates_.size() == 1U);
+    BOOST_TEST(has_left(*downstream.find("dialer", "d1")));
+    BOOST_TEST((downstream.digests() == upstream.digests()));
+}
--- a/libs/policy/route_table.cpp
+++ b/libs/policy/route_table.cpp
@@ -92,7 +92,7 @@
     targets_by_service by_service;
     destinations_by_service destinations;
     for (const auto& target : targets) {
-        if (target.state_ == target_state::up) {
+        if (target.state_ == target_state::up && !has_left(target)) {
             by_service[target.service_].push_back(&target);
         }
     }
