Remember at the calling nodes what a target has stated

The node beside a target forgets the stated rate and the leave notice when it restarts, while the target runs on. Until the target's next response it then admitted as many requests as there are slots, and a target that had left got requests from nodes that had passed its notice on.

A calling node now keeps the latest start of a target that said it is leaving, from the response that it passes on, and sends that start no request. It sends the rate of its last load report with its requests, and the node beside the target adopts it until it has had a response of its own.

--- a/libs/policy/stated_rate_limit.cpp
+++ b/libs/policy/stated_rate_limit.cpp
@@ -17,6 +17,7 @@
 auto stated_rate_limit::state(std::optional<double> per_second, instant request_sent, instant now)
     -> bool
 {
+    has_response_ = true;
     const auto stated = per_second.value_or(unlimited);
     const auto current = per_second_.load();
     const bool may_be_older = request_sent.time_since_epoch().count() < stated_us_;
@@ -30,6 +31,19 @@
     return stated != current;
 }
 
+void stated_rate_limit::adopt(double per_second)
+{
+    if (!has_response_) {
+        per_second_ = per_second;
+    }
+}
+
+void stated_rate_limit::clear()
+{
+    has_response_ = false;
+    per_second_ = unlimited;
+}
+
 auto stated_rate_limit::per_second() const -> std::optional<double>
 {
     const auto rate = per_second_.load();
--- a/libs/policy/stated_rate_limit.h
+++ b/libs/policy/stated_rate_limit.h
@@ -34,8 +34,11 @@
      * no limit; its request was sent at \p request_sent. Returns whether the limit changed. */
     auto state(std::optional<double> per_second, instant request_sent, instant now) -> bool;
 
-    /** Lifts the limit. */
-    void clear() { per_second_ = unlimited; }
+    /** Adopts the limit that another node was told of, unless a response has been recorded here. */
+    void adopt(double per_second);
+
+    /** Lifts the limit; no response of the target has been recorded then. */
+    void clear();
 
     /** Returns the limit in requests per second; nothing if there is none. */
     [[nodiscard]] auto per_second() const -> std::optional<double>;
@@ -52,6 +55,7 @@
 
     std::atomic<double> per_second_{unlimited};
     std::atomic<std::int64_t> stated_us_{0}; ///< When a response last stated the limit.
+    std::atomic<bool> has_response_{false};  ///< Since the start of this node or clear().
     rate_limiter limiter_;
 };
 
--- a/libs/policy/target_choice.cpp
+++ b/libs/policy/target_choice.cpp
@@ -64,8 +64,10 @@
     }
     for (const auto& target : route.targets_) {
         const auto& name = target.record_.target_;
-        const bool is_left_out = target.health_ && (target.health_->is_unreachable(now) ||
-                                                    target.health_->is_rate_exhausted(now));
+        const bool is_left_out =
+            target.health_ &&
+            (target.health_->is_unreachable(now) || target.health_->is_rate_exhausted(now) ||
+             target.health_->is_leaving(target.record_.started_));
         if (is_left_out && std::ranges::find(names, name) == names.end()) {
             names.push_back(name);
         }
--- a/libs/policy/target_choice.h
+++ b/libs/policy/target_choice.h
@@ -14,7 +14,8 @@
 namespace sycamorewinch {
 
 /** Returns the names of the targets that this node does not use at \p now: the failing ones, unless
- * these are more than half of all, the unreachable ones, and those whose stated rate is used up. */
+ * these are more than half of all, the unreachable ones, those whose stated rate is used up, and
+ * the leaving ones. */
 [[nodiscard]] auto ejected_targets(const service_route& route, instant now)
     -> std::vector<std::string>;
 
--- a/libs/policy/target_health.cpp
+++ b/libs/policy/target_health.cpp
@@ -24,11 +24,27 @@
     error_rate_ = report.error_rate_;
     load_ = report.in_flight_ * static_cast<std::uint32_t>(thousandths_per_unit) /
             std::max<std::uint32_t>(report.slots_, 1);
+    rate_limit_ = report.rate_limit_ ? std::int64_t(*report.rate_limit_) : no_rate_limit;
     reported_us_ = now.time_since_epoch().count();
     rate_exhausted_until_us_ =
         (now + std::chrono::milliseconds(report.rate_delay_ms_)).time_since_epoch().count();
 }
 
+void target_health::on_leaving(std::uint64_t start)
+{
+    auto known = leaving_start_.load();
+    while (known < start && !leaving_start_.compare_exchange_weak(known, start)) {
+    }
+}
+
+auto target_health::rate_limit(instant now) const -> std::optional<std::uint32_t>
+{
+    const auto limit = rate_limit_.load();
+    const bool is_recent = now.time_since_epoch() - duration(reported_us_) < max_report_age;
+    return limit != no_rate_limit && is_recent ? std::optional(static_cast<std::uint32_t>(limit))
+                                               : std::nullopt;
+}
+
 auto target_health::cost(instant now) const -> double
 {
     const auto age = now.time_since_epoch() - duration(reported_us_);
--- a/libs/policy/target_health.h
+++ b/libs/policy/target_health.h
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 
 #include "base/time.h"
 #include "policy/target_load_report.h"
@@ -37,6 +38,21 @@
     /** Records a load report of the node beside the target. */
     void on_load_report(const target_load_report& report, instant now);
 
+    /** Records that the target has said it is leaving; \p start identifies its start, 0 if unknown.
+     */
+    void on_leaving(std::uint64_t start);
+
+    /** Returns whether the start of the target that \p start identifies has said it is leaving. An
+     * unknown start is never known to: nothing would tell when the target has restarted. */
+    [[nodiscard]] auto is_leaving(std::uint64_t start) const -> bool
+    {
+        return start != 0 && start <= leaving_start_;
+    }
+
+    /** Returns the request rate that the target stated, in thousandths of a request per second, as
+     * of the last load report; nothing if that is old or states none. */
+    [[nodiscard]] auto rate_limit(instant now) const -> std::optional<std::uint32_t>;
+
     /** Returns the expected cost of a call to the target, in multiples of the row's target latency:
      * the expected latency plus a penalty for expected errors. Returns 0 if there is no recent
      * load report. */
@@ -70,6 +86,9 @@
     std::atomic<std::uint32_t> load_{0}; ///< Requests in flight, in thousandths of the slots.
     std::atomic<std::int64_t> reported_us_{0};
     std::atomic<std::int64_t> rate_exhausted_until_us_{0};
+    static constexpr std::int64_t no_rate_limit = -1;
+    std::atomic<std::int64_t> rate_limit_{no_rate_limit}; ///< As in target_load_report.
+    std::atomic<std::uint64_t> leaving_start_{0};         ///< The latest start that said so.
 };
 
 } // namespace sycamorewinch
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -120,7 +120,13 @@
         const auto attempt_number = ++attempts_;
         request_.target_ = target->record_.target_;
         health_ = target->health_;
+        target_start_ = target->record_.started_;
         tried_or_without_share_.push_back(request_.target_);
+        if (health_ && health_->is_leaving(target_start_)) {
+            on_refused(attempt_number, make_refusal(refusal_reason::target_draining));
+            return;
+        }
+        request_.known_rate_limit_ = health_ ? health_->rate_limit(monotonic_now()) : std::nullopt;
         set_request_budgets();
         const auto address = parse_peer_address(target->record_.node_address_);
         auto hooks = make_exchange_hooks(attempt_number);
@@ -293,6 +299,10 @@
         }
         if (health_) {
             health_->on_answer();
+            const auto notice = environment_.node_.mapping().read_target_notice_(head);
+            if (notice && notice->is_leaving_) {
+                health_->on_leaving(target_start_);
+            }
         }
         environment_.node_.mapping().strip_response_headers_(head.headers_);
         if (response_buffer::fits(head)) {
@@ -469,6 +479,7 @@
     const row* row_ = nullptr;
     const service_route* route_ = nullptr;  ///< The service chosen for the call, with its targets.
     std::shared_ptr<target_health> health_; ///< Of the target of the current attempt.
+    std::uint64_t target_start_ = 0;        ///< As in its target_record.
     exchange_controls controls_;
     /** The targets that were tried or have no share of the caller's limits. */
     std::vector<std::string> tried_or_without_share_;
--- a/libs/request_path/exchange.h
+++ b/libs/request_path/exchange.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,7 +34,10 @@
     bool is_last_choice_ = false;
     std::uint32_t priority_ = 0; ///< Lower values get free slots first; 0 is the most urgent.
     bool repeatable_ = false;    ///< The request may run more than once.
-    bool is_retry_ = false;      ///< A further attempt of its call, or part of a retried call.
+    /** The request rate that the target has stated, as the initiator was told, in thousandths of a
+     * request per second. The node beside the target may have restarted since. */
+    std::optional<std::uint32_t> known_rate_limit_;
+    bool is_retry_ = false; ///< A further attempt of its call, or part of a retried call.
 };
 
 /** A refusal, with what is known about the request's execution. */
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -26,9 +26,10 @@
 /** Responses with this status or a higher one count as errors of the target. */
 constexpr unsigned first_error_status = 500;
 
+constexpr double thousandths = 1'000; ///< Per unit.
+
 auto to_thousandths(double value) -> std::uint32_t
 {
-    constexpr double thousandths = 1'000;
     return static_cast<std::uint32_t>(value * thousandths);
 }
 
@@ -67,6 +68,9 @@
         admission_ = target->admission_;
         meter_ = target->meter_;
         address_ = target->address_;
+        if (request_.known_rate_limit_) {
+            admission_->stated_limit().adopt(*request_.known_rate_limit_ / thousandths);
+        }
         if (const auto reason = try_admit()) {
             enqueue_or_refuse(*reason);
             return;
--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -1,6 +1,8 @@
 #include "request_path/peer_headers.h"
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace sycamorewinch {
 
@@ -18,6 +20,8 @@
 constexpr std::string_view priority_header = "sycamorewinch-priority";
 /** Set if the request may run more than once, by the setting of its row. */
 constexpr std::string_view repeatable_header = "sycamorewinch-repeatable";
+/** What the sender was told of the target's stated rate, in thousandths of a request per second. */
+constexpr std::string_view known_rate_limit_header = "sycamorewinch-known-rate-limit";
 /** Set for a further attempt of a call and for a call marked with retry_header. */
 constexpr std::string_view peer_retry_header = "sycamorewinch-peer-retry";
 /** Whether the target has or may have received the request, which is assumed without the field. */
@@ -85,6 +89,9 @@
     if (request.repeatable_) {
         add_field(headers, repeatable_header, "1");
     }
+    if (request.known_rate_limit_) {
+        add_field(headers, known_rate_limit_header, std::to_string(*request.known_rate_limit_));
+    }
     if (request.is_retry_) {
         add_field(headers, peer_retry_header, "1");
     }
@@ -110,11 +117,16 @@
     request.is_last_choice_ = !find_header(headers, last_choice_header).empty();
     request.priority_ = static_cast<std::uint32_t>(number_or_zero(priority_header));
     request.repeatable_ = !find_header(headers, repeatable_header).empty();
+    if (const auto limit = parse_number(find_header(headers, known_rate_limit_header))) {
+        constexpr std::uint64_t largest = std::numeric_limits<std::uint32_t>::max();
+        request.known_rate_limit_ = static_cast<std::uint32_t>(std::min(*limit, largest));
+    }
     request.is_retry_ = !find_header(headers, peer_retry_header).empty();
     request.head_.headers_ = forwarded_fields(headers);
-    for (const auto name : {service_header, target_header, peer_caller_header, origin_header,
-                            time_left_header, latency_budget_header, last_choice_header,
-                            priority_header, repeatable_header, peer_retry_header}) {
+    for (const auto name :
+         {service_header, target_header, peer_caller_header, origin_header, time_left_header,
+          latency_budget_header, last_choice_header, priority_header, repeatable_header,
+          known_rate_limit_header, peer_retry_header}) {
         remove_header(request.head_.headers_, name);
     }
     return request;
--- a/libs/request_path/test/error/stated_limits.cpp
+++ b/libs/request_path/test/error/stated_limits.cpp
@@ -40,6 +40,31 @@
     scripted_server server_;
 };
 
+constexpr std::uint64_t target_start = 100;
+
+/** Makes the target known at the entry node by a record of the start \p start. */
+void publish_target(node_fixture& nodes, std::uint64_t start)
+{
+    target_record record{.service_ = "dialer", .target_ = "d1"};
+    record.node_address_ = to_text(nodes.target_node().worker_->addresses().peers_);
+    record.started_ = start;
+    nodes.entry_node().state_.publish_routes(
+        std::make_shared<const table>(make_table(1, {unrepeatable_row()})), {record});
+}
+
+/** Makes the node beside the target forget what the target has stated, as a restart does. */
+void restart_target_node(node_fixture& nodes, std::uint16_t target_port)
+{
+    constexpr std::uint32_t slots = 10;
+    auto targets = std::make_shared<local_targets>();
+    targets->push_back({"dialer",
+                        "d1",
+                        {"127.0.0.1", target_port},
+                        std::make_shared<admission_controller>(slots),
+                        std::make_shared<target_meter>()});
+    nodes.target_node().state_.publish_targets(std::move(targets));
+}
+
 /** Sends a request and returns the response. */
 auto call(const node_fixture& nodes) -> std::string
 {
@@ -102,3 +127,54 @@
     BOOST_TEST(target.requests() == 1 + waiting_count);
     BOOST_TEST(target.requests() <= rate_tolerance * rate * elapsed + request_tolerance);
 }
+
+BOOST_AUTO_TEST_CASE(a_leaving_target_gets_no_request_after_the_node_beside_it_has_restarted)
+{
+    const counting_target target("sycamorewinch-target-leaving: 1\r\n");
+    node_fixture nodes(call_path::through_peer, target.port());
+    publish_target(nodes, target_start);
+    (void)call(nodes);
+    restart_target_node(nodes, target.port());
+    BOOST_TEST(call(nodes).find("sycamorewinch-refusal: target_draining") != std::string::npos);
+    BOOST_TEST(target.requests() == 1U);
+    publish_target(nodes, target_start + 1);
+    BOOST_TEST(call(nodes).find(" 200 ") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_node_keeps_to_the_rate_that_other_nodes_were_told)
+{
+    constexpr unsigned concurrent_count = 9;
+    bool responds = true;
+    unsigned requests = 0;
+    const scripted_server target([&](loopback_socket& peer) {
+        if (peer.received().ends_with("\r\n\r\n")) {
+            peer.clear();
+            ++requests;
+            if (responds) {
+                peer.write("HTTP/1.1 200 OK\r\nsycamorewinch-target-limit: 0.1\r\n"
+                           "content-length: 2\r\n\r\nok");
+            }
+        }
+    });
+    node_fixture nodes(call_path::through_peer, target.port());
+    publish_target(nodes, target_start);
+    (void)call(nodes);
+    restart_target_node(nodes, target.port());
+    responds = false; // the limit stays unknown to the restarted node
+    requests = 0;
+    const auto started_at = monotonic_now();
+    std::vector<std::unique_ptr<loopback_socket>> callers;
+    const auto count_refused = [&callers] {
+        return std::ranges::count_if(callers, [](const auto& caller) {
+            return caller->received().find("target_rate_limited") != std::string::npos;
+        });
+    };
+    for (unsigned request = 0; request < concurrent_count; ++request) {
+        callers.push_back(nodes.connect());
+        callers.back()->write("GET /x HTTP/1.1\r\nhost: a\r\n\r\n");
+    }
+    BOOST_TEST(wait_until([&] { return requests + count_refused() == concurrent_count; }));
+    const auto elapsed = to_seconds(monotonic_now() - started_at);
+    BOOST_TEST(requests <=
+               rate_tolerance * stated_rate_limit::min_rate * elapsed + request_tolerance);
+}
