Let stand-in targets state a rate and a leave, and check both in the soak

A stand-in target can state a request rate, and some time after its start that it is leaving. In each soak run one target of dialer states 4 requests per second and one of directory leaves. An announcement to a node may give the start number of the target, which the stand-in sends, so that a leave is known across restarts.

--- a/apps/sycamorewinch-standin/main.cpp
+++ b/apps/sycamorewinch-standin/main.cpp
@@ -32,11 +32,15 @@
     add("slots", po::value<std::uint32_t>()->default_value(10),
         "number of requests served concurrently");
     add("journal", po::value<std::string>()->default_value(""),
-        "file to append the idempotency key of each fully received request to");
+        "file to append the idempotency key of each fully received request to, and a line that "
+        "begins with '! ' for each one that what it states does not allow");
     add("crash-path", po::value<std::string>()->default_value(""),
         "path at which a request terminates the process");
     add("delay-ms", po::value<int>()->default_value(0),
         "delay before each response, in milliseconds");
+    add("stated-rate", po::value<double>(), "requests per second that it states it takes");
+    add("leave-after-ms", po::value<int>(),
+        "time after which it states that it is leaving, in milliseconds");
     return options;
 }
 
@@ -78,6 +82,13 @@
     options.crash_path_ = values["crash-path"].as<std::string>();
     options.slots_ = values["slots"].as<std::uint32_t>();
     options.delay_ = std::chrono::milliseconds(values["delay-ms"].as<int>());
+    if (values.contains("stated-rate")) {
+        options.stated_.max_rate_ = values["stated-rate"].as<double>();
+    }
+    if (values.contains("leave-after-ms")) {
+        options.stated_.leave_after_ =
+            std::chrono::milliseconds(values["leave-after-ms"].as<int>());
+    }
     if (const auto node = values["node-admin"].as<std::string>(); !node.empty()) {
         options.node_admin_ = parse_peer_address(node).value();
     }
@@ -87,6 +98,9 @@
         options.on_run_ = [&journal](const std::string& key) {
             journal << key << std::endl;
         };
+        options.on_disallowed_request_ = [&journal](const std::string& problem) {
+            journal << disallowed_request_mark << problem << std::endl;
+        };
     }
     const auto target = standin_target::start(options);
     if (!target) {
--- a/libs/soak/soak_run.cpp
+++ b/libs/soak/soak_run.cpp
@@ -11,6 +11,7 @@
 
 #include "cli/control_client.h"
 #include "standin/loopback_socket.h"
+#include "standin/standin_target.h"
 
 namespace sycamorewinch {
 
@@ -322,6 +323,10 @@
             std::ifstream journal(file);
             std::string key;
             while (std::getline(journal, key)) {
+                if (key.starts_with(disallowed_request_mark)) {
+                    add_violation(key.substr(disallowed_request_mark.size()));
+                    continue;
+                }
                 checker_.record_run(key);
             }
         }
--- a/libs/soak/soak_system.cpp
+++ b/libs/soak/soak_system.cpp
@@ -33,6 +33,13 @@
 /** About the timeout of the row of the slow service, and longer than a run. */
 constexpr std::array slow_target_delays_ms{1'450U, 600'000U};
 
+/** A target of the service dialer that states a lower rate than it is offered. */
+constexpr unsigned limited_target = 1;
+constexpr double stated_rate = 4; ///< Requests per second.
+/** A target of the service directory that states it is leaving some time after each start. */
+constexpr unsigned leaving_target = 5;
+constexpr std::chrono::milliseconds leave_after{2'000};
+
 auto service_of(unsigned index) -> unsigned
 {
     return (index + index / zones) % static_cast<unsigned>(service_names.size());
@@ -48,6 +55,18 @@
     return {fmt::format("--delay-ms={}", delay), "--slots=1000"};
 }
 
+/** Returns the arguments that determine what a target states in its responses. */
+auto statement_arguments(unsigned index) -> std::vector<std::string>
+{
+    if (index == limited_target) {
+        return {fmt::format("--stated-rate={}", stated_rate)};
+    }
+    if (index == leaving_target) {
+        return {fmt::format("--leave-after-ms={}", leave_after.count())};
+    }
+    return {};
+}
+
 void write_secret(const std::string& file)
 {
     std::ofstream out(file);
@@ -233,6 +252,7 @@
                                        "--node-admin=" + node_admins_.at(index),
                                        "--journal=" + path("ran-" + name)};
     std::ranges::move(speed_arguments(index), std::back_inserter(arguments));
+    std::ranges::move(statement_arguments(index), std::back_inserter(arguments));
     auto target = child_process::start(
         {paths_.bin_folder_ + "/sycamorewinch-standin", std::move(arguments), path(name + ".log")});
     if (!target) {
--- a/libs/standin/standin_target.cpp
+++ b/libs/standin/standin_target.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 
+#include <QDateTime>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QNetworkAccessManager>
@@ -30,6 +31,9 @@
     QNetworkAccessManager network_;
     QTimer announcement_timer_;
     QObject context_;
+    instant started_ = monotonic_now();
+    std::uint64_t start_number_ = static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch());
+    std::optional<stated_load> stated_; ///< Set by start().
 
     void accept(std::unique_ptr<QTcpSocket> socket)
     {
@@ -73,6 +77,10 @@
         const auto key = find_header(request->head_.headers_, "idempotency-key");
         const auto request_name = key.empty() ? request->head_.path_ : std::string(key);
         ++runs_[request_name];
+        if (const auto problem = stated_->on_request(monotonic_now());
+            problem && options_.on_disallowed_request_) {
+            options_.on_disallowed_request_(*problem);
+        }
         if (options_.on_run_) {
             options_.on_run_(request_name);
         }
@@ -81,7 +89,7 @@
                            [this, request] { send_response(*request); });
     }
 
-    void send_response(const pending_request& request) const
+    void send_response(const pending_request& request)
     {
         const auto connection = request.connection_.lock();
         if (!connection) {
@@ -96,6 +104,9 @@
         head.content_length_ = body.size();
         head.headers_ = {{"content-type", "text/plain"},
                          {"x-target", options_.service_ + "/" + options_.target_}};
+        for (auto& field : stated_->response_fields(monotonic_now())) {
+            head.headers_.push_back(std::move(field));
+        }
         connection->respond(std::move(head));
         connection->write(body);
         connection->finish();
@@ -113,6 +124,7 @@
             {"address", QString::fromStdString(to_text({listen.host_, listener_->port()}))},
             {"slots", static_cast<int>(options_.slots_)},
             {"lease_ms", static_cast<int>(options_.lease_.count())},
+            {"started", static_cast<qint64>(start_number_)},
             {"draining", draining}};
         QNetworkRequest request(QUrl(
             QString::fromStdString("http://" + to_text(*options_.node_admin_) + "/v1/targets")));
@@ -134,14 +146,17 @@
 {
     std::unique_ptr<standin_target> target(new standin_target(std::move(options)));
     auto& state = *target->state_;
+    state.stated_.emplace(state.options_.stated_, state.started_);
     auto listener = reuse_port_listener::listen(
         state.options_.listen_, [&state](auto socket) { state.accept(std::move(socket)); });
     if (!listener) {
         return tl::unexpected(listener.error());
     }
     state.listener_ = std::move(*listener);
-    QObject::connect(&state.announcement_timer_, &QTimer::timeout, &state.context_,
-                     [&state] { state.announce(false); });
+    QObject::connect(&state.announcement_timer_, &QTimer::timeout, &state.context_, [&state] {
+        state.stated_->on_tick(monotonic_now());
+        state.announce(false);
+    });
     state.announcement_timer_.start(state.options_.lease_ / 4);
     state.announce(false);
     return target;
--- a/libs/standin/standin_target.h
+++ b/libs/standin/standin_target.h
@@ -11,10 +11,15 @@
 #include <string>
 
 #include "http1/http1_server_connection.h"
+#include "standin/stated_load.h"
 #include "transport/reuse_port_listener.h"
 
 namespace sycamorewinch {
 
+/** Begins a line of a journal that describes a request which what the target states does not allow;
+ * every other line is the key of a request. */
+constexpr std::string_view disallowed_request_mark = "! ";
+
 /** Settings of a stand-in target. */
 struct standin_target_options {
     std::string service_;
@@ -26,6 +31,9 @@
     std::chrono::milliseconds lease_{2'000}; ///< Renewed four times per lease.
     /** Admin address of the node beside it. If unset, the target does not announce itself. */
     std::optional<peer_address> node_admin_;
+    stated_load_options stated_; ///< What it states in its responses.
+    /** Called with a description of each request that what it states does not allow. */
+    std::function<void(const std::string& problem)> on_disallowed_request_;
     /** Called with the idempotency key, or else the path, of each complete request. */
     std::function<void(const std::string& key)> on_run_;
 };
