--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -61,8 +61,11 @@
     announcement.lease_ = std::chrono::milliseconds(lease);
     announcement.cold_start_ =
         std::chrono::milliseconds(object.value(QLatin1String("cold_start_ms")).toInt(0));
-    announcement.started_ =
-        static_cast<std::uint64_t>(object.value(QLatin1String("started")).toInteger(0));
+    const auto started = object.value(QLatin1String("started")).toInteger(0);
+    if (started < 0) {
+        return failure(error_kind::invalid_input, "'started' must not be negative");
+    }
+    announcement.started_ = static_cast<std::uint64_t>(started);
     announcement.draining_ = object.value(QLatin1String("draining")).toBool(false);
     return announcement;
 }
