Let a raised rate of a target hold at once, and drop a leave notice of an earlier start

A target that states 0 and then 20 requests per second got no request for up to 4 s: the limiter's theoretical arrival time was still where the earlier rate had put it. It is now brought to what requests at the new rate could have caused. The test failed before.

A leave notice goes from a worker to the main thread. If the target's next start was announced in between, as after a freeze of the node, the new start was drained. The notice now names the start that it is of. Found by reading; no test shows it, since the order of the two threads cannot be set from outside.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -141,8 +141,9 @@
             state_.set_preferred_zone(settings_.availability_zone_);
         }
         state_.set_crash_report_hook([this](auto record) { post_crash(std::move(record)); });
-        state_.set_leave_hook(
-            [this](const auto& service, const auto& target) { post_leave(service, target); });
+        state_.set_leave_hook([this](const auto& service, const auto& target, auto start_number) {
+            post_leave(service, target, start_number);
+        });
         state_.set_run_record_hooks({[this](auto operation, auto reply) {
                                          post_reservation(std::move(operation), std::move(reply));
                                      },
@@ -313,11 +314,16 @@
     }
 
     // Called on worker threads; continues on the main thread.
-    void post_leave(const std::string& service, const std::string& target)
+    void post_leave(const std::string& service, const std::string& target,
+                    std::uint32_t start_number)
     {
         QMetaObject::invokeMethod(
             &lease_timer_,
-            [this, service, target] {
+            [this, service, target, start_number] {
+                const auto& state = local_target_states_[{service, target}];
+                if (!state.admission_ || state.admission_->start_number() != start_number) {
+                    return; // the target has restarted meanwhile
+                }
                 if (const auto changed = registry_.mark_leaving(service, target);
                     !changed.empty()) {
                     publish_local_targets();
--- a/libs/policy/rate_limiter.h
+++ b/libs/policy/rate_limiter.h
@@ -24,6 +24,10 @@
      * it is already. */
     [[nodiscard]] auto delay(double per_second, double burst, instant now) const -> duration;
 
+    /** To be called when the rate has changed to \p per_second: requests admitted at the earlier
+     * rate delay the next one by no more than requests at the new rate would. */
+    void begin_rate(double per_second, double burst, instant now);
+
   private:
     std::atomic<std::int64_t> theoretical_arrival_us_{0}; ///< TAT of the next request.
 };
--- a/libs/policy/stated_rate_limit.cpp
+++ b/libs/policy/stated_rate_limit.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+/** Returns the rate that is enforced if the target states \p rate. */
+auto enforced_rate(double rate) -> double
+{
+    return std::max(rate, stated_rate_limit::min_rate);
+}
+
 /** Returns the burst that is admitted at \p rate, in requests. */
 auto burst_of(double rate) -> double
 {
@@ -27,6 +33,10 @@
     if (per_second) {
         stated_us_ = now.time_since_epoch().count();
     }
+    if (per_second && stated != current) {
+        const auto rate = enforced_rate(stated);
+        limiter_.begin_rate(rate, burst_of(rate), now);
+    }
     per_second_ = stated;
     return stated != current;
 }
@@ -56,7 +66,7 @@
     if (!stated) {
         return true;
     }
-    const auto rate = std::max(*stated, min_rate);
+    const auto rate = enforced_rate(*stated);
     return limiter_.admit(rate, burst_of(rate), now);
 }
 
@@ -67,7 +77,7 @@
     if (!stated) {
         return duration(0);
     }
-    const auto rate = std::max(*stated, min_rate);
+    const auto rate = enforced_rate(*stated);
     const auto time_ahead = static_cast<double>(requests_ahead) / rate * microseconds_per_second;
     return limiter_.delay(rate, burst_of(rate), now) +
            duration(static_cast<std::int64_t>(time_ahead));
--- a/libs/policy/test/performance/stated_rates.cpp
+++ b/libs/policy/test/performance/stated_rates.cpp
@@ -94,3 +94,16 @@
     controller.stated_limit().state(std::nullopt, now, now);
     BOOST_TEST(!controller.admit("", {}, now).refusal_.has_value());
 }
+
+BOOST_AUTO_TEST_CASE(a_raised_limit_holds_at_once)
+{
+    admission_controller controller(slots);
+    controller.stated_limit().state(0, instant(), instant());
+    const auto now = instant(std::chrono::seconds(1));
+    while (!controller.admit("", {}, now).refusal_) {
+    }
+    controller.stated_limit().state(20, now, now);
+    constexpr auto interval = std::chrono::milliseconds(50);
+    BOOST_TEST((controller.stated_limit().delay(0, now) <= interval));
+    BOOST_TEST(!controller.admit("", {}, now + interval).refusal_.has_value());
+}
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -419,7 +419,7 @@
             log_event(log_level::info, "target_leaving",
                       {{"service", request_.service_}, {"target", request_.target_}});
             if (node_.on_leave()) {
-                node_.on_leave()(request_.service_, request_.target_);
+                node_.on_leave()(request_.service_, request_.target_, target_start_);
             }
             queue().start_waiting(); // the requests that wait are tried at other targets
         }
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -37,8 +37,10 @@
 /** All targets beside this node. */
 using local_targets = std::vector<local_target>;
 
-/** Takes note that a target beside this node has said it is leaving. Called on worker threads. */
-using leave_hook = std::function<void(const std::string& service, const std::string& target)>;
+/** Takes note that a target beside this node has said it is leaving, in the start with the number
+ * \p start_number (see admission_controller). Called on worker threads. */
+using leave_hook = std::function<void(const std::string& service, const std::string& target,
+                                      std::uint32_t start_number)>;
 
 /** The shared state of one node. */
 class node_state {
