Have a relay request every proof of currency from a quorum

Cause: a subscriber that enforces a table asks for a refresh, which a control process that hears from the leader answers by itself with the version it holds. A relay did so too, and passed the answer on as the proof that its restarted nodes wait for.

A relay's request is never a refresh now. It costs one heartbeat round of the group for each relay and proof period, since a relay folds its nodes' requests into one. The test failed before. Nodes that are connected to control processes directly send what they sent before.

--- a/libs/distribution/subscriber.cpp
+++ b/libs/distribution/subscriber.cpp
@@ -62,7 +62,9 @@
     nonce_ = options_.random_() >> 1U;
     is_proof_pending_ = true;
     proof_requested_at_ = now_;
-    output_.messages_.emplace_back(currency_request{nonce_, enforced_ != nullptr});
+    // A relay passes the proof on to nodes that have restarted and may have no other.
+    const bool is_refresh = enforced_ != nullptr && !options_.is_relay_;
+    output_.messages_.emplace_back(currency_request{nonce_, is_refresh});
 }
 
 void subscriber::report_crashes(std::vector<crash_record> crashes)
--- a/libs/distribution/test/correctness/publisher_and_subscriber.cpp
+++ b/libs/distribution/test/correctness/publisher_and_subscriber.cpp
@@ -119,3 +119,23 @@
     publisher.on_message(1, currency_request{9, true});
     BOOST_TEST(publisher.take_output().messages_.empty());
 }
+
+BOOST_AUTO_TEST_CASE(a_relay_that_enforces_a_table_still_requests_a_proof_by_a_quorum)
+{
+    for (const bool is_relay : {false, true}) {
+        publisher_and_subscriber pair;
+        pair.subscriber_ = subscriber({"s", "zone-a", is_relay, seeded_random(1)});
+        pair.publisher_.set_table(make_version(4));
+        pair.subscriber_.on_connected(instant{});
+        pair.deliver_upstream();
+        BOOST_TEST(pair.deliver_downstream().proof_wanted_);
+        pair.publisher_.on_proof(4);
+        pair.deliver_downstream();
+        BOOST_REQUIRE(pair.subscriber_.enforced() != nullptr);
+        // This process hears from the leader, but may not have the newest version yet.
+        pair.publisher_.set_quorum_contact(true);
+        pair.subscriber_.request_proof();
+        pair.deliver_upstream();
+        BOOST_TEST(pair.deliver_downstream().proof_wanted_ == is_relay);
+    }
+}
