--- a/libs/request_path/target_notice.h
+++ b/libs/request_path/target_notice.h
@@ -3,11 +3,11 @@
  * takes, and that it is leaving.
  *
  * \code
- * server-limit: 15.3     the target takes 15.3 requests per second from all nodes together
- * server-leaving: 1      the target finishes its requests and takes no new ones
+ * sycamorewinch-target-limit: 15.3    it takes 15.3 requests per second from all nodes together
+ * sycamorewinch-target-leaving: 1     it finishes its requests and takes no new ones
  * \endcode
  *
- * Both hold as of the response. The names of the fields belong to the header mapping.
+ * Both hold as of the response. A header mapping may use other names for the fields.
  */
 #pragma once
 
