Test that a node which takes a target over keeps to the rate stated elsewhere

The hand-over of a target from one node to another was covered by the test of a restart alone. The new case moves the target to the entry node, which knows its rate from a load report only.

--- a/libs/request_path/test/error/stated_limits.cpp
+++ b/libs/request_path/test/error/stated_limits.cpp
@@ -65,6 +65,25 @@
     nodes.target_node().state_.publish_targets(std::move(targets));
 }
 
+/** Places the target beside the entry node, which has not had a response of it there. */
+void hand_over_to_entry_node(node_fixture& nodes, std::uint16_t target_port)
+{
+    constexpr std::uint32_t slots = 10;
+    auto& node = nodes.entry_node().state_;
+    auto targets = std::make_shared<local_targets>();
+    targets->push_back({"dialer",
+                        "d1",
+                        {"127.0.0.1", target_port},
+                        std::make_shared<admission_controller>(slots),
+                        std::make_shared<target_meter>()});
+    node.publish_targets(std::move(targets));
+    target_record record{.service_ = "dialer", .target_ = "d1"};
+    record.node_address_ = node.own_address();
+    record.started_ = target_start;
+    node.publish_routes(std::make_shared<const table>(make_table(1, {unrepeatable_row()})),
+                        {record});
+}
+
 /** Sends a request and returns the response. */
 auto call(const node_fixture& nodes) -> std::string
 {
@@ -178,3 +197,41 @@
     BOOST_TEST(requests <=
                rate_tolerance * stated_rate_limit::min_rate * elapsed + request_tolerance);
 }
+
+BOOST_AUTO_TEST_CASE(a_node_that_takes_a_target_over_keeps_to_the_rate_that_was_stated_elsewhere)
+{
+    constexpr unsigned concurrent_count = 9;
+    bool responds = true;
+    unsigned requests = 0;
+    const scripted_server target([&](loopback_socket& peer) {
+        if (peer.received().ends_with("\r\n\r\n")) {
+            peer.clear();
+            ++requests;
+            if (responds) {
+                peer.write("HTTP/1.1 200 OK\r\nsycamorewinch-target-limit: 0.1\r\n"
+                           "content-length: 2\r\n\r\nok");
+            }
+        }
+    });
+    node_fixture nodes(call_path::through_peer, target.port());
+    publish_target(nodes, target_start);
+    (void)call(nodes);
+    hand_over_to_entry_node(nodes, target.port());
+    responds = false; // the limit stays unknown to the node that has taken over
+    requests = 0;
+    const auto started_at = monotonic_now();
+    std::vector<std::unique_ptr<loopback_socket>> callers;
+    const auto count_refused = [&callers] {
+        return std::ranges::count_if(callers, [](const auto& caller) {
+            return caller->received().find("target_rate_limited") != std::string::npos;
+        });
+    };
+    for (unsigned request = 0; request < concurrent_count; ++request) {
+        callers.push_back(nodes.connect());
+        callers.back()->write("GET /x HTTP/1.1\r\nhost: a\r\n\r\n");
+    }
+    BOOST_TEST(wait_until([&] { return requests + count_refused() == concurrent_count; }));
+    const auto elapsed = to_seconds(monotonic_now() - started_at);
+    BOOST_TEST(requests <=
+               rate_tolerance * stated_rate_limit::min_rate * elapsed + request_tolerance);
+}
