Keep an upstream that is only slow, and let proofs of currency say how old they are

A proof now counts as of its own time when its version arrives, a newer table shows that the upstream is not silent, and an upstream that is stale or in another zone stays connected until the next one has been reached.

A control process answered refresh requests with the table that it has. A follower may lack entries that its leader has committed, and a new leader may lack those of an earlier term: such a process now asks the leader, and the answer states its age. The protocol between processes becomes version 3.

--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -160,6 +160,19 @@
     }
 }
 
+auto raft::currency_age(instant now) const -> std::optional<duration>
+{
+    const bool is_leader = role_ == raft_role::leader;
+    const auto leader_commit_index = is_leader ? commit_index_ : leader_commit_index_;
+    // An entry of the leader's term that is committed means that all earlier ones are, too.
+    const bool has_all_entries =
+        commit_index_ >= leader_commit_index && log_.term_at(leader_commit_index) == vote_.term_;
+    if (leader_.empty() || !has_all_entries || !has_quorum_contact(now)) {
+        return std::nullopt;
+    }
+    return now - (is_leader ? quorum_contact_time(now) : quorum_contact_at_);
+}
+
 void raft::confirm_pending_reads()
 {
     std::vector<std::uint64_t> rounds{is_self_voter() ? round_ : 0};
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -168,6 +168,11 @@
             role_ == raft_role::leader ? quorum_contact_time(now) : quorum_contact_at_;
         return now - contact_at < options_.lease_;
     }
+    /** Returns how long ago this replica's committed entries were all that the group had committed,
+     * or nothing if it does not know that. A follower may lack entries that its leader has
+     * committed, and a new leader may lack those of an earlier term, whether or not a quorum is in
+     * contact. */
+    [[nodiscard]] auto currency_age(instant now) const -> std::optional<duration>;
     [[nodiscard]] auto commit_index() const -> std::uint64_t { return commit_index_; }
     [[nodiscard]] auto last_index() const -> std::uint64_t { return log_.last_index(); }
     [[nodiscard]] auto options() const -> const raft_options& { return options_; }
@@ -275,6 +280,7 @@
     std::uint64_t commit_index_ = 0;
     instant leader_contact_at_{};
     instant quorum_contact_at_{}; ///< When a quorum last answered the leader that sends appends.
+    std::uint64_t leader_commit_index_ = 0; ///< Of the leader that sends appends, as last heard.
     instant election_due_{};
     instant heartbeat_due_{};
     std::set<std::string> votes_;
--- a/libs/consensus/raft_replication.cpp
+++ b/libs/consensus/raft_replication.cpp
@@ -103,6 +103,7 @@
     become_follower(message.term_, message.from_, now);
     leader_contact_at_ = now;
     quorum_contact_at_ = now - std::chrono::milliseconds(message.quorum_age_ms_);
+    leader_commit_index_ = message.commit_index_;
     const bool is_compacted = message.log_index_ < log_.base_index();
     if (!is_compacted && log_.term_at(message.log_index_) != message.log_term_) {
         reply.log_index_ = std::min(message.log_index_ - 1, log_.last_index());
--- a/libs/consensus/test/correctness/membership.cpp
+++ b/libs/consensus/test/correctness/membership.cpp
@@ -209,3 +209,30 @@
     BOOST_TEST(!replicas_.at(old).has_quorum_contact(now_));
     BOOST_TEST(!replicas_.at(follower).has_quorum_contact(now_));
 }
+
+// Guards against a follower that answers for the group while it lacks an entry that its leader has
+// committed and acknowledged.
+BOOST_FIXTURE_TEST_CASE(a_follower_that_lacks_committed_entries_does_not_know_the_current_state,
+                        founded_group)
+{
+    run(std::chrono::milliseconds(500));
+    const auto name = leader().options().self_;
+    BOOST_TEST(leader().currency_age(now_).has_value());
+    for (auto& [other, replica] : replicas_) {
+        if (other == name) {
+            continue;
+        }
+        BOOST_TEST(replica.currency_age(now_).has_value());
+        raft_message heartbeat;
+        heartbeat.kind_ = raft_message_kind::append_request;
+        heartbeat.from_ = name;
+        heartbeat.to_ = other;
+        heartbeat.term_ = replica.term();
+        heartbeat.log_index_ = replica.last_index() + 1;
+        heartbeat.log_term_ = replica.term();
+        heartbeat.commit_index_ = replica.last_index() + 1;
+        replica.receive(heartbeat, now_);
+        BOOST_TEST(replica.has_quorum_contact(now_));
+        BOOST_TEST(!replica.currency_age(now_).has_value());
+    }
+}
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,14 @@
      * that this replica is the leader. */
     void prove_current(proof_callback callback, instant now);
 
+    /** Returns how long ago state() was the newest state of the group, or nothing if this replica
+     * does not know that; see raft::currency_age(). */
+    [[nodiscard]] auto currency_age(instant now) const -> std::optional<duration>
+    {
+        const bool is_applied = applied_index_ >= raft_.commit_index() && !disk_failed_;
+        return is_applied ? raft_.currency_age(now) : std::nullopt;
+    }
+
     [[nodiscard]] auto raft_state() const -> const raft& { return raft_; }
     [[nodiscard]] auto state() const -> const replicated_state& { return state_.tables_; }
     [[nodiscard]] auto runs() const -> const run_records& { return state_.runs_; }
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -54,8 +54,9 @@
                      {[this] { start_proof(); }, [this](const auto& report) { broadcast(report); },
                       [this] { has_unreported_progress_ = true; },
                       [this](const auto& crashes) { broadcast(crash_report{crashes}); },
+                      [this] { return replica_->raft_state().has_quorum_contact(monotonic_now()); },
                       [this] {
-                          return replica_->raft_state().has_quorum_contact(monotonic_now());
+                          return replica_->currency_age(monotonic_now());
                       }}),
           links_(settings.control_peers_, secrets.key_,
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
--- a/libs/daemon/publisher_server.cpp
+++ b/libs/daemon/publisher_server.cpp
@@ -50,7 +50,7 @@
         disconnect(from);
         return;
     }
-    publisher_.set_quorum_contact(hooks_.has_quorum_contact_ && hooks_.has_quorum_contact_());
+    publisher_.set_currency_age(hooks_.currency_age_ ? hooks_.currency_age_() : std::nullopt);
     publisher_.on_message(from, *message);
     process_output();
 }
--- a/libs/daemon/publisher_server.h
+++ b/libs/daemon/publisher_server.h
@@ -22,6 +22,8 @@
     /** Control: returns whether this process is the leader or receives its messages; if not, new
      * subscribers are rejected. Empty in a relay, which relies on its upstream. */
     std::function<bool()> has_quorum_contact_;
+    /** Control: as in publisher::set_currency_age(). Empty in a relay. */
+    std::function<std::optional<duration>()> currency_age_;
 };
 
 /** Request path of the channel between a subscriber and its publisher. */
--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -68,49 +68,83 @@
     if (const auto& proved_at = subscriber_.proved_current_at()) {
         proof_age_.set(static_cast<std::uint64_t>(to_milliseconds(now - *proved_at)));
     }
-    if (!channel_ && !retry_timer_.is_active() && now - dial_started_at_ >= dial_timeout) {
-        on_upstream_failed("dial_timeout");
-        return;
+    if (dialled_.client_ && now - dialled_.started_at_ >= dial_timeout) {
+        on_dial_failed("dial_timeout");
     }
     process_output();
-    switch_to_nearer_upstream(now);
+    if (is_connected() && is_nearer_upstream_available(now)) {
+        // A table update then enters the zone once and not once per process.
+        replace_upstream("one_is_nearer");
+    }
+}
+
+auto upstream_link::is_nearer_upstream_available(instant now) const -> bool
+{
+    return now - current_.started_at_ >= min_connection_age &&
+           selector_.has_nearer_upstream(current_.address_, now);
 }
 
 void upstream_link::dial()
 {
-    dial_started_at_ = monotonic_now();
-    current_upstream_ = selector_.next(dial_started_at_);
+    const auto now = monotonic_now();
+    if (is_connected() && !is_stale_ && !is_nearer_upstream_available(now)) {
+        return; // the current upstream has proved its table since the last dial
+    }
+    dialled_ = {selector_.next(now), nullptr, nullptr, now};
+    if (is_connected() && dialled_.address_ == current_.address_) {
+        dialled_ = {}; // there is no other upstream
+        return;
+    }
     peer_client_hooks hooks;
     hooks.on_ready_ = [this] {
-        open_channel();
+        on_dialled();
     };
-    hooks.on_ended_ = [this](connection_end_reason reason) {
-        on_upstream_failed(connection_end_reason_names.name(reason));
+    // The client of a closed upstream may still report its end.
+    const auto number = ++dial_number_;
+    hooks.on_ended_ = [this, number](connection_end_reason reason) {
+        if (number == dial_number_ && dialled_.client_) {
+            on_dial_failed(connection_end_reason_names.name(reason));
+        }
+        else if (number == current_number_ && current_.client_) {
+            on_upstream_lost(connection_end_reason_names.name(reason));
+        }
     };
-    client_ = peer_client::dial(current_upstream_, key_, std::move(hooks), upstream_limits);
+    dialled_.client_ =
+        peer_client::dial(dialled_.address_, key_, std::move(hooks), upstream_limits);
 }
 
-void upstream_link::open_channel()
+void upstream_link::on_dialled()
 {
+    const auto number = dial_number_;
     channel_hooks hooks;
-    hooks.on_message_ = [this](std::string_view bytes) {
-        on_message(bytes);
+    hooks.on_message_ = [this, number](std::string_view bytes) {
+        if (number == current_number_) {
+            on_message(bytes);
+        }
     };
-    hooks.on_closed_ = [this] {
-        on_upstream_failed("channel_closed");
+    hooks.on_closed_ = [this, number] {
+        if (number == current_number_ && current_.channel_) {
+            on_upstream_lost("channel_closed");
+        }
     };
-    auto channel =
-        message_channel::open(client_->connection(), distribution_path, {}, std::move(hooks));
+    auto channel = message_channel::open(dialled_.client_->connection(), distribution_path, {},
+                                         std::move(hooks));
     if (!channel) {
-        on_upstream_failed(channel.error().message_);
+        on_dial_failed(channel.error().message_);
         return;
     }
-    channel_ = std::move(*channel);
-    log_event(log_level::info, "upstream_connected", {{"upstream", to_text(current_upstream_)}});
-    connected_at_ = monotonic_now();
-    subscriber_.on_connected(connected_at_);
-    const auto previous = std::exchange(previous_upstream_, current_upstream_);
-    hooks_.on_connected_(previous && *previous != current_upstream_);
+    if (current_.channel_) {
+        subscriber_.on_disconnected();
+    }
+    const auto previous = std::exchange(current_, std::exchange(dialled_, {}));
+    current_number_ = number;
+    close(previous);
+    current_.channel_ = std::move(*channel);
+    current_.started_at_ = monotonic_now();
+    log_event(log_level::info, "upstream_connected", {{"upstream", to_text(current_.address_)}});
+    subscriber_.on_connected(current_.started_at_);
+    const auto previous_address = std::exchange(previous_upstream_, current_.address_);
+    hooks_.on_connected_(previous_address && *previous_address != current_.address_);
     process_output();
 }
 
@@ -121,7 +155,7 @@
     const auto handled =
         message ? subscriber_.on_message(*message) : result<void>(tl::unexpected(message.error()));
     if (!handled) {
-        on_upstream_failed(handled.error().message_);
+        on_upstream_lost(handled.error().message_);
         return;
     }
     process_output();
@@ -132,12 +166,13 @@
     const auto output = subscriber_.take_output();
     for (const auto& message : output.messages_) {
         if (is_connected()) {
-            channel_->send(encode_message(message));
+            current_.channel_->send(encode_message(message));
         }
     }
     if (output.proof_) {
         // Connecting does not reset the backoff, since a stale upstream also accepts connections.
         failures_ = 0;
+        is_stale_ = false;
     }
     if (output.publishers_) {
         selector_.set_publishers(output.publishers_->publishers_);
@@ -145,45 +180,61 @@
     hooks_.on_output_(output);
     if (output.change_upstream_) {
         stale_.add();
-        on_upstream_failed("stale");
+        is_stale_ = true;
+        selector_.record_failure(current_.address_, monotonic_now());
+        replace_upstream("stale");
     }
 }
 
-void upstream_link::on_upstream_failed(std::string_view reason)
+void upstream_link::replace_upstream(std::string_view reason)
 {
-    if (retry_timer_.is_active()) {
-        return; // this failure has been handled already
+    if (is_dialling()) {
+        return;
     }
-    selector_.record_failure(current_upstream_, monotonic_now());
+    log_event(log_level::warning, "upstream_replaced",
+              {{"upstream", to_text(current_.address_)}, {"reason", reason}});
+    dial();
+}
+
+void upstream_link::on_dial_failed(std::string_view reason)
+{
+    const auto failed = std::exchange(dialled_, {});
+    log_event(log_level::warning, "upstream_dial_failed",
+              {{"upstream", to_text(failed.address_)}, {"reason", reason}});
+    selector_.record_failure(failed.address_, monotonic_now());
+    lost_.add();
+    close(failed);
+    retry_after_backoff();
+}
+
+void upstream_link::on_upstream_lost(std::string_view reason)
+{
+    const auto lost = std::exchange(current_, {});
+    log_event(log_level::warning, "upstream_lost",
+              {{"upstream", to_text(lost.address_)}, {"reason", reason}});
+    subscriber_.on_disconnected();
+    selector_.record_failure(lost.address_, monotonic_now());
     lost_.add();
-    disconnect(reason, backoff_for(failures_++, random_));
+    close(lost);
+    if (!is_dialling()) {
+        retry_after_backoff();
+    }
 }
 
-/** Switches to an upstream in the same zone, if one is available, so that a table update
- * enters the zone once and not once per process. */
-void upstream_link::switch_to_nearer_upstream(instant now)
+void upstream_link::retry_after_backoff()
 {
-    if (is_connected() && now - connected_at_ >= min_connection_age &&
-        selector_.has_nearer_upstream(current_upstream_, now)) {
-        disconnect("one_is_nearer", duration(0));
+    if (!is_connected() || is_stale_) {
+        retry_timer_.start(backoff_for(failures_++, random_));
     }
 }
 
-void upstream_link::disconnect(std::string_view reason, duration retry_delay)
+void upstream_link::close(upstream closing)
 {
-    subscriber_.on_disconnected();
-    const auto channel = std::move(channel_);
-    const auto client = std::move(client_);
-    retry_timer_.start(retry_delay);
-    log_event(log_level::warning, "upstream_lost",
-              {{"upstream", to_text(current_upstream_)},
-               {"reason", reason},
-               {"retry_ms", to_milliseconds(retry_delay)}});
-    if (channel) {
-        channel->close();
-    }
-    if (client) {
-        client->close();
+    if (closing.channel_) {
+        closing.channel_->close();
+    }
+    if (closing.client_) {
+        closing.client_->close();
     }
 }
 
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -28,7 +28,8 @@
 };
 
 /** Dials one upstream after another with jittered exponential backoff, and switches to one in its
- * own availability zone when it learns of one. */
+ * own availability zone when it learns of one. An upstream that is open but does not prove its
+ * table current stays connected until another one has been reached: it may only be slow. */
 class upstream_link {
   public:
     upstream_link(std::vector<peer_address> upstreams, cluster_key key, subscriber_options options,
@@ -53,36 +54,57 @@
 
     /** Returns the connection to the upstream, to open further channels; call from on_connected_.
      */
-    [[nodiscard]] auto connection() const -> h2_connection& { return client_->connection(); }
+    [[nodiscard]] auto connection() const -> h2_connection&
+    {
+        return current_.client_->connection();
+    }
 
-    [[nodiscard]] auto is_connected() const -> bool { return channel_ && channel_->is_open(); }
+    [[nodiscard]] auto is_connected() const -> bool
+    {
+        return current_.channel_ && current_.channel_->is_open();
+    }
 
   private:
+    /** A connection to an upstream, dialled or connected. */
+    struct upstream {
+        peer_address address_;
+        std::shared_ptr<peer_client> client_;
+        std::shared_ptr<message_channel> channel_; ///< Null until the connection is ready.
+        instant started_at_{}; ///< When it was dialled or, with a channel, connected.
+    };
+
     void dial();
-    void open_channel();
+    void on_dialled();
+    void on_dial_failed(std::string_view reason);
     void on_message(std::string_view bytes);
-    /** Handles a failed dial, a lost connection or a stale upstream: retries after the backoff. */
-    void on_upstream_failed(std::string_view reason);
-    void disconnect(std::string_view reason, duration retry_delay);
-    void switch_to_nearer_upstream(instant now);
+    void on_upstream_lost(std::string_view reason);
+    /** Dials another upstream while the current one, if any, stays connected. */
+    void replace_upstream(std::string_view reason);
+    void retry_after_backoff();
+    [[nodiscard]] auto is_nearer_upstream_available(instant now) const -> bool;
+    [[nodiscard]] auto is_dialling() const -> bool
+    {
+        return dialled_.client_ != nullptr || retry_timer_.is_active();
+    }
+    static void close(upstream closing);
     void tick();
 
     upstream_selector selector_;
-    peer_address current_upstream_;
     cluster_key key_;
     random_hook random_;
     subscriber subscriber_;
     upstream_link_hooks hooks_;
-    std::shared_ptr<peer_client> client_;
-    std::shared_ptr<message_channel> channel_;
+    upstream current_;                 ///< Has a channel, or is empty.
+    upstream dialled_;                 ///< Has no channel; empty while nothing is dialled.
+    std::uint64_t dial_number_ = 0;    ///< Of the latest dial.
+    std::uint64_t current_number_ = 0; ///< Of the dial that led to current_.
     deadline_timer retry_timer_{[this] {
         dial();
     }};
     QTimer tick_timer_;
-    instant dial_started_at_{};
-    instant connected_at_{};
     std::optional<peer_address> previous_upstream_;
     unsigned failures_ = 0;
+    bool is_stale_ = false; ///< The current upstream has not proved its table in time.
     counter& lost_;
     counter& stale_;
     counter& proof_age_;
--- a/libs/distribution/distribution_message.cpp
+++ b/libs/distribution/distribution_message.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t max_crashes = 16'384;
 constexpr std::size_t max_at_lowest_names = 64;
 constexpr std::size_t max_publishers = 64;
+constexpr std::uint64_t max_proof_age_ms = 3'600'000;
 constexpr std::size_t max_targets = 100'000;
 
 void write_version(cbor_writer& writer, const table_version& version)
@@ -72,7 +73,8 @@
 
     void operator()(const currency_proof& message) const
     {
-        writer_.array(2).number(message.nonce_).number(message.version_);
+        writer_.array(3).number(message.nonce_).number(message.version_);
+        writer_.number(message.age_ms_);
     }
 
     void operator()(const progress_report& message) const
@@ -159,9 +161,13 @@
 auto read_currency_proof(cbor_reader& reader) -> distribution_message
 {
     currency_proof message;
-    reader.array(2);
+    reader.array(3);
     message.nonce_ = reader.number();
     message.version_ = reader.number();
+    message.age_ms_ = reader.number();
+    if (message.age_ms_ > max_proof_age_ms) {
+        reader.reject("the age of a proof of currency is out of range");
+    }
     return message;
 }
 
--- a/libs/distribution/distribution_message.h
+++ b/libs/distribution/distribution_message.h
@@ -48,10 +48,12 @@
     bool is_refresh_ = false;
 };
 
-/** Every version accepted before the request was sent has a number of at most \p version_. */
+/** Every version accepted before the time that the proof is valid for has a number of at most
+ * \p version_. That time is \p age_ms_ before the request was sent. */
 struct currency_proof {
     std::uint64_t nonce_ = 0;
     std::uint64_t version_ = 0;
+    std::uint64_t age_ms_ = 0; ///< 0: a quorum confirmed the version after the request.
 };
 
 /** The versions that the nodes of one availability zone enforce. */
--- a/libs/distribution/publisher.cpp
+++ b/libs/distribution/publisher.cpp
@@ -176,8 +176,9 @@
         return;
     }
     if (const auto* request = std::get_if<currency_request>(&message)) {
-        if (request->is_refresh_ && has_quorum_contact_) {
-            send(from, currency_proof{request->nonce_, newest_->version_.number_});
+        if (request->is_refresh_ && currency_age_) {
+            const auto age_ms = static_cast<std::uint64_t>(to_milliseconds(*currency_age_));
+            send(from, currency_proof{request->nonce_, newest_->version_.number_, age_ms});
             return;
         }
         queued_proof_requests_.push_back({from, request->nonce_});
--- a/libs/distribution/publisher.h
+++ b/libs/distribution/publisher.h
@@ -76,9 +76,9 @@
      * \p has_upstream_contact: whether this process is connected to the rest of the system. */
     void tick(instant now, bool has_upstream_contact);
 
-    /** Sets whether this process hears from a leader that a quorum follows; if so, it answers
-     * refresh requests itself. */
-    void set_quorum_contact(bool has_contact) { has_quorum_contact_ = has_contact; }
+    /** Sets how long ago the newest table here was known to be the current one of the group; with
+     * such knowledge it answers refresh requests itself. */
+    void set_currency_age(std::optional<duration> age) { currency_age_ = age; }
 
     /** Handles a closed connection of a subscriber. */
     void on_subscriber_disconnected(subscriber_id from);
@@ -159,7 +159,7 @@
     std::vector<proof_request> proof_requests_in_flight_; ///< Answered by the proof in flight.
     std::vector<proof_request> queued_proof_requests_;    ///< Answered by the next proof.
     bool proof_in_flight_ = false;
-    bool has_quorum_contact_ = false;
+    std::optional<duration> currency_age_; ///< As in set_currency_age().
     publisher_output output_;
 };
 
--- a/libs/distribution/subscriber.cpp
+++ b/libs/distribution/subscriber.cpp
@@ -9,6 +9,13 @@
 
 namespace sycamorewinch {
 
+namespace {
+
+/** Enough for the requests of several seconds. */
+constexpr std::size_t max_proofs_ahead = 32;
+
+} // namespace
+
 subscriber::subscriber(subscriber_options options)
     : options_(std::move(options)), held_(std::make_shared<const table>(make_table(0, {})))
 {
@@ -45,9 +52,8 @@
         proof_timeout_started_at_ = now;
     }
     if (now - proof_timeout_started_at_ >= options_.proof_timeout_) {
-        on_disconnected();
+        proof_timeout_started_at_ = now;
         output_.change_upstream_ = true;
-        return;
     }
     // Does not replace a pending request after only one period: if answers took longer than the
     // period, no answer would ever match the latest nonce.
@@ -140,8 +146,9 @@
     }
     held_ = std::move(next);
     output_.held_ = held_;
+    proof_timeout_started_at_ = now_; // the upstream is neither silent nor cut off
     enforce_if_proved();
-    record_if_current();
+    record_proofs_of_held_table();
     return {};
 }
 
@@ -153,16 +160,24 @@
     is_proof_pending_ = false;
     proved_version_ = std::max(proved_version_.value_or(0), proof.version_);
     output_.proof_ = proof.version_;
+    proofs_ahead_.push_back(
+        {proof.version_, proof_requested_at_ - std::chrono::milliseconds(proof.age_ms_)});
+    if (proofs_ahead_.size() > max_proofs_ahead) {
+        proofs_ahead_.pop_front();
+    }
     enforce_if_proved();
-    record_if_current();
+    record_proofs_of_held_table();
 }
 
-// A proof confirms the state at the time of its request, not of its arrival.
-void subscriber::record_if_current()
+// While versions follow one another quickly, a proof names a version that arrives only after the
+// next request was sent. The proof still counts then, as of its own time.
+void subscriber::record_proofs_of_held_table()
 {
-    if (proved_version_ && held_->version_.number_ >= *proved_version_ && !is_proof_pending_) {
+    while (!proofs_ahead_.empty() && proofs_ahead_.front().version_ <= held_->version_.number_) {
         proof_timeout_started_at_ = now_;
-        proved_current_at_ = proof_requested_at_;
+        proved_current_at_ =
+            std::max(proved_current_at_.value_or(instant{}), proofs_ahead_.front().valid_at_);
+        proofs_ahead_.pop_front();
     }
 }
 
--- a/libs/distribution/subscriber.h
+++ b/libs/distribution/subscriber.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,7 +50,7 @@
     bool sync_replaces_ = false;                 ///< Remove records learned from others first.
     std::optional<std::uint64_t> proof_;         ///< Set when this version was proved current.
     std::optional<publisher_list> publishers_;   ///< The control processes to subscribe to.
-    bool change_upstream_ = false;               ///< Disconnect and connect to another upstream.
+    bool change_upstream_ = false;               ///< Connect to another upstream.
 };
 
 /** The protocol state of a subscription to an upstream publisher. */
@@ -100,15 +101,23 @@
     [[nodiscard]] auto enforced() const -> const table_pointer& { return enforced_; }
 
   private:
+    /** The version that was current at a time. */
+    struct dated_proof {
+        std::uint64_t version_ = 0;
+        instant valid_at_{};
+    };
+
     [[nodiscard]] auto on_table_update(const table_update& update) -> result<void>;
     void on_currency_proof(const currency_proof& proof);
     void enforce_if_proved();
-    void record_if_current();
+    void record_proofs_of_held_table();
 
     subscriber_options options_;
     table_pointer held_;
     table_pointer enforced_;
     std::optional<std::uint64_t> proved_version_;
+    /** Proofs of versions that have not arrived yet, oldest first. */
+    std::deque<dated_proof> proofs_ahead_;
     std::uint64_t nonce_ = 0;
     bool is_connected_ = false;
     bool needs_full_sync_ = false;
--- a/libs/transport/peer_connection.h
+++ b/libs/transport/peer_connection.h
@@ -21,7 +21,7 @@
 namespace sycamorewinch {
 
 /** The version of the protocol between processes; peers of another version are refused. */
-constexpr std::string_view protocol_version = "2";
+constexpr std::string_view protocol_version = "3";
 
 /** An IP address and a port, as written in the settings. */
 struct peer_address {
