--- a/libs/base/time.h
+++ b/libs/base/time.h
@@ -28,7 +28,8 @@
 /** A function that returns the current instant; tests inject virtual time. */
 using clock_hook = std::function<instant()>;
 
-/** Reads the operating system's monotonic clock. */
+/** Reads the operating system's monotonic clock that also counts the time in which the machine is
+ * suspended. */
 [[nodiscard]] auto monotonic_now() -> instant;
 
 /** Returns \p span in whole milliseconds, rounded towards zero. */
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -137,6 +137,7 @@
         if (interfaces_.header_mapping_) {
             state_.set_header_mapping(*interfaces_.header_mapping_);
         }
+        state_.set_max_refusal_proof_age(settings_.refusal_proof_age_);
         if (settings_.prefers_own_zone_) {
             state_.set_preferred_zone(settings_.availability_zone_);
         }
@@ -465,6 +466,9 @@
         if (output.proof_) {
             last_proof_.set(static_cast<std::uint64_t>(QDateTime::currentSecsSinceEpoch()));
         }
+        if (const auto& proved_at = link_.logic().proved_current_at()) {
+            state_.set_proved_current_at(*proved_at);
+        }
         merge_crashes(output.crashes_);
         auto updates = output.targets_;
         for (const auto& record : output.targets_) {
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -24,6 +24,9 @@
  * would use most of the nodes' processing time. */
 constexpr unsigned full_targets_before_last_choice = 2;
 
+/** A node whose proof is late mostly has the next one, or another upstream, after this time. */
+constexpr auto retry_after_stale_table = std::chrono::milliseconds(200);
+
 /** One call from a caller, with its attempts. The hooks of the connection and of the current
  * exchange share ownership of it until it ends. */
 class caller_call : public std::enable_shared_from_this<caller_call> {
@@ -47,8 +50,7 @@
         request_id_ = metadata.request_id_;
         const auto* matched = routes_->match(request_.head_.path_, metadata.host_);
         if (matched == nullptr) {
-            refuse(make_refusal(has_table() ? refusal_reason::no_route
-                                            : refusal_reason::table_not_proved));
+            refuse(refusal_by_table(refusal_reason::no_route));
             return;
         }
         row_ = matched->row_;
@@ -99,6 +101,18 @@
         return table && table->version_.number_ > 0;
     }
 
+    /** Returns a refusal with \p reason, which follows from the table alone; without a recent proof
+     * that the table is current, the reason is that it is not proved. */
+    [[nodiscard]] auto refusal_by_table(refusal_reason reason) const -> refusal
+    {
+        if (has_table() && environment_.node_.is_table_recent(arrived_)) {
+            return make_refusal(reason);
+        }
+        auto refusal = make_refusal(refusal_reason::table_not_proved);
+        refusal.retry_after_ = has_table() ? retry_after_stale_table : refusal.retry_after_;
+        return refusal;
+    }
+
     [[nodiscard]] auto time_left() const -> duration
     {
         return time_allowed_ - (monotonic_now() - arrived_);
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -108,6 +108,23 @@
         crashes_.publish(std::move(crashes));
     }
 
+    /** Sets the oldest proof of currency on which a request is refused because the table does not
+     * allow it; zero: any. Call before the workers start. */
+    void set_max_refusal_proof_age(duration age) { max_refusal_proof_age_ = age; }
+    /** Sets when the table in force was last known to be current. */
+    void set_proved_current_at(instant time)
+    {
+        proved_current_at_us_ = time.time_since_epoch().count();
+    }
+    /** Returns whether the table in force was proved current recently enough to refuse a request
+     * that it does not allow. */
+    [[nodiscard]] auto is_table_recent(instant now) const -> bool
+    {
+        return max_refusal_proof_age_.count() == 0 ||
+               now.time_since_epoch().count() - proved_current_at_us_ <=
+                   max_refusal_proof_age_.count();
+    }
+
     /** Makes the node refuse new calls; calls in flight continue. */
     void begin_shutdown() { shutting_down_ = true; }
     [[nodiscard]] auto is_shutting_down() const -> bool { return shutting_down_; }
@@ -128,6 +145,8 @@
     crash_report_hook crash_report_hook_;
     leave_hook leave_hook_;
     rcu_cell<crash_view> crashes_{std::make_shared<const crash_view>()};
+    duration max_refusal_proof_age_{0};
+    std::atomic<std::int64_t> proved_current_at_us_{0};
     std::atomic<bool> shutting_down_{false};
     std::atomic<std::int64_t> in_flight_{0};
 };
--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -63,6 +63,9 @@
         "node: interval between proofs that its table is current");
     add("proof-timeout-ms", with_default("8000"),
         "node: time without a proof after which it switches to another upstream");
+    add("refusal-proof-age-ms", with_default("0"),
+        "node: refuses a request that its table does not allow only with a proof of at most this "
+        "age that the table is current; 0: with any proof since the start");
     add("leave-notice-ms", with_default("0"),
         "node: on shutdown, how long it still serves requests while it reports not ready");
     add("shutdown-grace-s", empty_by_default(),
@@ -205,6 +208,8 @@
         settings.listen_callers_ = reader.address("listen-callers");
         settings.workers_ = reader.number("workers", max_workers);
         settings.prefers_own_zone_ = reader.boolean("prefer-own-zone");
+        settings.refusal_proof_age_ =
+            std::chrono::milliseconds(reader.number("refusal-proof-age-ms", max_duration_ms, 0));
         settings.leave_notice_ =
             std::chrono::milliseconds(reader.number("leave-notice-ms", max_duration_ms, 0));
         settings.shutdown_grace_ =
--- a/libs/settings/daemon_settings.h
+++ b/libs/settings/daemon_settings.h
@@ -58,6 +58,9 @@
     std::chrono::milliseconds proof_period_{2'000}; ///< Node: interval between proofs of currency.
     /** Node: time without a proof of currency after which it changes its upstream. */
     std::chrono::milliseconds proof_timeout_{8'000};
+    /** Node: the oldest proof of currency on which it refuses a request that its table does not
+     * allow; zero: any proof since the start. */
+    std::chrono::milliseconds refusal_proof_age_{0};
     /** Node: on shutdown, how long it still serves calls while it reports not ready. */
     std::chrono::milliseconds leave_notice_{0};
     /** Node: from the request to shut down to the forced end of the process; zero: no limit. */
