--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -16,16 +16,17 @@
 /** Limits the shift below; max_backoff_ceiling is reached earlier. */
 constexpr unsigned max_doublings = 6;
 constexpr auto tick_period = std::chrono::milliseconds(250);
-/** Maximum time from the start of a dial until the channel is open. Of this time, connecting and
- * proving the cluster key may take upstream_limits.handshake_timeout_. */
-constexpr duration dial_timeout = std::chrono::milliseconds(500);
+/** After this time a further upstream is dialled beside one that has not answered. */
+constexpr duration dial_interval = std::chrono::milliseconds(400);
+/** More dials would cost a busy process the time that the first ones need. */
+constexpr std::size_t max_dials = 3;
 /** Minimum age of a connection before the link switches to an upstream in the same zone. */
 constexpr duration min_connection_age = std::chrono::seconds(1);
 /** heartbeat_timeout_ must be well below the proof timeout of a node or relay, after which its
  * table counts as out of date. */
 constexpr connection_limits upstream_limits{.ping_interval_ = std::chrono::milliseconds(1'000),
                                             .heartbeat_timeout_ = std::chrono::milliseconds(2'500),
-                                            .handshake_timeout_ = std::chrono::milliseconds(400)};
+                                            .handshake_timeout_ = std::chrono::milliseconds(3'000)};
 
 auto backoff_for(unsigned failures, const random_hook& random) -> duration
 {
@@ -68,9 +69,6 @@
     if (const auto& proved_at = subscriber_.proved_current_at()) {
         proof_age_.set(static_cast<std::uint64_t>(to_milliseconds(now - *proved_at)));
     }
-    if (dialled_.client_ && now - dialled_.started_at_ >= dial_timeout) {
-        on_dial_failed("dial_timeout");
-    }
     process_output();
     if (is_connected() && is_nearer_upstream_available(now)) {
         // A table update then enters the zone once and not once per process.
@@ -80,42 +78,57 @@
 
 auto upstream_link::is_nearer_upstream_available(instant now) const -> bool
 {
-    return now - current_.started_at_ >= min_connection_age &&
+    return now - current_.connected_at_ >= min_connection_age &&
            selector_.has_nearer_upstream(current_.address_, now);
 }
 
+auto upstream_link::needs_upstream(instant now) const -> bool
+{
+    return !is_connected() || is_stale_ || is_nearer_upstream_available(now);
+}
+
 void upstream_link::dial()
 {
     const auto now = monotonic_now();
-    if (is_connected() && !is_stale_ && !is_nearer_upstream_available(now)) {
-        return; // the current upstream has proved its table since the last dial
+    if (!needs_upstream(now) || dials_.size() >= max_dials) {
+        return;
     }
-    dialled_ = {selector_.next(now), nullptr, nullptr, now};
-    if (is_connected() && dialled_.address_ == current_.address_) {
-        dialled_ = {}; // there is no other upstream
+    const auto address = selector_.next(now);
+    const bool is_dialled = std::ranges::any_of(
+        dials_, [&](const auto& dial) { return dial.second.address_ == address; });
+    if (is_dialled || (is_connected() && address == current_.address_)) {
+        next_dial_.start(dial_interval); // there is no other upstream at present
         return;
     }
+    const auto number = ++dial_number_;
     peer_client_hooks hooks;
-    hooks.on_ready_ = [this] {
-        on_dialled();
+    hooks.on_ready_ = [this, number] {
+        on_dialled(number);
     };
-    // The client of a closed upstream may still report its end.
-    const auto number = ++dial_number_;
     hooks.on_ended_ = [this, number](connection_end_reason reason) {
-        if (number == dial_number_ && dialled_.client_) {
-            on_dial_failed(connection_end_reason_names.name(reason));
+        if (dials_.contains(number)) {
+            on_dial_failed(number, connection_end_reason_names.name(reason));
         }
         else if (number == current_number_ && current_.client_) {
             on_upstream_lost(connection_end_reason_names.name(reason));
         }
     };
-    dialled_.client_ =
-        peer_client::dial(dialled_.address_, key_, std::move(hooks), upstream_limits);
+    dials_[number].address_ = address;
+    // Until it is ready it counts as failed, so that the next dial goes to another upstream.
+    selector_.record_failure(address, now);
+    next_dial_.start(dial_interval);
+    auto client = peer_client::dial(address, key_, std::move(hooks), upstream_limits);
+    if (const auto dialled = dials_.find(number); dialled != dials_.end()) {
+        dialled->second.client_ = std::move(client);
+    }
 }
 
-void upstream_link::on_dialled()
+void upstream_link::on_dialled(std::uint64_t number)
 {
-    const auto number = dial_number_;
+    const auto found = dials_.find(number);
+    if (found == dials_.end()) {
+        return;
+    }
     channel_hooks hooks;
     hooks.on_message_ = [this, number](std::string_view bytes) {
         if (number == current_number_) {
@@ -127,22 +140,30 @@
             on_upstream_lost("channel_closed");
         }
     };
-    auto channel = message_channel::open(dialled_.client_->connection(), distribution_path, {},
+    auto channel = message_channel::open(found->second.client_->connection(), distribution_path, {},
                                          std::move(hooks));
     if (!channel) {
-        on_dial_failed(channel.error().message_);
+        on_dial_failed(number, channel.error().message_);
         return;
     }
     if (current_.channel_) {
         subscriber_.on_disconnected();
     }
-    const auto previous = std::exchange(current_, std::exchange(dialled_, {}));
+    auto others = std::exchange(dials_, {});
+    const auto previous = std::exchange(current_, std::move(others[number]));
+    others.erase(number);
     current_number_ = number;
-    close(previous);
     current_.channel_ = std::move(*channel);
-    current_.started_at_ = monotonic_now();
+    current_.connected_at_ = monotonic_now();
+    next_dial_.stop();
+    is_stale_ = false;
+    selector_.record_success(current_.address_);
+    close(previous);
+    for (const auto& [other, dialled] : others) {
+        close(dialled);
+    }
     log_event(log_level::info, "upstream_connected", {{"upstream", to_text(current_.address_)}});
-    subscriber_.on_connected(current_.started_at_);
+    subscriber_.on_connected(current_.connected_at_);
     const auto previous_address = std::exchange(previous_upstream_, current_.address_);
     hooks_.on_connected_(previous_address && *previous_address != current_.address_);
     process_output();
@@ -196,15 +217,16 @@
     dial();
 }
 
-void upstream_link::on_dial_failed(std::string_view reason)
+void upstream_link::on_dial_failed(std::uint64_t number, std::string_view reason)
 {
-    const auto failed = std::exchange(dialled_, {});
+    const auto failed = std::exchange(dials_[number], {});
+    dials_.erase(number);
     log_event(log_level::warning, "upstream_dial_failed",
               {{"upstream", to_text(failed.address_)}, {"reason", reason}});
     selector_.record_failure(failed.address_, monotonic_now());
     lost_.add();
     close(failed);
-    retry_after_backoff();
+    dial_after_backoff();
 }
 
 void upstream_link::on_upstream_lost(std::string_view reason)
@@ -217,14 +239,14 @@
     lost_.add();
     close(lost);
     if (!is_dialling()) {
-        retry_after_backoff();
+        dial_after_backoff();
     }
 }
 
-void upstream_link::retry_after_backoff()
+void upstream_link::dial_after_backoff()
 {
-    if (!is_connected() || is_stale_) {
-        retry_timer_.start(backoff_for(failures_++, random_));
+    if (needs_upstream(monotonic_now())) {
+        next_dial_.start(backoff_for(failures_++, random_));
     }
 }
 
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -29,7 +30,9 @@
 
 /** Dials one upstream after another with jittered exponential backoff, and switches to one in its
  * own availability zone when it learns of one. An upstream that is open but does not prove its
- * table current stays connected until another one has been reached: it may only be slow. */
+ * table current stays connected until another one has been reached: it may only be slow. For the
+ * same reason a dial goes on while the next upstream is dialled beside it; the first one that is
+ * ready is used. */
 class upstream_link {
   public:
     upstream_link(std::vector<peer_address> upstreams, cluster_key key, subscriber_options options,
@@ -70,21 +73,23 @@
         peer_address address_;
         std::shared_ptr<peer_client> client_;
         std::shared_ptr<message_channel> channel_; ///< Null until the connection is ready.
-        instant started_at_{}; ///< When it was dialled or, with a channel, connected.
+        instant connected_at_{};                   ///< With a channel only.
     };
 
     void dial();
-    void on_dialled();
-    void on_dial_failed(std::string_view reason);
+    void on_dialled(std::uint64_t number);
+    void on_dial_failed(std::uint64_t number, std::string_view reason);
     void on_message(std::string_view bytes);
     void on_upstream_lost(std::string_view reason);
     /** Dials another upstream while the current one, if any, stays connected. */
     void replace_upstream(std::string_view reason);
-    void retry_after_backoff();
+    void dial_after_backoff();
     [[nodiscard]] auto is_nearer_upstream_available(instant now) const -> bool;
+    /** Returns whether the current upstream, if any, has to be replaced. */
+    [[nodiscard]] auto needs_upstream(instant now) const -> bool;
     [[nodiscard]] auto is_dialling() const -> bool
     {
-        return dialled_.client_ != nullptr || retry_timer_.is_active();
+        return !dials_.empty() || next_dial_.is_active();
     }
     static void close(upstream closing);
     void tick();
@@ -94,11 +99,11 @@
     random_hook random_;
     subscriber subscriber_;
     upstream_link_hooks hooks_;
-    upstream current_;                 ///< Has a channel, or is empty.
-    upstream dialled_;                 ///< Has no channel; empty while nothing is dialled.
-    std::uint64_t dial_number_ = 0;    ///< Of the latest dial.
-    std::uint64_t current_number_ = 0; ///< Of the dial that led to current_.
-    deadline_timer retry_timer_{[this] {
+    upstream current_;                        ///< Has a channel, or is empty.
+    std::map<std::uint64_t, upstream> dials_; ///< In progress, by number.
+    std::uint64_t dial_number_ = 0;           ///< Of the latest dial.
+    std::uint64_t current_number_ = 0;        ///< Of the dial that led to current_.
+    deadline_timer next_dial_{[this] {
         dial();
     }};
     QTimer tick_timer_;
--- a/libs/daemon/upstream_selector.h
+++ b/libs/daemon/upstream_selector.h
@@ -49,6 +49,7 @@
     [[nodiscard]] auto has_nearer_upstream(const peer_address& current, instant now) const -> bool;
 
     void record_failure(const peer_address& address, instant now) { last_failures_[address] = now; }
+    void record_success(const peer_address& address) { last_failures_.erase(address); }
 
   private:
     [[nodiscard]] auto all_upstreams() const -> std::vector<peer_address>;
