Distribute the set of roll-outs, and pass version reports to the leader

Nodes have to route by the state of a roll-out, and the leader has to learn what they measure, but distribution carried tables and targets only.

A publisher sends the whole rollout_set on subscription and on each change, and never an older one. A proof of currency names the sequence of the set; a subscriber enforces nothing after its start before both the table and the set are proved, and keeps the set with the highest sequence afterwards. While a roll-out is running it requests a proof every 500 ms.

Version reports of a round of subscribers are merged into one. publisher::on_proof takes the sequence explicitly, so that no caller proves a set by omission. The control role passes the sequence of its publisher's set for now.

--- a/libs/bench_kit/convergence_run.cpp
+++ b/libs/bench_kit/convergence_run.cpp
@@ -283,7 +283,8 @@
                 process.publisher_->set_table(output.held_);
             }
             if (output.proof_) {
-                process.publisher_->on_proof(*output.proof_);
+                process.publisher_->on_proof(output.proof_->version_,
+                                             output.proof_->rollout_sequence_);
             }
             if (output.held_) {
                 process.subscriber_->report_progress(process.publisher_->progress());
@@ -377,7 +378,7 @@
             // Two round trips between zones: to the leader, and from the leader to its quorum.
             const auto proof_delay = 4 * options_.between_zones_;
             events_.schedule(events_.now() + proof_delay, [this, zone] {
-                controls_[zone]->on_proof(newest_->version_.number_);
+                controls_[zone]->on_proof(newest_->version_.number_, 0);
                 dispatch_control_output(zone);
             });
         }
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -286,7 +286,7 @@
         if (raft.role() == raft_role::leader) {
             replica_->prove_current(
                 [this, number](const result<std::uint64_t>& version) {
-                    finish_proof(number, version);
+                    finish_proof(number, version, publisher_.logic().rollouts().sequence_);
                 },
                 monotonic_now());
             return;
@@ -296,7 +296,8 @@
         }
     }
 
-    void finish_proof(std::uint64_t number, const result<std::uint64_t>& version)
+    void finish_proof(std::uint64_t number, const result<std::uint64_t>& version,
+                      std::uint64_t rollout_sequence)
     {
         if (number != proof_number_) {
             return; // the answer to a request that has timed out
@@ -307,7 +308,7 @@
             schedule_proof_failure();
             return;
         }
-        publisher_.logic().on_proof(*version);
+        publisher_.logic().on_proof(*version, rollout_sequence);
         publisher_.process_output();
     }
 
@@ -325,7 +326,7 @@
             answer_currency_request(from, request->nonce_);
         }
         else if (const auto* proof = std::get_if<currency_proof>(&message)) {
-            finish_proof(proof->nonce_, proof->version_);
+            finish_proof(proof->nonce_, proof->version_, proof->rollout_sequence_);
         }
         else if (const auto* crashes = std::get_if<crash_report>(&message)) {
             publisher_.logic().merge_crashes(crashes->crashes_);
@@ -358,7 +359,8 @@
         replica_->prove_current(
             [this, follower, nonce](const result<std::uint64_t>& version) {
                 if (version) {
-                    links_.send(follower, currency_proof{nonce, *version});
+                    links_.send(follower, currency_proof{nonce, *version, 0,
+                                                         publisher_.logic().rollouts().sequence_});
                 }
             },
             monotonic_now());
--- a/libs/daemon/publisher_server.cpp
+++ b/libs/daemon/publisher_server.cpp
@@ -83,6 +83,9 @@
     if (!output.crashes_.empty()) {
         hooks_.on_crash_updates_(output.crashes_);
     }
+    if (!output.version_reports_.empty() && hooks_.on_version_reports_) {
+        hooks_.on_version_reports_(output.version_reports_);
+    }
     if (output.progress_changed_) {
         hooks_.on_progress_();
     }
--- a/libs/daemon/publisher_server.h
+++ b/libs/daemon/publisher_server.h
@@ -24,6 +24,8 @@
     std::function<bool()> has_quorum_contact_;
     /** Control: as in publisher::set_currency_age(). Empty in a relay. */
     std::function<std::optional<duration>()> currency_age_;
+    /** Passes measurements of software versions on to the leader; may be empty. */
+    std::function<void(const version_report& report)> on_version_reports_;
 };
 
 /** Request path of the channel between a subscriber and its publisher. */
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -29,8 +29,11 @@
           publisher_(metrics_, {[this] { request_upstream_proof(); },
                                 [this](const auto& report) { report_targets(report); },
                                 [this] { progress_report_.request(); },
-                                [this](const auto& crashes) {
-                                    report_crashes(crashes);
+                                [this](const auto& crashes) { report_crashes(crashes); },
+                                {},
+                                {},
+                                [this](const auto& report) {
+                                    report_versions(report);
                                 }}),
           link_(settings.upstreams_, secrets.key_,
                 {settings.name_, settings.availability_zone_, true, system_random(),
@@ -107,6 +110,12 @@
         link_.process_output();
     }
 
+    void report_versions(const version_report& report)
+    {
+        link_.logic().report_versions(report);
+        link_.process_output();
+    }
+
     void report_targets(const target_report& report)
     {
         link_.logic().report_targets(report);
@@ -124,6 +133,9 @@
         if (output.held_) {
             publisher_.logic().set_table(output.held_);
         }
+        if (output.held_rollouts_) {
+            publisher_.logic().set_rollouts(*output.held_rollouts_);
+        }
         if (!output.targets_.empty()) {
             publisher_.logic().merge_targets({output.targets_, false});
         }
@@ -132,7 +144,7 @@
             publisher_.logic().merge_sync(*output.sync_, output.sync_replaces_);
         }
         if (output.proof_) {
-            publisher_.logic().on_proof(*output.proof_);
+            publisher_.logic().on_proof(output.proof_->version_, output.proof_->rollout_sequence_);
         }
         publisher_.process_output();
         if (output.held_) {
--- a/libs/daemon/test/support/distribution_simulation.cpp
+++ b/libs/daemon/test/support/distribution_simulation.cpp
@@ -180,10 +180,10 @@
     if (proc.proof_due_at_ <= now_) {
         proc.proof_due_at_ = instant::max();
         if (!proc.is_isolated_) {
-            proc.publisher_->on_proof(accepted_.size() - 1);
+            proc.publisher_->on_proof(accepted_.size() - 1, 0);
         }
         else if (options_.variant_ == broken_variant::proof_without_quorum) {
-            proc.publisher_->on_proof(proc.applied_version_);
+            proc.publisher_->on_proof(proc.applied_version_, 0);
         }
         else {
             proc.publisher_->on_proof_failed();
@@ -458,7 +458,7 @@
         proc.publisher_->merge_sync(*output.sync_, output.sync_replaces_);
     }
     if (output.proof_) {
-        proc.publisher_->on_proof(*output.proof_);
+        proc.publisher_->on_proof(output.proof_->version_, output.proof_->rollout_sequence_);
     }
     if (output.held_ || output.sync_ || !output.targets_.empty() || output.proof_) {
         process_publisher_output(index);
--- a/libs/distribution/distribution_message.cpp
+++ b/libs/distribution/distribution_message.cpp
@@ -73,8 +73,8 @@
 
     void operator()(const currency_proof& message) const
     {
-        writer_.array(3).number(message.nonce_).number(message.version_);
-        writer_.number(message.age_ms_);
+        writer_.array(4).number(message.nonce_).number(message.version_);
+        writer_.number(message.age_ms_).number(message.rollout_sequence_);
     }
 
     void operator()(const progress_report& message) const
@@ -128,6 +128,13 @@
             writer_.array(2).text(publisher.availability_zone_).text(publisher.address_);
         }
     }
+
+    void operator()(const rollout_update& message) const
+    {
+        write_rollout_set(writer_, message.rollouts_);
+    }
+
+    void operator()(const version_report& message) const { write_version_report(writer_, message); }
 };
 
 auto read_subscribe(cbor_reader& reader) -> distribution_message
@@ -161,13 +168,14 @@
 auto read_currency_proof(cbor_reader& reader) -> distribution_message
 {
     currency_proof message;
-    reader.array(3);
+    reader.array(4);
     message.nonce_ = reader.number();
     message.version_ = reader.number();
     message.age_ms_ = reader.number();
     if (message.age_ms_ > max_proof_age_ms) {
         reader.reject("the age of a proof of currency is out of range");
     }
+    message.rollout_sequence_ = reader.number();
     return message;
 }
 
@@ -241,13 +249,23 @@
     return message;
 }
 
+auto read_rollout_update(cbor_reader& reader) -> distribution_message
+{
+    return rollout_update{read_rollout_set(reader)};
+}
+
+auto read_report(cbor_reader& reader) -> distribution_message
+{
+    return read_version_report(reader);
+}
+
 using message_reader = distribution_message (*)(cbor_reader&);
 
 /** The body readers, indexed by message kind: the order of the variant's alternatives. */
 constexpr std::array<message_reader, std::variant_size_v<distribution_message>> message_readers{
-    read_subscribe,       read_table_update,  read_currency_request, read_currency_proof,
-    read_progress_report, read_target_report, read_target_summary,   read_target_sync,
-    read_crash_report,    read_publisher_list};
+    read_subscribe,       read_table_update,   read_currency_request, read_currency_proof,
+    read_progress_report, read_target_report,  read_target_summary,   read_target_sync,
+    read_crash_report,    read_publisher_list, read_rollout_update,   read_report};
 
 /** The message kind whose body is a compressed message of another kind. */
 constexpr std::uint64_t compressed_kind = 63;
--- a/libs/distribution/distribution_message.h
+++ b/libs/distribution/distribution_message.h
@@ -3,9 +3,9 @@
  * nodes).
  *
  * Upstream: subscribe, currency_request, progress_report, target_report, target_summary,
- * crash_report.
+ * crash_report, version_report.
  * Downstream: table_update, currency_proof, target_report, target_sync, crash_report,
- * publisher_list.
+ * publisher_list, rollout_update.
  */
 #pragma once
 
@@ -19,6 +19,8 @@
 #include "crash_record/crash_record.h"
 #include "membership/target_directory.h"
 #include "membership/target_record.h"
+#include "rollout/rollout.h"
+#include "rollout/version_report.h"
 #include "table/table_change.h"
 
 namespace sycamorewinch {
@@ -48,12 +50,14 @@
     bool is_refresh_ = false;
 };
 
-/** Every version accepted before the time that the proof is valid for has a number of at most
- * \p version_. That time is \p age_ms_ before the request was sent. */
+/** Every table accepted before the time that the proof is valid for has a number of at most
+ * \p version_, and every set of roll-outs a sequence of at most \p rollout_sequence_. That time is
+ * \p age_ms_ before the request was sent. */
 struct currency_proof {
     std::uint64_t nonce_ = 0;
     std::uint64_t version_ = 0;
-    std::uint64_t age_ms_ = 0; ///< 0: a quorum confirmed the version after the request.
+    std::uint64_t age_ms_ = 0; ///< 0: a quorum confirmed both after the request.
+    std::uint64_t rollout_sequence_ = 0;
 };
 
 /** The versions that the nodes of one availability zone enforce. */
@@ -107,10 +111,17 @@
     std::vector<publisher_address> publishers_;
 };
 
+/** The newest set of roll-outs. The receiver ignores it unless its sequence is above the one that
+ * it has. */
+struct rollout_update {
+    rollout_set rollouts_;
+};
+
 /** Any message of the protocol. */
 using distribution_message =
     std::variant<subscribe, table_update, currency_request, currency_proof, progress_report,
-                 target_report, target_summary, target_sync, crash_report, publisher_list>;
+                 target_report, target_summary, target_sync, crash_report, publisher_list,
+                 rollout_update, version_report>;
 
 /** Encodes \p message as CBOR, compressed if it is large. */
 [[nodiscard]] auto encode_message(const distribution_message& message) -> std::string;
--- a/libs/distribution/publisher.cpp
+++ b/libs/distribution/publisher.cpp
@@ -37,6 +37,21 @@
     }
 }
 
+void publisher::set_rollouts(rollout_set newest)
+{
+    if (newest.sequence_ <= rollouts_.sequence_) {
+        return;
+    }
+    rollouts_ = std::move(newest);
+    const auto bytes =
+        std::make_shared<const std::string>(encode_message(rollout_update{rollouts_}));
+    for (const auto& [id, subscription] : subscribers_) {
+        if (subscription.subscribed_) {
+            output_.messages_.push_back({id, bytes});
+        }
+    }
+}
+
 void publisher::set_publishers(std::vector<publisher_address> publishers)
 {
     if (publishers_.publishers_ == publishers) {
@@ -114,6 +129,7 @@
 {
     now_ = now;
     crashes_.expire(now);
+    output_version_reports();
     time_out_whole_tables();
     targets_.purge_tombstones(now);
     const auto expired = leases_.tick(now, has_upstream_contact, targets_);
@@ -178,7 +194,8 @@
     if (const auto* request = std::get_if<currency_request>(&message)) {
         if (request->is_refresh_ && currency_age_) {
             const auto age_ms = static_cast<std::uint64_t>(to_milliseconds(*currency_age_));
-            send(from, currency_proof{request->nonce_, newest_->version_.number_, age_ms});
+            send(from, currency_proof{request->nonce_, newest_->version_.number_, age_ms,
+                                      rollouts_.sequence_});
             return;
         }
         queued_proof_requests_.push_back({from, request->nonce_});
@@ -196,6 +213,9 @@
     else if (const auto* crashes = std::get_if<crash_report>(&message)) {
         on_crash_report(from, *crashes);
     }
+    else if (const auto* versions = std::get_if<version_report>(&message)) {
+        on_version_report(from, *versions);
+    }
     else {
         output_.to_disconnect_.push_back(from);
     }
@@ -209,6 +229,9 @@
     subscription.is_relay_ = message.is_relay_;
     subscription.held_ = message.held_;
     subscription.subscribed_ = true;
+    if (rollouts_.sequence_ > 0) {
+        send(from, rollout_update{rollouts_});
+    }
     send_update(from, subscription);
     if (!publishers_.publishers_.empty()) {
         send(from, publishers_);
@@ -218,6 +241,36 @@
     }
 }
 
+// Subscribers report with the same period. The first one that reports again completes a round,
+// whose reports go upstream as one.
+void publisher::on_version_report(subscriber_id from, const version_report& report)
+{
+    auto& subscription = subscribers_.at(from);
+    if (subscription.is_in_pending_report_) {
+        output_version_reports();
+    }
+    merge_report(pending_samples_, {report.samples_, {}});
+    subscription.version_loads_ = report.loads_;
+    subscription.version_loads_at_ = now_;
+    subscription.is_in_pending_report_ = true;
+    has_pending_report_ = true;
+}
+
+void publisher::output_version_reports()
+{
+    if (!std::exchange(has_pending_report_, false)) {
+        return;
+    }
+    merge_report(output_.version_reports_, std::exchange(pending_samples_, {}));
+    output_.version_reports_.loads_.clear();
+    for (auto& [id, subscription] : subscribers_) {
+        subscription.is_in_pending_report_ = false;
+        if (now_ - subscription.version_loads_at_ < version_load_timeout) {
+            merge_report(output_.version_reports_, {{}, subscription.version_loads_});
+        }
+    }
+}
+
 // A progress report also acknowledges the update in flight.
 void publisher::on_progress_report(subscriber_id from, const progress_report& report)
 {
@@ -358,10 +411,10 @@
     output_.proof_wanted_ = true;
 }
 
-void publisher::on_proof(std::uint64_t version)
+void publisher::on_proof(std::uint64_t version, std::uint64_t rollout_sequence)
 {
     for (const auto& request : proof_requests_in_flight_) {
-        send(request.from_, currency_proof{request.nonce_, version});
+        send(request.from_, currency_proof{request.nonce_, version, 0, rollout_sequence});
     }
     proof_requests_in_flight_.clear();
     proof_in_flight_ = false;
--- a/libs/distribution/publisher.h
+++ b/libs/distribution/publisher.h
@@ -21,6 +21,8 @@
 #include "distribution/subscriber.h"
 #include "membership/target_directory.h"
 #include "membership/target_leases.h"
+#include "rollout/rollout.h"
+#include "rollout/version_report.h"
 
 namespace sycamorewinch {
 
@@ -33,6 +35,10 @@
 /** A whole table that is not acknowledged for this long no longer counts as in flight. */
 constexpr duration whole_table_timeout = std::chrono::seconds(2);
 
+/** The loads of a subscriber that has not reported for this long no longer count. Four reports in
+ * succession are then missing. */
+constexpr duration version_load_timeout = std::chrono::seconds(1);
+
 /** A message for one subscriber. */
 struct publisher_message {
     subscriber_id to_ = 0;
@@ -47,6 +53,9 @@
     std::vector<subscriber_id> to_disconnect_;  ///< Protocol violations: close these connections.
     std::vector<crash_record> crashes_;         ///< New crash records, for upstream.
     bool progress_changed_ = false;             ///< progress() returns a new value.
+    /** For the leader: the samples received since the previous report, and the latest loads of all
+     * subscribers, which replace those of the previous report. */
+    version_report version_reports_;
 };
 
 /** Sends subscribers the newest table, proofs of currency, target records and crash records. */
@@ -57,6 +66,10 @@
     /** Sets a newer table and sends it to all subscribers. */
     void set_table(table_pointer newest);
 
+    /** Sets the roll-outs and sends them to all subscribers, unless their sequence is not above
+     * that of rollouts(). */
+    void set_rollouts(rollout_set newest);
+
     /** Sets the control processes to subscribe to; sent to all current and future subscribers. */
     void set_publishers(std::vector<publisher_address> publishers);
 
@@ -86,8 +99,9 @@
     /** Handles a message from a subscriber. */
     void on_message(subscriber_id from, const distribution_message& message);
 
-    /** The upstream has proved, after proof_wanted_ was set, that \p version is current. */
-    void on_proof(std::uint64_t version);
+    /** The upstream has proved, after proof_wanted_ was set, that \p version is the current table
+     * and \p rollout_sequence the sequence of the current set of roll-outs. */
+    void on_proof(std::uint64_t version, std::uint64_t rollout_sequence);
 
     /** The upstream could not prove the version; requests a new proof for the same subscribers. */
     void on_proof_failed();
@@ -99,6 +113,7 @@
     [[nodiscard]] auto progress() const -> std::vector<zone_progress>;
 
     [[nodiscard]] auto newest() const -> const table_pointer& { return newest_; }
+    [[nodiscard]] auto rollouts() const -> const rollout_set& { return rollouts_; }
     [[nodiscard]] auto targets() const -> const target_directory& { return targets_; }
     /** Returns the targets whose leases are kept here or below. */
     [[nodiscard]] auto leased_targets() const -> std::vector<target_record>;
@@ -116,6 +131,9 @@
         bool update_in_flight_ = false;
         std::optional<instant> whole_table_sent_at_; ///< Set while a whole table is in flight.
         std::vector<zone_progress> progress_;
+        std::vector<version_load> version_loads_; ///< Of the latest report.
+        instant version_loads_at_{};
+        bool is_in_pending_report_ = false; ///< Has reported since the last output of a report.
     };
     struct proof_request {
         subscriber_id from_ = 0;
@@ -127,6 +145,8 @@
     void on_target_report(subscriber_id from, const target_report& report);
     void on_target_summary(subscriber_id from, const target_summary& summary);
     void on_crash_report(subscriber_id from, const crash_report& report);
+    void on_version_report(subscriber_id from, const version_report& report);
+    void output_version_reports();
     auto merge_and_forward_crashes(const std::vector<crash_record>& crashes,
                                    std::optional<subscriber_id> except)
         -> std::vector<crash_record>;
@@ -146,6 +166,9 @@
     };
 
     table_pointer newest_;
+    rollout_set rollouts_;
+    version_report pending_samples_; ///< Received since the last output of a report; no loads.
+    bool has_pending_report_ = false;
     publisher_list publishers_;
     std::deque<version_change> recent_changes_; ///< Consecutive, oldest first.
     std::map<table_version, std::shared_ptr<const std::string>> encoded_updates_;
--- a/libs/distribution/subscriber.cpp
+++ b/libs/distribution/subscriber.cpp
@@ -17,7 +17,8 @@
 } // namespace
 
 subscriber::subscriber(subscriber_options options)
-    : options_(std::move(options)), held_(std::make_shared<const table>(make_table(0, {})))
+    : options_(std::move(options)), held_(std::make_shared<const table>(make_table(0, {}))),
+      held_rollouts_(std::make_shared<const rollout_set>()), enforced_rollouts_(held_rollouts_)
 {
 }
 
@@ -57,12 +58,18 @@
     }
     // Does not replace a pending request after only one period: if answers took longer than the
     // period, no answer would ever match the latest nonce.
-    const auto interval = is_proof_pending_ ? options_.proof_timeout_ / 2 : options_.proof_period_;
+    const auto interval = is_proof_pending_ ? options_.proof_timeout_ / 2 : proof_interval();
     if (now - proof_requested_at_ >= interval) {
         request_proof();
     }
 }
 
+auto subscriber::proof_interval() const -> duration
+{
+    return has_running_rollout_ ? std::min(options_.proof_period_, rollout_proof_period)
+                                : options_.proof_period_;
+}
+
 void subscriber::request_proof()
 {
     nonce_ = options_.random_() >> 1U;
@@ -89,6 +96,11 @@
         target_summary{needs_full_sync_ ? target_digests() : std::move(digests)});
 }
 
+void subscriber::report_versions(version_report report)
+{
+    output_.messages_.emplace_back(std::move(report));
+}
+
 void subscriber::report_progress(std::vector<zone_progress> zones)
 {
     output_.messages_.emplace_back(progress_report{std::move(zones)});
@@ -103,6 +115,10 @@
         on_currency_proof(*proof);
         return {};
     }
+    if (const auto* rollouts = std::get_if<rollout_update>(&message)) {
+        on_rollout_update(*rollouts);
+        return {};
+    }
     if (const auto* report = std::get_if<crash_report>(&message)) {
         output_.crashes_.insert(output_.crashes_.end(), report->crashes_.begin(),
                                 report->crashes_.end());
@@ -152,6 +168,19 @@
     return {};
 }
 
+void subscriber::on_rollout_update(const rollout_update& update)
+{
+    if (update.rollouts_.sequence_ <= held_rollouts_->sequence_) {
+        return; // outdated, e.g. from an upstream that is behind the previous one
+    }
+    held_rollouts_ = std::make_shared<const rollout_set>(update.rollouts_);
+    has_running_rollout_ = std::ranges::find(held_rollouts_->rollouts_, rollout_state::running,
+                                             &rollout::state_) != held_rollouts_->rollouts_.end();
+    output_.held_rollouts_ = held_rollouts_;
+    enforce_if_proved();
+    record_proofs_of_held_table();
+}
+
 void subscriber::on_currency_proof(const currency_proof& proof)
 {
     if (!is_proof_pending_ || proof.nonce_ != nonce_) {
@@ -159,9 +188,10 @@
     }
     is_proof_pending_ = false;
     proved_version_ = std::max(proved_version_.value_or(0), proof.version_);
-    output_.proof_ = proof.version_;
-    proofs_ahead_.push_back(
-        {proof.version_, proof_requested_at_ - std::chrono::milliseconds(proof.age_ms_)});
+    proved_rollout_sequence_ = std::max(proved_rollout_sequence_, proof.rollout_sequence_);
+    output_.proof_ = proof;
+    proofs_ahead_.push_back({proof.version_, proof.rollout_sequence_,
+                             proof_requested_at_ - std::chrono::milliseconds(proof.age_ms_)});
     if (proofs_ahead_.size() > max_proofs_ahead) {
         proofs_ahead_.pop_front();
     }
@@ -173,7 +203,8 @@
 // next request was sent. The proof still counts then, as of its own time.
 void subscriber::record_proofs_of_held_table()
 {
-    while (!proofs_ahead_.empty() && proofs_ahead_.front().version_ <= held_->version_.number_) {
+    while (!proofs_ahead_.empty() && proofs_ahead_.front().version_ <= held_->version_.number_ &&
+           proofs_ahead_.front().rollout_sequence_ <= held_rollouts_->sequence_) {
         proof_timeout_started_at_ = now_;
         proved_current_at_ =
             std::max(proved_current_at_.value_or(instant{}), proofs_ahead_.front().valid_at_);
@@ -183,7 +214,17 @@
 
 void subscriber::enforce_if_proved()
 {
-    if (!proved_version_ || held_->version_.number_ < *proved_version_ || enforced_ == held_) {
+    const bool is_first_set_missing =
+        !enforced_ && held_rollouts_->sequence_ < proved_rollout_sequence_;
+    if (!proved_version_ || is_first_set_missing) {
+        return;
+    }
+    const bool is_table_proved = held_->version_.number_ >= *proved_version_;
+    if ((enforced_ || is_table_proved) && enforced_rollouts_ != held_rollouts_) {
+        enforced_rollouts_ = held_rollouts_;
+        output_.enforce_rollouts_ = enforced_rollouts_;
+    }
+    if (!is_table_proved || enforced_ == held_) {
         return;
     }
     const auto previous_version = enforced_ ? enforced_->version_.number_ : 0;
--- a/libs/distribution/subscriber.h
+++ b/libs/distribution/subscriber.h
@@ -10,6 +10,11 @@
  * that the upstream is connected to the leader. If the held table has not been proved current for
  * proof_timeout_, the upstream is silent, partitioned or behind, and the subscriber changes to
  * another one. The enforced table stays in force meanwhile.
+ *
+ * The set of roll-outs is distributed beside the table. Of the sets received, the one with the
+ * highest sequence is kept. After a start nothing is enforced before both the table and the set are
+ * known to be current; from then on a newer set applies at once. While a roll-out is running, the
+ * set is proved current more often, since nodes rely on it only for a short time.
  */
 #pragma once
 
@@ -29,6 +34,14 @@
 /** An immutable table, shared between threads. */
 using table_pointer = std::shared_ptr<const table>;
 
+/** An immutable set of roll-outs, shared between threads. */
+using rollouts_pointer = std::shared_ptr<const rollout_set>;
+
+/** The longest time between two requests for a proof while a roll-out is running. Several requests
+ * fit into the 2 s for which a node relies on a set (rollout_set_timeout in
+ * policy/version_choice.h). */
+constexpr duration rollout_proof_period = std::chrono::milliseconds(500);
+
 /** The identity and the timing of a subscriber. */
 struct subscriber_options {
     std::string name_;
@@ -44,11 +57,13 @@
     std::vector<distribution_message> messages_; ///< Send upstream in this order.
     table_pointer held_;                         ///< Set when a newer table was received.
     table_pointer enforce_;                      ///< Set when a newer table must be enforced.
+    rollouts_pointer held_rollouts_;             ///< Set when a newer set was received.
+    rollouts_pointer enforce_rollouts_;          ///< Set when a newer set must be enforced.
     std::vector<target_record> targets_;         ///< Changed targets from upstream.
     std::vector<crash_record> crashes_;          ///< New crash records from upstream.
     std::optional<bucket_contents> sync_;        ///< The upstream's answer to report_summary().
     bool sync_replaces_ = false;                 ///< Remove records learned from others first.
-    std::optional<std::uint64_t> proof_;         ///< Set when this version was proved current.
+    std::optional<currency_proof> proof_;        ///< Set when these versions were proved current.
     std::optional<publisher_list> publishers_;   ///< The control processes to subscribe to.
     bool change_upstream_ = false;               ///< Connect to another upstream.
 };
@@ -85,6 +100,9 @@
      * meanwhile; an empty summary then requests all records. */
     void report_summary(target_digests digests);
 
+    /** Queues what was measured of the software versions of running roll-outs for the upstream. */
+    void report_versions(version_report report);
+
     /** Queues a progress report for the upstream. */
     void report_progress(std::vector<zone_progress> zones);
 
@@ -92,7 +110,14 @@
     [[nodiscard]] auto take_output() -> subscriber_output;
 
     [[nodiscard]] auto held() const -> const table_pointer& { return held_; }
-    /** Returns the latest time at which the held table was known to be current, if any. */
+    /** Returns the set of roll-outs with the highest sequence received. */
+    [[nodiscard]] auto held_rollouts() const -> const rollouts_pointer& { return held_rollouts_; }
+    /** Returns the set in force; its sequence is 0 before the first proof. */
+    [[nodiscard]] auto enforced_rollouts() const -> const rollouts_pointer&
+    {
+        return enforced_rollouts_;
+    }
+    /** Returns the latest time at which the held table and set were known to be current, if any. */
     [[nodiscard]] auto proved_current_at() const -> const std::optional<instant>&
     {
         return proved_current_at_;
@@ -101,22 +126,29 @@
     [[nodiscard]] auto enforced() const -> const table_pointer& { return enforced_; }
 
   private:
-    /** The version that was current at a time. */
+    /** The table and the set of roll-outs that were current at a time. */
     struct dated_proof {
         std::uint64_t version_ = 0;
+        std::uint64_t rollout_sequence_ = 0;
         instant valid_at_{};
     };
 
     [[nodiscard]] auto on_table_update(const table_update& update) -> result<void>;
+    void on_rollout_update(const rollout_update& update);
     void on_currency_proof(const currency_proof& proof);
     void enforce_if_proved();
+    [[nodiscard]] auto proof_interval() const -> duration;
     void record_proofs_of_held_table();
 
     subscriber_options options_;
     table_pointer held_;
     table_pointer enforced_;
+    rollouts_pointer held_rollouts_;
+    rollouts_pointer enforced_rollouts_;
+    bool has_running_rollout_ = false; ///< In held_rollouts_.
     std::optional<std::uint64_t> proved_version_;
-    /** Proofs of versions that have not arrived yet, oldest first. */
+    std::uint64_t proved_rollout_sequence_ = 0;
+    /** Proofs of tables or sets that have not arrived yet, oldest first. */
     std::deque<dated_proof> proofs_ahead_;
     std::uint64_t nonce_ = 0;
     bool is_connected_ = false;
--- a/libs/distribution/test/correctness/publisher_and_subscriber.cpp
+++ b/libs/distribution/test/correctness/publisher_and_subscriber.cpp
@@ -60,7 +60,7 @@
     BOOST_TEST(pair.subscriber_.held()->version_.number_ == 8);
     BOOST_TEST(!pair.subscriber_.enforced());
     // The quorum has accepted version 10, so the outdated version 8 must not be enforced.
-    pair.publisher_.on_proof(10);
+    pair.publisher_.on_proof(10, 0);
     pair.deliver_downstream();
     BOOST_TEST(!pair.subscriber_.enforced());
     pair.publisher_.set_table(make_version(10));
@@ -130,7 +130,7 @@
         pair.subscriber_.on_connected(instant{});
         pair.deliver_upstream();
         BOOST_TEST(pair.deliver_downstream().proof_wanted_);
-        pair.publisher_.on_proof(4);
+        pair.publisher_.on_proof(4, 0);
         pair.deliver_downstream();
         BOOST_REQUIRE(pair.subscriber_.enforced() != nullptr);
         // This process hears from the leader, but may not have the newest version yet.
