Replicate roll-outs in the control group

Roll-outs have to survive the loss of two disks and a change of leader, so they become a part of the replicated state with a log command of its own.

--- a/libs/control/control_command.cpp
+++ b/libs/control/control_command.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t max_body_bytes = 32U * 1024 * 1024;
-constexpr auto last_kind = command_kind::run_batch;
+constexpr auto last_kind = command_kind::rollout;
 
 } // namespace
 
--- a/libs/control/control_command.h
+++ b/libs/control/control_command.h
@@ -15,6 +15,7 @@
 enum class command_kind : std::uint8_t {
     accept_table, ///< Body: accept_command.
     run_batch,    ///< Body: run_batch, operations on the record of non-idempotent requests.
+    rollout,      ///< Body: rollout_command.
 };
 
 /** One command of the replicated log. */
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -113,6 +113,24 @@
     schedule_flush();
 }
 
+void control_replica::apply_rollout(const rollout_command& command, rollout_callback callback,
+                                    instant now)
+{
+    now_ = now;
+    if (const auto allowed = check_can_propose(); !allowed) {
+        callback(tl::unexpected(allowed.error()));
+        return;
+    }
+    const auto index =
+        raft_.propose(encode_command({command_kind::rollout, encode_command(command)}), now);
+    if (!index) {
+        callback(tl::unexpected(index.error()));
+        return;
+    }
+    pending_rollouts_[*index] = {raft_.term(), std::move(callback)};
+    schedule_flush();
+}
+
 void control_replica::prove_current(proof_callback callback, instant now)
 {
     now_ = now;
@@ -150,6 +168,7 @@
     if (state_.tables_.current() != before) {
         hooks_.on_table_(state_.tables_.current());
     }
+    report_rollouts();
     answer_reads(output);
     if (raft_.role() != raft_role::leader) {
         fail_pending_requests();
@@ -224,9 +243,18 @@
     if (after > before) {
         hooks_.on_table_(state_.tables_.current());
     }
+    report_rollouts();
     return {};
 }
 
+void control_replica::report_rollouts()
+{
+    const auto sequence = state_.rollouts_.sequence();
+    if (std::exchange(reported_rollout_sequence_, sequence) != sequence && hooks_.on_rollouts_) {
+        hooks_.on_rollouts_(state_.rollouts_);
+    }
+}
+
 void control_replica::take_snapshot()
 {
     if (applied_index_ > raft_.commit_index()) {
@@ -286,6 +314,9 @@
     if (envelope->kind_ == command_kind::run_batch) {
         apply_run_batch(entry, envelope->body_);
     }
+    else if (envelope->kind_ == command_kind::rollout) {
+        apply_rollout_command(entry, envelope->body_);
+    }
     else {
         apply_accept(entry, envelope->body_);
     }
@@ -305,6 +336,20 @@
     }
 }
 
+void control_replica::apply_rollout_command(const log_entry& entry, const std::string& body)
+{
+    const auto command = decode_rollout_command(body);
+    invariant(command.has_value(), "the roll-out command in committed entry {} cannot be decoded",
+              entry.index_);
+    const auto outcome = state_.rollouts_.apply(*command);
+    const auto pending = pending_rollouts_.find(entry.index_);
+    if (pending != pending_rollouts_.end() && pending->second.term_ == entry.term_) {
+        const auto callback = std::move(pending->second.callback_);
+        pending_rollouts_.erase(pending);
+        callback(outcome);
+    }
+}
+
 void control_replica::apply_accept(const log_entry& entry, const std::string& body)
 {
     const auto command = decode_accept_command(body);
@@ -355,6 +400,13 @@
         pending.callback_(
             failure(error_kind::unavailable, "leadership was lost before the results were known"));
     }
+    const auto rollouts = std::move(pending_rollouts_);
+    pending_rollouts_.clear();
+    for (const auto& [index, pending] : rollouts) {
+        pending.callback_(failure(error_kind::unavailable,
+                                  "leadership was lost before the outcome was known; send the "
+                                  "order again"));
+    }
     if (disk_failed_) {
         const auto proofs = std::move(pending_proofs_);
         pending_proofs_.clear();
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -38,6 +38,9 @@
     std::function<void(const raft_message& message)> send_;
     /** Called when a newer table version becomes current; once for edits committed together. */
     std::function<void(const table_pointer& table)> on_table_;
+    /** Called when the part of the roll-outs that nodes route by has changed; once for commands
+     * committed together; may be empty. */
+    std::function<void(const rollout_records& rollouts)> on_rollouts_;
     /** Called when a write failed; the replica is inactive until the disk has been read again. */
     std::function<void(const error& problem)> on_disk_failure_;
     /** Requests a call of flush() soon, so that inputs that arrive until then share one fsync.
@@ -62,6 +65,9 @@
 /** Receives the results of a batch of run operations, or an error when they are unknown. */
 using runs_callback = std::function<void(const result<std::vector<run_result>>& results)>;
 
+/** Receives the effect of a roll-out command, or an error when it is unknown. */
+using rollout_callback = std::function<void(const result<rollout_outcome>& outcome)>;
+
 /** One control replica. Not thread-safe. */
 class control_replica {
   public:
@@ -85,6 +91,9 @@
      * is not the leader, fails immediately. */
     void apply_runs(const run_batch& batch, runs_callback callback, instant now);
 
+    /** Proposes a roll-out command. On a replica that is not the leader, fails immediately. */
+    void apply_rollout(const rollout_command& command, rollout_callback callback, instant now);
+
     /** Gets the number of the current table version with a proof of currency: a quorum confirms
      * that this replica is the leader. */
     void prove_current(proof_callback callback, instant now);
@@ -100,6 +109,7 @@
     [[nodiscard]] auto raft_state() const -> const raft& { return raft_; }
     [[nodiscard]] auto state() const -> const replicated_state& { return state_.tables_; }
     [[nodiscard]] auto runs() const -> const run_records& { return state_.runs_; }
+    [[nodiscard]] auto rollouts() const -> const rollout_records& { return state_.rollouts_; }
     /** Returns how many snapshots this replica has taken itself. */
     [[nodiscard]] auto snapshots_taken() const -> std::uint64_t { return snapshots_taken_; }
     /** Returns how many snapshots this replica has received from a leader. */
@@ -110,7 +120,7 @@
   private:
     control_replica(raft replica, control_hooks hooks)
         : raft_(std::move(replica)),
-          hooks_(std::move(hooks)), state_{replicated_state(hooks_.limits_), run_records()}
+          hooks_(std::move(hooks)), state_{replicated_state(hooks_.limits_), run_records(), rollout_records()}
     {
     }
 
@@ -125,6 +135,8 @@
     void apply(const log_entry& entry);
     void apply_accept(const log_entry& entry, const std::string& body);
     void apply_run_batch(const log_entry& entry, const std::string& body);
+    void apply_rollout_command(const log_entry& entry, const std::string& body);
+    void report_rollouts();
     void answer_reads(const raft_output& output);
     void fail_pending_requests();
 
@@ -138,6 +150,11 @@
         runs_callback callback_;
     };
 
+    struct pending_rollout {
+        std::uint64_t term_ = 0;
+        rollout_callback callback_;
+    };
+
     raft raft_;
     control_hooks hooks_;
     control_state state_;
@@ -148,8 +165,10 @@
     std::uint64_t snapshots_installed_ = 0;
     std::map<std::uint64_t, pending_accept> pending_accepts_;        ///< By log index.
     std::map<std::uint64_t, pending_run_batch> pending_run_batches_; ///< By log index.
+    std::map<std::uint64_t, pending_rollout> pending_rollouts_;      ///< By log index.
     std::map<std::uint64_t, proof_callback> pending_proofs_;         ///< By read token.
     std::uint64_t next_read_token_ = 1;
+    std::uint64_t reported_rollout_sequence_ = 0; ///< Passed to on_rollouts_ last.
     bool disk_failed_ = false;
     instant reload_due_{};
     instant now_{}; ///< Time passed to the latest call.
--- a/libs/control/control_snapshot.h
+++ b/libs/control/control_snapshot.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "control/replicated_state.h"
+#include "rollout/rollout_records.h"
 #include "run_record/run_records.h"
 
 namespace sycamorewinch {
@@ -18,9 +19,11 @@
 struct control_state {
     replicated_state tables_;
     run_records runs_;
+    rollout_records rollouts_;
 };
 
-/** Encodes \p state as CBOR. */
+/** Encodes \p state as CBOR. Without a roll-out the format is that of version 2, so that earlier
+ * programs can read it. */
 [[nodiscard]] auto encode_state(const control_state& state) -> std::string;
 
 /** Decodes a state; malformed input and an unknown format version are errors. */
--- a/libs/control/test/performance/accept_cost.cpp
+++ b/libs/control/test/performance/accept_cost.cpp
@@ -179,7 +179,7 @@
         static_cast<double>(grown) / count));
 
     const auto encoding = std::chrono::steady_clock::now();
-    const auto data = encode_state({group.leader().state(), group.leader().runs()});
+    const auto data = encode_state({group.leader().state(), group.leader().runs(), {}});
     const auto encoded = elapsed_seconds(encoding);
     const auto writing = std::chrono::steady_clock::now();
     BOOST_TEST(group.members_.begin()->second.store_->save_snapshot({1, 1, data}, {}).has_value());
--- a/libs/rollout/rollout_records.cpp
+++ b/libs/rollout/rollout_records.cpp
@@ -9,6 +9,9 @@
 constexpr std::size_t max_reason_bytes = 1'024;
 constexpr std::size_t command_fields = 11;
 constexpr std::size_t record_fields = 10;
+constexpr std::size_t step_fields = 4;
+/** The order, three changes of the share and the end are 5. */
+constexpr std::size_t max_steps = 64;
 
 auto read_share(cbor_reader& reader) -> std::uint32_t
 {
@@ -36,7 +39,13 @@
     writer.array(record_fields).text(rollout.service_).text(rollout.new_version_);
     writer.number(rollout.id_).number(static_cast<std::uint64_t>(rollout.state_));
     writer.number(rollout.share_).number(record.step_).number(record.duration_ms_);
-    writer.number(record.elapsed_ms_).number(record.share_since_ms_).text(record.reason_);
+    writer.number(record.elapsed_ms_).number(record.share_since_ms_);
+    writer.array(record.steps_.size());
+    for (const auto& step : record.steps_) {
+        writer.array(step_fields).number(step.elapsed_ms_);
+        writer.number(static_cast<std::uint64_t>(step.state_)).number(step.share_);
+        writer.text(step.reason_);
+    }
 }
 
 auto read_record(cbor_reader& reader) -> rollout_record
@@ -52,7 +61,15 @@
     record.duration_ms_ = reader.number();
     record.elapsed_ms_ = reader.number();
     record.share_since_ms_ = reader.number();
-    record.reason_ = reader.text(max_reason_bytes);
+    for (auto remaining = reader.list(max_steps); remaining > 0 && reader.good(); --remaining) {
+        rollout_step step;
+        reader.array(step_fields);
+        step.elapsed_ms_ = reader.number();
+        step.state_ = read_state(reader);
+        step.share_ = read_share(reader);
+        step.reason_ = reader.text(max_reason_bytes);
+        record.steps_.push_back(std::move(step));
+    }
     return record;
 }
 
@@ -87,7 +104,7 @@
         record.rollout_ = {order.service_, order.version_, ++latest_id_, rollout_state::running,
                            order.share_};
         record.duration_ms_ = order.duration_ms_;
-        record.reason_ = "ordered";
+        record.steps_ = {{0, rollout_state::running, order.share_, "ordered"}};
         records_[order.service_] = std::move(record);
         ++sequence_;
     }
@@ -122,7 +139,10 @@
         rollout.share_ = command.state_ == rollout_state::completed ? whole_share : 0;
     }
     record.share_since_ms_ = record.elapsed_ms_;
-    record.reason_ = command.reason_;
+    if (record.steps_.size() < max_steps) {
+        record.steps_.push_back(
+            {record.elapsed_ms_, rollout.state_, rollout.share_, command.reason_});
+    }
     ++sequence_;
     return rollout_outcome::applied;
 }
--- a/libs/rollout/rollout_records.h
+++ b/libs/rollout/rollout_records.h
@@ -19,14 +19,24 @@
 /** The number of services that may have a record. */
 constexpr std::size_t max_rollout_records = 16'384;
 
+/** One change of the share or state, for operators. */
+struct rollout_step {
+    std::uint64_t elapsed_ms_ = 0; ///< Since the order.
+    rollout_state state_ = rollout_state::running;
+    std::uint32_t share_ = 0;
+    std::string reason_; ///< What decided it.
+
+    [[nodiscard]] auto operator==(const rollout_step&) const -> bool = default;
+};
+
 /** The latest roll-out of one service. */
 struct rollout_record {
     rollout rollout_;
-    std::uint64_t step_ = 0; ///< Commands applied since the order.
+    std::uint64_t step_ = 0; ///< Number of commands applied since the order.
     std::uint64_t duration_ms_ = 0;
     std::uint64_t elapsed_ms_ = 0;     ///< Since the order, at the latest command.
     std::uint64_t share_since_ms_ = 0; ///< The elapsed time at which the share was set.
-    std::string reason_;               ///< What decided the latest change of share or state.
+    std::vector<rollout_step> steps_;  ///< All changes of share and state, oldest first.
 
     [[nodiscard]] auto operator==(const rollout_record&) const -> bool = default;
 };
--- a/libs/rollout/test/simulated_service.cpp
+++ b/libs/rollout/test/simulated_service.cpp
@@ -86,7 +86,7 @@
         else if (result_.ended_at_ms_ < 0) {
             result_.state_ = record.rollout_.state_;
             result_.ended_at_ms_ = now;
-            result_.reason_ = record.reason_;
+            result_.reason_ = record.steps_.back().reason_;
             result_.old_in_flight_at_end_ = in_flight(false);
         }
     }
