Take orders of roll-outs, plan them on the leader and publish the set

The platform's operators order roll-outs with POST /-/rollouts and read their state with GET /-/rollouts/SERVICE; the own admin API has /v1/rollouts. Every control process sends its nodes' reports to all others, so that a new leader has the evidence.

--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -120,7 +120,8 @@
   private:
     control_replica(raft replica, control_hooks hooks)
         : raft_(std::move(replica)),
-          hooks_(std::move(hooks)), state_{replicated_state(hooks_.limits_), run_records(), rollout_records()}
+          hooks_(std::move(hooks)), state_{replicated_state(hooks_.limits_), run_records(),
+                                           rollout_records()}
     {
     }
 
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -14,6 +14,8 @@
 #include "daemon/progress_tracker.h"
 #include "daemon/publisher_server.h"
 #include "daemon/replica_links.h"
+#include "daemon/rollout_api.h"
+#include "daemon/rollout_service.h"
 #include "daemon/run_record_service.h"
 #include "event_loop/call_after.h"
 #include "event_loop/deadline_timer.h"
@@ -55,8 +57,9 @@
                       [this] { has_unreported_progress_ = true; },
                       [this](const auto& crashes) { broadcast(crash_report{crashes}); },
                       [this] { return replica_->raft_state().has_quorum_contact(monotonic_now()); },
-                      [this] {
-                          return replica_->currency_age(monotonic_now());
+                      [this] { return replica_->currency_age(monotonic_now()); },
+                      [this](const auto& report) {
+                          rollouts_.on_own_report(report);
                       }}),
           links_(settings.control_peers_, secrets.key_,
                  {[this](const auto& message) { replica_->receive(message, monotonic_now()); },
@@ -71,7 +74,16 @@
           run_records_(metrics_, {[this]() -> control_replica& { return *replica_; },
                                   [this](const auto& to, auto bytes) {
                                       links_.send_run_message(to, bytes);
-                                  }})
+                                  }}),
+          rollouts_(metrics_, {[this]() -> control_replica& { return *replica_; },
+                               [this](auto rollouts) {
+                                   publisher_.logic().set_rollouts(std::move(rollouts));
+                                   publisher_.process_output();
+                               },
+                               [this](const auto& report) { broadcast(report); },
+                               [this] {
+                                   return not_ready_reason();
+                               }})
     {
         listener_.handle(distribution_path, [this](const auto& connection, auto stream) {
             return publisher_.accept(connection, stream);
@@ -89,6 +101,7 @@
                           [this] {
                               return publisher_.logic().targets().records();
                           }});
+        add_rollout_api(admin_, rollouts_, [this]() -> control_replica& { return *replica_; });
         QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
                          [this] { report_progress(); });
         QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_,
@@ -188,8 +201,7 @@
             return replica_->state();
         };
         api.not_ready_reason_ = [this] {
-            return has_dynamic_membership() ? group_.not_ready_reason(monotonic_now())
-                                            : std::nullopt;
+            return not_ready_reason();
         };
         api.accept_ = [this](const auto& command, auto callback) {
             replica_->accept(command, std::move(callback), monotonic_now());
@@ -197,6 +209,12 @@
         api.prove_current_ = [this](auto callback) {
             replica_->prove_current(std::move(callback), monotonic_now());
         };
+        api.order_rollout_ = [this](const auto& order, auto callback) {
+            rollouts_.order(order, std::move(callback));
+        };
+        api.read_rollout_ = [this](const auto& service, auto callback) {
+            rollouts_.read(service, std::move(callback));
+        };
         api.count_rejected_config_ = [this](error_kind reason) {
             rejected_configs(reason).add();
         };
@@ -218,6 +236,11 @@
                               {{"reason", name_of(reason)}});
     }
 
+    [[nodiscard]] auto not_ready_reason() const -> std::optional<error>
+    {
+        return has_dynamic_membership() ? group_.not_ready_reason(monotonic_now()) : std::nullopt;
+    }
+
     [[nodiscard]] auto leader_host() const -> std::string
     {
         const auto& leader = replica_->raft_state().leader();
@@ -271,6 +294,9 @@
             publisher_.logic().set_table(table);
             publisher_.process_output();
         };
+        hooks.on_rollouts_ = [this](const rollout_records& rollouts) {
+            rollouts_.on_rollouts(rollouts);
+        };
         hooks.on_disk_failure_ = [](const error& problem) {
             log_event(log_level::error, "disk_failure", {{"message", problem.message_}});
         };
@@ -344,6 +370,9 @@
             publisher_.logic().merge_sync(sync->contents_, false);
             publisher_.process_output();
         }
+        else if (const auto* report = std::get_if<version_report>(&message)) {
+            rollouts_.on_report(from, *report);
+        }
         else if (const auto* progress = std::get_if<progress_report>(&message)) {
             peer_progress_.on_report(from, progress->zones_, monotonic_now());
         }
@@ -434,6 +463,7 @@
     replica_links links_;
     control_group group_;
     run_record_service run_records_;
+    rollout_service rollouts_;
     file_system files_;
     std::optional<replica_store> store_;
     std::optional<control_replica> replica_;
--- a/libs/daemon/external_interface.h
+++ b/libs/daemon/external_interface.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "control/control_replica.h"
+#include "daemon/rollout_service.h"
 #include "daemon/target_registry.h"
 #include "request_path/header_mapping.h"
 #include "settings/daemon_settings.h"
@@ -29,6 +30,8 @@
     std::function<std::optional<error>()> not_ready_reason_;
     std::function<void(const accept_command& command, accept_callback callback)> accept_;
     std::function<void(proof_callback callback)> prove_current_;
+    std::function<void(const rollout_order& order, order_callback callback)> order_rollout_;
+    std::function<void(const std::string& service, rollout_read_callback callback)> read_rollout_;
     /** To be called for each configuration that the interface rejects as invalid or unsupported. */
     std::function<void(error_kind reason)> count_rejected_config_;
 };
--- a/libs/rollout/rollout_judge.cpp
+++ b/libs/rollout/rollout_judge.cpp
@@ -90,9 +90,9 @@
         if (difference < options.failure_difference_) {
             return evidence;
         }
-        const auto limit = proportion(old_.failures_ + added_old_failures,
-                                      old_.responses_ + added_old_responses) +
-                           options.failure_margin_;
+        const auto limit =
+            proportion(old_.failures_ + added_old_failures, old_.responses_ + added_old_responses) +
+            options.failure_margin_;
         const auto above_limit = old_.responses_ < needed_old_responses
                                      ? 0
                                      : ratio_above_limit(limit, new_.failures_, new_.responses_);
@@ -143,12 +143,11 @@
         if (start % periods_between_starts != 0) {
             continue;
         }
-        const auto weight = start == 0 ? weight_of_all_periods
-                                       : (1 - weight_of_all_periods) /
-                                             static_cast<double>(later_starts);
+        const auto weight = start == 0
+                                ? weight_of_all_periods
+                                : (1 - weight_of_all_periods) / static_cast<double>(later_starts);
         const auto needed = tests / (weight * options.false_alarm_probability_);
-        const bool is_recent =
-            periods.size() - start <= recent_starts * periods_between_starts;
+        const bool is_recent = periods.size() - start <= recent_starts * periods_between_starts;
         for (auto evidence : {compared.failures(options), compared.slowness(options)}) {
             const auto ratio = evidence.likelihood_ratio_;
             finding.is_bad_ |= ratio >= needed;
--- a/libs/rollout/rollout_planner.cpp
+++ b/libs/rollout/rollout_planner.cpp
@@ -112,7 +112,8 @@
             tracked = {};
             tracked.id_ = rollout.id_;
             tracked.new_version_ = rollout.new_version_;
-            tracked.period_ms_ = std::max(min_period_ms, record.duration_ms_ / periods_per_duration);
+            tracked.period_ms_ =
+                std::max(min_period_ms, record.duration_ms_ / periods_per_duration);
             tracked.old_targets_fell_at_ = now;
         }
         else if (tracked.step_ == record.step_) {
@@ -320,8 +321,8 @@
             return command;
         }
     }
-    if (elapsed >= record.elapsed_ms_ +
-                       static_cast<std::uint64_t>(to_milliseconds(options_.store_period_))) {
+    if (elapsed >=
+        record.elapsed_ms_ + static_cast<std::uint64_t>(to_milliseconds(options_.store_period_))) {
         return command_for(record, rollout_command_kind::step, elapsed);
     }
     return std::nullopt;
@@ -365,9 +366,8 @@
     order.duration_ms_ = duration_ms;
     order.share_ = initial_rollout_share;
     const auto found = tracked_.find(service);
-    order.repeats_rolled_back_ =
-        found != tracked_.end() && !found->second.is_running_ &&
-        now - found->second.step_seen_at_ >= options_.repetition_time_;
+    order.repeats_rolled_back_ = found != tracked_.end() && !found->second.is_running_ &&
+                                 now - found->second.step_seen_at_ >= options_.repetition_time_;
     return order;
 }
 
--- a/libs/rollout/test/correctness/rollout_loads.cpp
+++ b/libs/rollout/test/correctness/rollout_loads.cpp
@@ -20,7 +20,10 @@
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             load.requests_per_s_ = rate;
             load.seed_ = seed;
-            BOOST_TEST_CONTEXT("rate " << rate << " seed " << seed) { play(load); }
+            BOOST_TEST_CONTEXT("rate " << rate << " seed " << seed)
+            {
+                play(load);
+            }
         }
     }
 }
--- a/libs/rollout/test/correctness/rollout_records.cpp
+++ b/libs/rollout/test/correctness/rollout_records.cpp
@@ -81,8 +81,7 @@
     rollout_records records;
     static_cast<void>(records.apply(order("2")));
     const auto late = command(records, rollout_command_kind::step, 250);
-    const auto late_end =
-        command(records, rollout_command_kind::end, 0, rollout_state::completed);
+    const auto late_end = command(records, rollout_command_kind::end, 0, rollout_state::completed);
     BOOST_TEST((records.apply(command(records, rollout_command_kind::step, 50)) ==
                 rollout_outcome::applied));
     BOOST_TEST((records.apply(late) == rollout_outcome::superseded));
--- a/libs/rollout/test/simulated_service.cpp
+++ b/libs/rollout/test/simulated_service.cpp
@@ -34,7 +34,8 @@
 
 class simulation {
   public:
-    explicit simulation(const simulated_load& load) : load_(load), random_(seeded_random(load.seed_))
+    explicit simulation(const simulated_load& load)
+        : load_(load), random_(seeded_random(load.seed_))
     {
     }
 
@@ -121,9 +122,8 @@
         auto latency = -mean_latency_ms * std::log(1 - uniform_unit(random_));
         latency *= (is_affected ? behaviour.slowness_ : 1) * (is_cold ? 2 : 1);
         response given{is_new, row};
-        given.has_failed_ =
-            uniform_unit(random_) < behaviour.baseline_failures_ ||
-            (is_affected && uniform_unit(random_) < behaviour.failure_proportion_);
+        given.has_failed_ = uniform_unit(random_) < behaviour.baseline_failures_ ||
+                            (is_affected && uniform_unit(random_) < behaviour.failure_proportion_);
         given.is_slow_ = latency > target_latency_ms && !is_cold;
         given.is_bad_ = behaviour.is_bad_ && (given.has_failed_ || given.is_slow_);
         return {given, latency};
@@ -154,10 +154,10 @@
         while (!responses_.empty() && responses_.begin()->first <= now_) {
             const auto given = responses_.begin()->second;
             responses_.erase(responses_.begin());
-            merge_report(measured_, {{{"s", given.is_new_ ? "2" : "1",
-                                       "r" + std::to_string(given.row_), 1,
-                                       given.has_failed_ ? 1U : 0U, given.is_slow_ ? 1U : 0U}},
-                                     {}});
+            merge_report(measured_,
+                         {{{"s", given.is_new_ ? "2" : "1", "r" + std::to_string(given.row_), 1,
+                            given.has_failed_ ? 1U : 0U, given.is_slow_ ? 1U : 0U}},
+                          {}});
             bad_ += given.is_bad_ && given.is_new_ ? 1 : 0;
             if (bad_ == 50 && result_.fiftieth_bad_at_ms_ < 0) {
                 result_.fiftieth_bad_at_ms_ = now_;
@@ -168,10 +168,9 @@
     [[nodiscard]] auto in_flight(bool is_new) const -> std::int64_t
     {
         const bool is_stuck = !is_new && now_ < load_.stuck_old_request_until_ms_;
-        return std::ranges::count_if(responses_,
-                                     [is_new](const auto& entry) {
-                                         return entry.second.is_new_ == is_new;
-                                     }) +
+        return std::ranges::count_if(
+                   responses_,
+                   [is_new](const auto& entry) { return entry.second.is_new_ == is_new; }) +
                (is_stuck ? 1 : 0);
     }
 
--- a/libs/rollout/test/simulated_service.h
+++ b/libs/rollout/test/simulated_service.h
@@ -19,13 +19,13 @@
 /** How the targets of one version behave. */
 struct version_behaviour {
     double failure_proportion_ = 0;
-    double slowness_ = 1;          ///< Factor of the usual latency.
+    double slowness_ = 1;            ///< Factor of the usual latency.
     std::int64_t changes_at_ms_ = 0; ///< Before this time after the order the version is good.
-    int bad_row_ = -1;             ///< Only this row is bad; -1: all.
-    double bad_from_load_ = 0;     ///< Bad only from this load per target; 1: that of an old one.
-    bool is_bad_ = false;          ///< Whether the version must be rolled back.
+    int bad_row_ = -1;               ///< Only this row is bad; -1: all.
+    double bad_from_load_ = 0;       ///< Bad only from this load per target; 1: that of an old one.
+    bool is_bad_ = false;            ///< Whether the version must be rolled back.
     std::int64_t cold_until_ms_ = 0; ///< Until then twice as slow, and not counted as slow.
-    double baseline_failures_ = 0; ///< Proportion that fails whatever the load, time and row.
+    double baseline_failures_ = 0;   ///< Proportion that fails whatever the load, time and row.
 };
 
 /** One load to play. */
@@ -35,7 +35,7 @@
     int targets_ = 50; ///< Of each version.
     version_behaviour old_;
     version_behaviour new_;
-    std::int64_t new_targets_from_ms_ = 0;    ///< Start of the new targets, after the order.
+    std::int64_t new_targets_from_ms_ = 0; ///< Start of the new targets, after the order.
     std::int64_t reports_until_ms_ = 1'000'000;
     std::vector<std::int64_t> leader_changes_ms_; ///< Times after the order.
     std::int64_t stuck_old_request_until_ms_ = 0; ///< An old target runs a request until then.
@@ -47,8 +47,8 @@
     rollout_state state_ = rollout_state::running;
     std::int64_t ended_at_ms_ = -1;
     std::int64_t old_in_flight_at_end_ = 0;
-    std::int64_t requests_ = 0;          ///< Between the order and the deadline.
-    std::int64_t requests_to_new_ = 0;   ///< Of these, to the new version.
+    std::int64_t requests_ = 0;        ///< Between the order and the deadline.
+    std::int64_t requests_to_new_ = 0; ///< Of these, to the new version.
     std::int64_t fiftieth_bad_at_ms_ = -1;
     std::int64_t last_to_new_at_ms_ = -1;
     std::vector<std::uint32_t> shares_; ///< In the order in which they were committed.
