--- a/libs/cli/command_context.h
+++ b/libs/cli/command_context.h
@@ -24,7 +24,8 @@
     wrong_arguments = 2, ///< Unknown command or option, or a file that cannot be used.
     conflict = 3,        ///< Another version was accepted first; nothing was accepted.
     bad_table = 4,       ///< The table has findings; nothing was accepted.
-    not_in_force = 5,    ///< watch timed out before the version was in force everywhere.
+    not_in_force = 5,    ///< watch timed out before the version was in force everywhere, or rollout
+                         ///< watch before the roll-out had ended.
     outcome_unknown = 6, ///< The edit may have been accepted; send it again with the same id.
 };
 
--- a/libs/cli/command_list.h
+++ b/libs/cli/command_list.h
@@ -28,6 +28,11 @@
 auto watch_version(command_context& context, const command_words& arguments) -> exit_status;
 auto show_refusals(command_context& context, const command_words& arguments) -> exit_status;
 
+// Roll-outs (rollout_commands.cpp).
+auto start_rollout(command_context& context, const command_words& arguments) -> exit_status;
+auto show_rollouts(command_context& context, const command_words& arguments) -> exit_status;
+auto watch_rollout(command_context& context, const command_words& arguments) -> exit_status;
+
 // Draining (drain_commands.cpp).
 auto drain_target(command_context& context, const command_words& arguments) -> exit_status;
 auto undrain_target(command_context& context, const command_words& arguments) -> exit_status;
--- a/libs/cli/commands.cpp
+++ b/libs/cli/commands.cpp
@@ -46,6 +46,12 @@
     command{"drain node", "ADDRESS", 1, "stop sending new calls to a node's targets", drain_node},
     command{"undrain target", "SERVICE TARGET", 2, "send calls to a target again", undrain_target},
     command{"undrain node", "ADDRESS", 1, "send calls to a node's targets again", undrain_node},
+    command{"rollout start", "SERVICE VERSION SECONDS", 3,
+            "move the calls of a service to a new version within a time", start_rollout},
+    command{"rollout show", "", 0, "print the latest roll-out of each service with its steps",
+            show_rollouts},
+    command{"rollout watch", "SERVICE", 1, "print steps until the roll-out has ended",
+            watch_rollout},
     command{"refusals", "", 0, "count refused calls by reason and service", show_refusals},
 };
 
@@ -61,8 +67,7 @@
     exit_status_entry{exit_status::conflict,
                       "another version was accepted first; nothing was accepted"},
     exit_status_entry{exit_status::bad_table, "the table has findings; nothing was accepted"},
-    exit_status_entry{exit_status::not_in_force,
-                      "watch: timed out before the version was in force everywhere"},
+    exit_status_entry{exit_status::not_in_force, "watch, rollout watch: timed out before the end"},
     exit_status_entry{exit_status::outcome_unknown,
                       "the edit may have been accepted; send it again with the same edit id"},
 };
--- a/libs/cli/test/fake_control.cpp
+++ b/libs/cli/test/fake_control.cpp
@@ -111,6 +111,13 @@
     if (path == "/v1/progress") {
         return {200, to_json_text(progress_)};
     }
+    if (path == "/v1/rollouts" && body.empty()) {
+        return {200, to_json_text(rollouts_)};
+    }
+    if (path == "/v1/rollouts") {
+        rollout_order_ = body;
+        return {rollout_status_, to_json_text({{"message", "another roll-out is running"}})};
+    }
     if (path == "/v1/targets") {
         const QJsonObject target{{"service", "a"},
                                  {"target", "a1"},
--- a/libs/cli/test/fake_control.h
+++ b/libs/cli/test/fake_control.h
@@ -34,6 +34,9 @@
                                           ///< without a response.
     std::string metrics_;                 ///< The body of /metrics.
     QJsonObject progress_;                ///< The body of /v1/progress.
+    QJsonObject rollouts_;                ///< The body of GET /v1/rollouts.
+    int rollout_status_ = 200;            ///< The status of POST /v1/rollouts.
+    std::string rollout_order_;           ///< The latest body of POST /v1/rollouts.
     int accept_request_count_ = 0;
 
   private:
--- a/libs/daemon/rollout_api.cpp
+++ b/libs/daemon/rollout_api.cpp
@@ -1,6 +1,9 @@
 #include "daemon/rollout_api.h"
 
 #include <algorithm>
+#include <map>
+#include <optional>
+#include <tuple>
 
 #include <fmt/core.h>
 
@@ -56,25 +59,66 @@
     return order;
 }
 
-/** Answers at once: an outcome that is not known yet is 202. */
-auto on_order(rollout_service& service, const QHttpServerRequest& request) -> QHttpServerResponse
-{
-    const auto object = read_json(request);
-    if (!object) {
-        return error_response(object.error());
+/** Gives orders and keeps their outcomes until the client asks again, since a handler must answer
+ * before an order can be committed. */
+class order_submitter {
+  public:
+    explicit order_submitter(rollout_service& service) : service_(service) {}
+
+    auto submit(const QHttpServerRequest& request) -> QHttpServerResponse
+    {
+        const auto object = read_json(request);
+        if (!object) {
+            return error_response(object.error());
+        }
+        const auto order = read_order(*object);
+        drop_old_outcomes();
+        const order_key key{order.service_, order.version_, order.duration_};
+        if (!outcomes_.contains(key)) {
+            give(key, order);
+        }
+        const auto found = outcomes_.find(key);
+        if (!found->second.acknowledged_) {
+            return json_response({{"status", "pending"}}, pending_status);
+        }
+        const auto acknowledged = *found->second.acknowledged_;
+        outcomes_.erase(found);
+        if (!acknowledged) {
+            return error_response(acknowledged.error());
+        }
+        return json_response(
+            {{"service", to_json(order.service_)}, {"version", to_json(order.version_)}});
     }
-    const auto order = read_order(*object);
-    const auto acknowledged = std::make_shared<std::optional<result<void>>>();
-    service.order(order, [acknowledged](const result<void>& given) { *acknowledged = given; });
-    if (!*acknowledged) {
-        return json_response({{"status", "pending"}}, pending_status);
+
+  private:
+    /** Longer than a client waits between two requests, and shorter than it takes an operator to
+     * give the same order anew. */
+    static constexpr duration outcome_lifetime = std::chrono::seconds(2);
+
+    using order_key = std::tuple<std::string, std::string, duration>;
+    struct order_outcome {
+        std::optional<result<void>> acknowledged_; ///< Empty: not known yet.
+        instant changed_at_{};
+    };
+
+    void give(const order_key& key, const rollout_order& order)
+    {
+        outcomes_[key] = {std::nullopt, monotonic_now()};
+        service_.order(order, [this, key](const result<void>& acknowledged) {
+            outcomes_[key] = {acknowledged, monotonic_now()};
+        });
     }
-    if (!**acknowledged) {
-        return error_response((*acknowledged)->error());
+
+    void drop_old_outcomes()
+    {
+        std::erase_if(outcomes_, [now = monotonic_now()](const auto& entry) {
+            return now - entry.second.changed_at_ > outcome_lifetime;
+        });
     }
-    return json_response(
-        {{"service", to_json(order.service_)}, {"version", to_json(order.version_)}});
-}
+
+    rollout_service& service_;
+    std::map<order_key, order_outcome> outcomes_;
+};
 
 auto on_list(const rollout_service& service, const rollout_records& records) -> QHttpServerResponse
 {
@@ -104,7 +148,9 @@
                       });
     };
     add(QHttpServerRequest::Method::Post,
-        [&service](const auto& request) { return on_order(service, request); });
+        [submitter = std::make_shared<order_submitter>(service)](const auto& request) {
+            return submitter->submit(request);
+        });
     add(QHttpServerRequest::Method::Get,
         [&service, replica](const auto&) { return on_list(service, replica().rollouts()); });
 }
