--- a/libs/daemon/rollout_api.cpp
+++ b/libs/daemon/rollout_api.cpp
@@ -132,7 +132,7 @@
 } // namespace
 
 void add_rollout_api(admin_server& server, rollout_service& service,
-                     std::function<control_replica&()> replica)
+                     const std::function<control_replica&()>& replica)
 {
     const auto add = [&server, replica](auto method, const admin_handler& handler) {
         server.handle(method, rollouts_path, admin_access::operators,
--- a/libs/daemon/rollout_api.h
+++ b/libs/daemon/rollout_api.h
@@ -13,6 +13,6 @@
  * GET lists the latest roll-out of every service with its steps. Both are answered by the leader.
  */
 void add_rollout_api(admin_server& server, rollout_service& service,
-                     std::function<control_replica&()> replica);
+                     const std::function<control_replica&()>& replica);
 
 } // namespace sycamorewinch
