--- a/tutorial/lesson_04_distribution/main.cpp
+++ b/tutorial/lesson_04_distribution/main.cpp
@@ -55,7 +55,7 @@
     lesson::check("the publisher requests a proof from its upstream", proof_requested);
 
     // The quorum confirmed that version 9 is current, so the node must not enforce version 8.
-    upstream.on_proof(9);
+    upstream.on_proof(9, 0);
     deliver_down(upstream, node);
     lesson::check("an older table is not enforced", node.enforced() == nullptr);
 
