--- a/libs/rollout/test/correctness/rollout_loads.cpp
+++ b/libs/rollout/test/correctness/rollout_loads.cpp
@@ -103,22 +103,23 @@
     check_bad(load);
 }
 
-// With a test of two proportions alone, one in ten exceeded the bound.
-BOOST_AUTO_TEST_CASE(a_version_that_is_bad_on_one_row_at_a_low_rate_rarely_exceeds_the_bound)
+// One of four rows at 100 requests/s gives the judge one response of the bad row in 0.8 s at first.
+BOOST_AUTO_TEST_CASE(a_version_that_is_bad_on_one_row_at_a_low_rate_stays_within_the_bound)
 {
     constexpr std::uint64_t runs = 150;
-    constexpr int allowed = 4;
-    int exceeded = 0;
     for (std::uint64_t seed = 1; seed <= runs; ++seed) {
         auto load = failing(0.39);
         load.new_.bad_row_ = 2;
         load.requests_per_s_ = 100;
         load.seed_ = seed;
         const auto result = simulate(load);
-        BOOST_TEST(static_cast<int>(result.state_) == static_cast<int>(rollout_state::rolled_back));
-        exceeded += result.requests_to_new_ > result.requests_ / 10 + 50 ? 1 : 0;
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(static_cast<int>(result.state_) ==
+                       static_cast<int>(rollout_state::rolled_back));
+            BOOST_TEST(result.requests_to_new_ <= result.requests_ / 10 + 50);
+        }
     }
-    BOOST_TEST(exceeded <= allowed);
 }
 
 BOOST_AUTO_TEST_CASE(a_version_that_is_bad_at_the_load_of_an_old_target_is_rolled_back)
