Report calls that were not sent to a target in time as not run

At its deadline a node ended every call with 504 and an unknown outcome, also when the request still waited for a link, in the queue beside the target, or for a connection to it. The caller then may not repeat an unrepeatable request.

- New refusal reason not_started_in_time (503, not-run, never retried).
- The node beside the target ends waits early enough for the service time of the row and for its refusal to reach the caller's node, and refuses requests that arrive without time left.
- At the deadline the caller's node cancels what was not sent.
It withdraws a request that it sent to another node, and waits for the confirmation for at most 50 ms.
The other node confirms only if no byte was sent to the target.
- A keyed request that is cancelled before it is sent releases its key.
- Times left are reduced by the time that a request waited for its link.

--- a/libs/http1/http1_client_connection.cpp
+++ b/libs/http1/http1_client_connection.cpp
@@ -436,6 +436,11 @@
     return state_->unsent_.size() + static_cast<std::size_t>(state_->socket_->bytesToWrite());
 }
 
+auto http1_client_connection::has_sent_bytes() const -> bool
+{
+    return state_->has_sent_bytes_;
+}
+
 auto http1_client_connection::is_reusable() const -> bool
 {
     const auto& self = *state_;
--- a/libs/http1/http1_client_connection.h
+++ b/libs/http1/http1_client_connection.h
@@ -77,6 +77,9 @@
 
     /** Returns the bytes written that the operating system has not accepted yet. */
     [[nodiscard]] auto queued_bytes() const -> std::size_t;
+    /** Returns whether a byte of the current request was passed to the operating system. Until the
+     * connection is established, cancel() thus ends a request that the target never sees. */
+    [[nodiscard]] auto has_sent_bytes() const -> bool;
     /** Returns whether another exchange may be started on this connection. */
     [[nodiscard]] auto is_reusable() const -> bool;
     /** Returns how long the target keeps an idle connection (Keep-Alive header), if it said so. */
--- a/libs/policy/refusal.cpp
+++ b/libs/policy/refusal.cpp
@@ -35,6 +35,7 @@
     {"run_outcome_dropped", 409, 0, ran},
     {"key_reused", 422, 0, not_run},
     {"request_crashes_targets", 422, 0, unknown},
+    {"not_started_in_time", 503, 1, not_run},
 }};
 
 constexpr enum_names<request_outcome, 3> outcome_names{{"not-run", "unknown", "ran"}};
--- a/libs/policy/refusal.h
+++ b/libs/policy/refusal.h
@@ -35,9 +35,10 @@
     run_outcome_dropped,     ///< The key has run; its response is no longer stored.
     key_reused,              ///< The idempotency key was used for a different request.
     request_crashes_targets, ///< It crashed the maximum number of targets per request.
+    not_started_in_time,     ///< The time ended before a byte was sent to a target.
 };
 
-constexpr std::size_t refusal_reason_count = 23;
+constexpr std::size_t refusal_reason_count = 24;
 
 /** Whether a refused request was run. */
 enum class request_outcome : std::uint8_t {
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -23,6 +23,9 @@
  * Trying all targets of a large service would take longer than the caller waits, and under overload
  * would use most of the nodes' processing time. */
 constexpr unsigned full_targets_before_last_choice = 2;
+/** How long after its deadline a call waits for the other node to confirm that it has withdrawn the
+ * request. */
+constexpr std::chrono::milliseconds max_withdrawal_time{50};
 
 /** One call from a caller, with its attempts. The hooks of the connection and of the current
  * exchange share ownership of it until it ends. */
@@ -70,7 +73,7 @@
             [self] { self->on_request_end(); },
             [self] { self->on_caller_writable(); },
             [self] { self->on_cancelled(); },
-            [self] { self->on_deadline(); },
+            [self] { self->on_time_up(); },
         };
     }
 
@@ -245,6 +248,10 @@
         reached_ += refusal.reached_target_ ? 1 : 0;
         response_buffer_.discard();
         record_failure(refusal.reason_);
+        if (is_withdrawing_) {
+            end_at_deadline(refusal.outcome_);
+            return;
+        }
         full_targets_ += is_lack_of_room(refusal.reason_) ? 1 : 0;
         target_failures_ += refusal.reason_ == refusal_reason::target_failed ? 1 : 0;
         if (target_failures_ >= max_crashed_targets) {
@@ -304,6 +311,10 @@
                 health_->on_leaving(target_start_);
             }
         }
+        if (is_withdrawing_) {
+            end_at_deadline(request_outcome::ran);
+            return;
+        }
         environment_.node_.mapping().strip_response_headers_(head.headers_);
         if (response_buffer::fits(head)) {
             response_buffer_.begin(std::move(head));
@@ -367,12 +378,51 @@
             return;
         }
         const auto keep = shared_from_this(); // the connection may drop its hooks
+        const auto result = withdraw_exchange();
+        if (result == withdrawal::pending) {
+            is_withdrawing_ = true;
+            withdrawal_timer_.start(max_withdrawal_time);
+            return;
+        }
+        end_at_deadline(outcome_of(result));
+    }
+
+    /** The node is about to be ended by force. There is no time for the answer of another node. */
+    void on_time_up()
+    {
+        if (ended_) {
+            return;
+        }
+        const auto keep = shared_from_this(); // the connection may drop its hooks
+        end_at_deadline(is_withdrawing_ ? request_outcome::unknown
+                                        : outcome_of(withdraw_exchange()));
+    }
+
+    /** Cancels the current attempt if its target has certainly not received the request. */
+    auto withdraw_exchange() -> withdrawal
+    {
+        const bool has_response = responded_ || response_buffer_.has_response();
+        return has_response || !controls_.withdraw_ ? withdrawal::may_have_run
+                                                    : controls_.withdraw_();
+    }
+
+    [[nodiscard]] static auto outcome_of(withdrawal result) -> request_outcome
+    {
+        return result == withdrawal::withdrawn ? request_outcome::not_run
+                                               : request_outcome::unknown;
+    }
+
+    /** Ends the call at its deadline. \p outcome: of the last attempt. */
+    void end_at_deadline(request_outcome outcome)
+    {
         cancel_exchange();
+        const bool has_not_run = outcome == request_outcome::not_run && !may_have_run_;
         if (responded_) {
             on_truncated();
         }
         else {
-            refuse(make_refusal(refusal_reason::deadline_passed));
+            refuse(make_refusal(has_not_run ? refusal_reason::not_started_in_time
+                                            : refusal_reason::deadline_passed));
         }
     }
 
@@ -464,6 +514,7 @@
             --environment_.node_.calls_in_flight();
         }
         deadline_timer_.stop();
+        withdrawal_timer_.stop();
         controls_ = {}; // breaks the reference cycle of call, exchange and hooks
     }
 
@@ -487,6 +538,11 @@
     deadline_timer deadline_timer_{[this] {
         on_deadline();
     }};
+    /** Runs while the other node is asked to withdraw the request. */
+    deadline_timer withdrawal_timer_{[this] {
+        const auto keep = shared_from_this(); // the connection may drop its hooks
+        end_at_deadline(request_outcome::unknown);
+    }};
     response_buffer response_buffer_;
     unsigned attempts_ = 0;
     unsigned reached_ = 0;           ///< Attempts that a target has or may have received.
@@ -494,9 +550,10 @@
     unsigned full_targets_ = 0;      ///< Attempts refused by targets that had no room.
     bool replay_overflowed_ = false; ///< The body is larger than max_replay_bytes.
     bool body_ended_ = false;
-    bool responded_ = false;    ///< The response to the caller has begun.
-    bool may_have_run_ = false; ///< At any of the targets tried.
-    bool is_cancelled_ = false; ///< The current attempt was cancelled.
+    bool responded_ = false;      ///< The response to the caller has begun.
+    bool may_have_run_ = false;   ///< At any of the targets tried.
+    bool is_withdrawing_ = false; ///< The deadline has passed; see withdrawal_timer_.
+    bool is_cancelled_ = false;   ///< The current attempt was cancelled.
     bool ended_ = false;
 };
 
--- a/libs/request_path/exchange.h
+++ b/libs/request_path/exchange.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -28,7 +29,10 @@
     std::string target_;
     std::string caller_; ///< The client whose limits apply; empty: none.
     std::string origin_; ///< The service that the caller's node runs beside; may be empty.
-    std::chrono::milliseconds time_left_{0};      ///< Until the call's deadline.
+    std::chrono::milliseconds time_left_{0}; ///< Until the call's deadline.
+    /** Time that a refusal needs to reach the caller's node: a request that has not been sent to
+     * its target by then is refused before the deadline. */
+    std::chrono::milliseconds refusal_delay_{0};
     std::chrono::milliseconds latency_budget_{0}; ///< Until the row's target latency is exceeded.
     /** No other target will be tried, so a longer wait for a slot is better than a refusal. */
     bool is_last_choice_ = false;
@@ -85,13 +89,25 @@
     return hooks;
 }
 
+/** The result of the attempt to cancel a request before it is sent to its target. */
+enum class withdrawal : std::uint8_t {
+    withdrawn,    ///< Cancelled: no byte was sent to the target, and none will be.
+    may_have_run, ///< A byte may have been sent to the target; nothing was cancelled.
+    /** The node beside the target was asked. It answers with a refusal, which has the outcome
+     * `not-run` if it has withdrawn the request. The answer may be lost. */
+    pending,
+};
+
 /** Operations of the initiator on an exchange. */
 struct exchange_controls {
     std::function<void(std::string_view bytes)> write_; ///< Sends a part of the request's body.
     std::function<void()> finish_;                      ///< Ends the request's body.
     std::function<void()> cancel_;                      ///< Aborts; no hook is called afterwards.
-    std::function<void(bool paused)> pause_;            ///< Pauses or resumes the response's body.
-    std::function<std::size_t()> queued_bytes_;         ///< Request bytes not yet sent.
+    /** Cancels the request if it has certainly not been sent to its target. No hook is called after
+     * the result withdrawal::withdrawn. */
+    std::function<withdrawal()> withdraw_;
+    std::function<void(bool paused)> pause_;    ///< Pauses or resumes the response's body.
+    std::function<std::size_t()> queued_bytes_; ///< Request bytes not yet sent.
 };
 
 } // namespace sycamorewinch
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -55,6 +55,10 @@
             refuse(make_refusal(refusal_reason::no_target));
             return;
         }
+        if (request_.time_left_ <= duration(0)) {
+            refuse(make_refusal(refusal_reason::not_started_in_time));
+            return;
+        }
         const auto routes = node_.routes();
         if (!routes->table_in_force()) {
             refuse(make_refusal(refusal_reason::table_not_proved));
@@ -85,6 +89,7 @@
             [self](std::string_view bytes) { self->write(bytes); },
             [self] { self->finish_body(); },
             [self] { self->cancel(); },
+            [self] { return self->withdraw() ? withdrawal::withdrawn : withdrawal::may_have_run; },
             [self](bool paused) {
                 if (self->connection_) {
                     self->connection_->pause_reading(paused);
@@ -113,18 +118,23 @@
     /** Queues the request if the target has no room at present and the expected wait is below
      * max_wait(); refuses it otherwise. Other reasons for a refusal do not pass by waiting. A wait
      * that lets the response miss the row's target latency is worth it only if no other target is
-     * left to try. */
+     * left to try, and one that lets it miss the call's deadline never is. */
     void enqueue_or_refuse(refusal_reason reason)
     {
         const auto wait = expected_wait();
-        const auto wait_limit = max_wait(
-            request_.latency_budget_, queue().service_time(row_service_), request_.is_last_choice_);
+        const auto service_time = queue().service_time(row_service_);
+        const auto wait_within_budget =
+            max_wait(request_.latency_budget_, service_time, request_.is_last_choice_);
+        const auto wait_before_deadline =
+            max_wait_before_deadline(time_left(), service_time, request_.refusal_delay_);
+        const auto wait_limit = std::min(wait_within_budget, wait_before_deadline);
         if (!is_lack_of_room(reason) || wait >= wait_limit) {
             refuse_not_run(reason, wait);
             return;
         }
         wait_reason_ = reason;
         wait_end_ = monotonic_now() + wait_limit;
+        wait_ends_with_deadline_ = wait_before_deadline <= wait_within_budget;
         const auto self = shared_from_this();
         queue_position_ = queue().enqueue(rank(), queue().service_time(row_service_),
                                           [self] { return self->try_start(); });
@@ -137,7 +147,10 @@
     {
         const auto self = shared_from_this(); // leave_queue() destroys the queue's reference
         leave_queue();
-        refuse_not_run(wait_reason_, expected_wait());
+        // Another target would not have the time that this one lacked.
+        refuse_not_run(wait_ends_with_deadline_ ? refusal_reason::not_started_in_time
+                                                : wait_reason_,
+                       expected_wait());
         queue().start_waiting(); // the next request may wait for the target's rate
     }
 
@@ -220,18 +233,36 @@
     {
         if (time_left() <= duration(0)) {
             release_slot();
-            refuse_not_run(refusal_reason::deadline_passed, {});
+            refuse_not_run(refusal_reason::not_started_in_time, {});
             return;
         }
         crash_guard_.emplace(node_.crashes(), node_.crash_hook(), request_);
         crash_guard_->on_body(pending_body_);
         if (crash_guard_->needs_body() && !body_ended_ && !crash_guard_->has_whole_fingerprint()) {
             is_held_ = true;
+            limit_time_to_send();
             return;
         }
         check_crashes_and_send();
     }
 
+    /** Arranges that the request is refused in time for the refusal to reach the caller's node
+     * before the deadline, if nothing was sent to the target by then. Not needed for a caller of
+     * this node, which withdraws the request at its deadline. */
+    void limit_time_to_send()
+    {
+        if (request_.refusal_delay_ <= duration(0) || send_timer_) {
+            return;
+        }
+        send_timer_.emplace([this] {
+            const auto self = shared_from_this(); // withdraw() may drop the last other reference
+            if (withdraw()) {
+                refuse_not_run(refusal_reason::not_started_in_time, {});
+            }
+        });
+        send_timer_->start(time_left() - request_.refusal_delay_);
+    }
+
     /** Refuses a request that has crashed too many targets, and sends any other. An unrepeatable
      * request with an idempotency key is sent once its run is reserved. */
     void check_crashes_and_send()
@@ -263,6 +294,7 @@
     {
         run_ = std::make_unique<unrepeatable_run>(node_.run_hooks(), connections_.run_client(),
                                                   request_);
+        limit_time_to_send();
         const auto self = shared_from_this();
         run_->reserve([self](const run_result& result) { self->on_reserved(result); });
     }
@@ -308,6 +340,9 @@
         auto head = request_.head_;
         node_.mapping().write_target_headers_(head.headers_, request_);
         connection->start(std::move(head), make_hooks());
+        if (connection_ && !connection_->has_sent_bytes()) {
+            limit_time_to_send(); // the connection is being established
+        }
         if (connection_ && !pending_body_.empty()) {
             connection_->write(std::exchange(pending_body_, {}));
         }
@@ -585,6 +620,9 @@
             continue_without_caller();
             return;
         }
+        if (withdraw()) {
+            return;
+        }
         ended_ = true;
         leave_queue();
         run_.reset();
@@ -593,6 +631,38 @@
         release_slot();
     }
 
+    /** Returns whether the target may have received a byte of the request and has not stated that
+     * it did not run it. */
+    [[nodiscard]] auto may_have_run() const -> bool
+    {
+        const bool is_sent =
+            sent_at_ != instant{} && (!connection_ || connection_->has_sent_bytes());
+        return is_sent && !target_stated_not_run_;
+    }
+
+    /** Cancels the request if it certainly has not run: no byte of it is sent afterwards, and no
+     * hook is called. Returns false, without effect, if it may have run or the last hook was
+     * called. */
+    auto withdraw() -> bool
+    {
+        if (ended_ || may_have_run()) {
+            return false;
+        }
+        ended_ = true;
+        if (send_timer_) {
+            send_timer_->stop();
+        }
+        leave_queue();
+        is_held_ = false;
+        if (run_) {
+            run_->release();
+        }
+        run_.reset();
+        close_connection();
+        release_slot();
+        return true;
+    }
+
     /** Continues the exchange after the caller has disconnected, since the target has the complete
      * request: the response is stored for a retry with the same idempotency key. */
     void continue_without_caller()
@@ -643,6 +713,8 @@
     std::optional<deadline_timer> rate_timer_; ///< Set while it waits there for the target's rate.
     refusal_reason wait_reason_ = refusal_reason::target_full; ///< Why it is in the queue.
     instant wait_end_{};                                       ///< End of its longest wait.
+    bool wait_ends_with_deadline_ = false;     ///< A longer wait would exceed the call's deadline.
+    std::optional<deadline_timer> send_timer_; ///< See limit_time_to_send().
     std::optional<deadline_timer> detached_timer_; ///< Set once the caller has disconnected.
     std::optional<deadline_timer>
         discard_timer_; ///< Set while the rest of a response is discarded.
--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -142,7 +142,7 @@
             std::move(socket), key_,
             [this](const std::shared_ptr<h2_connection>& from, stream_id stream,
                    const header_list& headers, bool ends_stream) {
-                return serve_peer_call(node_, targets_, from, stream, headers, ends_stream);
+                return peer_calls_.serve(from, stream, headers, ends_stream);
             },
             [this, self](connection_end_reason) { peer_connections_.erase(self->lock()); },
             incoming_peer_limits);
@@ -217,6 +217,7 @@
     node_state& node_;
     cluster_key key_;
     target_connections targets_;
+    peer_calls peer_calls_{node_, targets_};
     peer_connections peers_;
     call_environment environment_;
     std::unique_ptr<reuse_port_listener> caller_listener_;
--- a/libs/request_path/peer_exchange.cpp
+++ b/libs/request_path/peer_exchange.cpp
@@ -84,8 +84,8 @@
 class peer_exchange : public std::enable_shared_from_this<peer_exchange> {
   public:
     peer_exchange(const exchange_request& request, exchange_hooks hooks)
-        : headers_(to_peer_request(request)), has_body_(request.head_.has_body_),
-          hooks_(std::move(hooks))
+        : headers_(to_peer_request(request)), created_at_(monotonic_now()),
+          has_body_(request.head_.has_body_), hooks_(std::move(hooks))
     {
     }
 
@@ -98,6 +98,8 @@
             refuse(make_refusal(refusal_reason::target_unreachable));
             return;
         }
+        reduce_times_left(headers_, std::chrono::duration_cast<std::chrono::milliseconds>(
+                                        monotonic_now() - created_at_));
         const auto stream = connection->request(headers_, !has_body_, make_hooks());
         if (!stream) {
             refuse(make_refusal(refusal_reason::target_unreachable));
@@ -131,6 +133,24 @@
         }
     }
 
+    /** Cancels the request if it was not passed to the socket; otherwise asks the other node to
+     * withdraw it. */
+    auto withdraw() -> withdrawal
+    {
+        if (ended_ || responded_) {
+            return withdrawal::may_have_run;
+        }
+        const auto connection = connection_.lock();
+        const bool waits_for_connection = stream_ == 0;
+        if (waits_for_connection || (connection && connection->reset_if_unsent(stream_))) {
+            ended_ = true;
+            return withdrawal::withdrawn;
+        }
+        return connection && connection->request(to_peer_withdrawal(stream_), true, {})
+                   ? withdrawal::pending
+                   : withdrawal::may_have_run;
+    }
+
     void pause(bool paused)
     {
         paused_ = paused;
@@ -256,6 +276,7 @@
     }
 
     header_list headers_;
+    instant created_at_; ///< The times left in headers_ are those of this time.
     bool has_body_;
     exchange_hooks hooks_;
     std::weak_ptr<h2_connection> connection_;
@@ -281,6 +302,7 @@
         [exchange](std::string_view bytes) { exchange->write(bytes, false); },
         [exchange] { exchange->write({}, true); },
         [exchange] { exchange->cancel(); },
+        [exchange] { return exchange->withdraw(); },
         [exchange](bool paused) { exchange->pause(paused); },
         [exchange] { return exchange->queued_bytes(); },
     };
--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -26,6 +26,14 @@
 constexpr std::string_view peer_retry_header = "sycamorewinch-peer-retry";
 /** Whether the target has or may have received the request, which is assumed without the field. */
 constexpr std::string_view reached_target_header = "sycamorewinch-reached-target";
+/** In place of the usual authority, which a caller cannot choose, it marks a withdrawal. */
+constexpr std::string_view withdrawal_authority = "withdraw.sycamorewinch";
+/** Part of the time left that is reserved for a refusal on its way to the caller's node. The time
+ * left arrives already reduced by the caller's node, but not by the way to this one. A round trip
+ * between zones takes 8 ms; the rest covers delays of busy event loops. */
+constexpr std::chrono::milliseconds max_refusal_delay{25};
+/** Short calls reserve only this part of their time. */
+constexpr int refusal_delay_divisor = 8;
 constexpr std::string_view retry_after_header = "sycamorewinch-retry-after-ms";
 
 auto parse_number(std::string_view text) -> std::optional<std::uint64_t>
@@ -98,6 +106,17 @@
     return headers;
 }
 
+void reduce_times_left(header_list& headers, std::chrono::milliseconds elapsed)
+{
+    const auto reduction = static_cast<std::uint64_t>(std::max<std::int64_t>(elapsed.count(), 0));
+    for (auto& field : headers) {
+        if (field.name_ == time_left_header || field.name_ == latency_budget_header) {
+            const auto value = parse_number(field.value_).value_or(0);
+            field.value_ = std::to_string(value - std::min(value, reduction));
+        }
+    }
+}
+
 auto from_peer_request(const header_list& headers, bool ends_stream) -> exchange_request
 {
     exchange_request request;
@@ -113,6 +132,8 @@
         return parse_number(find_header(headers, name)).value_or(0);
     };
     request.time_left_ = std::chrono::milliseconds(number_or_zero(time_left_header));
+    request.refusal_delay_ =
+        std::min(max_refusal_delay, request.time_left_ / refusal_delay_divisor);
     request.latency_budget_ = std::chrono::milliseconds(number_or_zero(latency_budget_header));
     request.is_last_choice_ = !find_header(headers, last_choice_header).empty();
     request.priority_ = static_cast<std::uint32_t>(number_or_zero(priority_header));
@@ -132,6 +153,25 @@
     return request;
 }
 
+auto to_peer_withdrawal(std::int32_t stream) -> header_list
+{
+    return {{":method", "POST"},
+            {":scheme", "http"},
+            {":authority", std::string(withdrawal_authority)},
+            {":path", "/" + std::to_string(stream)}};
+}
+
+auto from_peer_withdrawal(const header_list& headers) -> std::optional<std::int32_t>
+{
+    const auto path = find_header(headers, ":path");
+    if (find_header(headers, ":authority") != withdrawal_authority || path.empty()) {
+        return std::nullopt;
+    }
+    constexpr auto max_stream = std::numeric_limits<std::int32_t>::max();
+    const auto stream = parse_number(path.substr(1)).value_or(0);
+    return stream > max_stream ? 0 : static_cast<std::int32_t>(stream);
+}
+
 auto to_peer_response(const message_head& head) -> header_list
 {
     header_list headers{{":status", std::to_string(head.status_)}};
--- a/libs/request_path/peer_headers.h
+++ b/libs/request_path/peer_headers.h
@@ -31,6 +31,8 @@
 
 /** Returns the header fields of \p request for another node. */
 [[nodiscard]] auto to_peer_request(const exchange_request& request) -> header_list;
+/** Reduces the times left in \p headers, as returned by to_peer_request(), by \p elapsed. */
+void reduce_times_left(header_list& headers, std::chrono::milliseconds elapsed);
 /** Reads a request from another node's header fields; \p ends_stream: it has no body. */
 [[nodiscard]] auto from_peer_request(const header_list& headers, bool ends_stream)
     -> exchange_request;
@@ -39,6 +41,15 @@
  * response and refusal. */
 constexpr std::string_view target_status_header = "sycamorewinch-target-status";
 
+/** Returns the header fields of a message by which a node withdraws its request on \p stream of the
+ * same connection: it asks not to send it to its target, or to cancel it if it was sent. The answer
+ * is a refusal on that stream, whose outcome is `not-run` if no byte of the request was sent to the
+ * target; none will be then. No caller's request can have these fields. */
+[[nodiscard]] auto to_peer_withdrawal(std::int32_t stream) -> header_list;
+/** Returns the stream that is withdrawn by a message with \p headers; nothing for any other
+ * message. */
+[[nodiscard]] auto from_peer_withdrawal(const header_list& headers) -> std::optional<std::int32_t>;
+
 /** Returns the header fields of a response. */
 [[nodiscard]] auto to_peer_response(const message_head& head) -> header_list;
 /** Returns the header fields of a refusal. */
--- a/libs/request_path/peer_service.cpp
+++ b/libs/request_path/peer_service.cpp
@@ -12,11 +12,14 @@
  * for the link so keeps its slot, which limits the number of bodies on the link. */
 constexpr std::size_t high_water_bytes = call_window_bytes;
 
+} // namespace
+
 /** Connects one HTTP/2 stream to one local exchange. */
-class peer_call : public std::enable_shared_from_this<peer_call> {
+class peer_calls::peer_call : public std::enable_shared_from_this<peer_call> {
   public:
-    peer_call(node_state& node, const std::shared_ptr<h2_connection>& connection, stream_id stream)
-        : node_(node), connection_(connection), stream_(stream)
+    peer_call(peer_calls& calls, const std::shared_ptr<h2_connection>& connection, stream_id stream)
+        : calls_(calls), node_(calls.node_), connection_(connection), stream_(stream),
+          key_(connection.get(), stream)
     {
     }
 
@@ -47,6 +50,28 @@
         return hooks;
     }
 
+    /** Carries out a withdrawal by the node that sent the request, and answers it. */
+    void withdraw()
+    {
+        if (exchange_ended_ || !controls_.withdraw_) {
+            return; // the response or refusal is already on its way
+        }
+        const bool has_not_run = controls_.withdraw_() == withdrawal::withdrawn;
+        if (!has_not_run) {
+            controls_.cancel_();
+        }
+        exchange_ended_ = true;
+        if (has_responded_) {
+            if (const auto connection = connection_.lock()) {
+                connection->reset(stream_);
+            }
+            return;
+        }
+        respond(to_peer_refusal(make_refusal(has_not_run ? refusal_reason::not_started_in_time
+                                                         : refusal_reason::deadline_passed)),
+                true);
+    }
+
   private:
     auto make_exchange_hooks() -> exchange_hooks
     {
@@ -85,6 +110,7 @@
     {
         if (const auto connection = connection_.lock()) {
             body_open_ = !ends_stream;
+            has_responded_ = true;
             if (!load_report_.empty()) {
                 headers.push_back({std::string(target_status_header), load_report_});
             }
@@ -125,27 +151,38 @@
             --node_.calls_in_flight();
         }
         controls_ = {}; // breaks the reference cycle of call, exchange and hooks
+        calls_.calls_.erase(key_);
     }
 
+    peer_calls& calls_;
     node_state& node_;
     std::weak_ptr<h2_connection> connection_;
     stream_id stream_;
+    call_key key_;
     std::string load_report_; ///< Value of target_status_header; empty until reported.
     exchange_controls controls_;
     bool body_open_ = false;
+    bool has_responded_ = false;
     bool exchange_ended_ = false;
     bool is_counted_ = false;          ///< Among the calls in flight of the node.
     std::size_t unconsumed_bytes_ = 0; ///< Received, but not yet given back to the window.
 };
 
-} // namespace
-
-auto serve_peer_call(node_state& node, target_connections& targets,
-                     const std::shared_ptr<h2_connection>& connection, stream_id stream,
-                     const header_list& headers, bool ends_stream) -> stream_hooks
+auto peer_calls::serve(const std::shared_ptr<h2_connection>& connection, stream_id stream,
+                       const header_list& headers, bool ends_stream) -> stream_hooks
 {
-    const auto call = std::make_shared<peer_call>(node, connection, stream);
-    call->start(targets, from_peer_request(headers, ends_stream));
+    if (const auto withdrawn = from_peer_withdrawal(headers)) {
+        const auto found = calls_.find({connection.get(), *withdrawn});
+        const auto call = found != calls_.end() ? found->second.lock() : nullptr;
+        if (call) {
+            call->withdraw();
+        }
+        connection->respond(stream, {{":status", "204"}}, true);
+        return {};
+    }
+    const auto call = std::make_shared<peer_call>(*this, connection, stream);
+    calls_[{connection.get(), stream}] = call;
+    call->start(targets_, from_peer_request(headers, ends_stream));
     return call->make_stream_hooks();
 }
 
--- a/libs/request_path/test/correctness/wait_queue.cpp
+++ b/libs/request_path/test/correctness/wait_queue.cpp
@@ -106,3 +106,12 @@
     BOOST_TEST((queue.service_time("other") == milliseconds(0)));
     BOOST_TEST((queue.expected_wait({}, 1) == milliseconds(50))); // uses the average over all rows
 }
+
+// Guards against waits after which the target cannot answer in time, or the refusal arrives late.
+BOOST_AUTO_TEST_CASE(a_wait_leaves_time_for_the_service_and_for_the_refusal)
+{
+    BOOST_TEST((max_wait_before_deadline(milliseconds(300), milliseconds(80), milliseconds(20)) ==
+                milliseconds(200)));
+    BOOST_TEST((max_wait_before_deadline(milliseconds(90), milliseconds(80), milliseconds(20)) ==
+                duration(0)));
+}
--- a/libs/request_path/wait_queue.cpp
+++ b/libs/request_path/wait_queue.cpp
@@ -29,6 +29,12 @@
                : std::min(wait_within_budget, latency_budget / wait_divisor_with_choice);
 }
 
+auto max_wait_before_deadline(duration time_left, duration service_time, duration refusal_delay)
+    -> duration
+{
+    return std::max(time_left - service_time - refusal_delay, duration(0));
+}
+
 auto make_queue_rank(std::uint32_t priority, duration latency_budget, duration service_time,
                      instant now) -> queue_rank
 {
--- a/libs/request_path/wait_queue.h
+++ b/libs/request_path/wait_queue.h
@@ -62,6 +62,13 @@
 [[nodiscard]] auto max_wait(duration latency_budget, duration service_time, bool is_last_choice)
     -> duration;
 
+/** Returns how long a request with \p time_left until its deadline may wait if the target serves it
+ * in \p service_time and a refusal takes \p refusal_delay to reach the node of its caller. A
+ * request that starts later is not answered in time, and one that is refused later is reported to
+ * its caller with an unknown outcome. */
+[[nodiscard]] auto max_wait_before_deadline(duration time_left, duration service_time,
+                                            duration refusal_delay) -> duration;
+
 /** The queue of one target. For one thread. */
 class wait_queue {
   public:
--- a/libs/transport/h2_connection.cpp
+++ b/libs/transport/h2_connection.cpp
@@ -150,6 +150,18 @@
     }
 }
 
+auto h2_connection::reset_if_unsent(stream_id stream) -> bool
+{
+    // nghttp2 opens the stream when it starts to write the request's header; a reset before that
+    // removes the header from its queue.
+    const auto is_unsent = !state_->ended_ && state_->find_stream(stream) != nullptr &&
+                           nghttp2_session_get_stream_local_close(state_->session_, stream) < 0;
+    if (is_unsent) {
+        reset(stream);
+    }
+    return is_unsent;
+}
+
 void h2_connection::close(connection_end_reason end)
 {
     state_->end(end);
--- a/libs/transport/h2_connection.h
+++ b/libs/transport/h2_connection.h
@@ -120,6 +120,9 @@
     void consume(stream_id stream, std::size_t count);
     /** Resets a stream (CANCEL); its on_closed_ hook follows. */
     void reset(stream_id stream);
+    /** Client: resets a stream if no byte of its request has been passed to the socket, so that the
+     * peer never sees it. Returns false, without effect, if the request may have been sent. */
+    auto reset_if_unsent(stream_id stream) -> bool;
     /** Ends the connection at once. */
     void close(connection_end_reason end = connection_end_reason::closed_by_us);
     /** Ends the connection once all queued output has been sent. */
