Record the software version of a target

Roll-outs route by software version, which no record held. A longer text than 160 bytes is rejected: other processes could not decode the record and would close the connection. The parsing of announcements has a file of its own.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -4,6 +4,7 @@
 #include <QTimer>
 
 #include "daemon/admin_server.h"
+#include "daemon/announcement_json.h"
 #include "daemon/coalesced_call.h"
 #include "daemon/drain_api.h"
 #include "daemon/node_shutdown.h"
@@ -27,48 +28,6 @@
 constexpr auto default_shutdown_grace = std::chrono::milliseconds(1'000);
 /** The same after a leave notice; covers only the requests still in transit. */
 constexpr auto shutdown_grace_after_notice = std::chrono::milliseconds(200);
-constexpr int default_lease_ms = 5'000;
-constexpr int max_lease_ms = 600'000;
-constexpr int max_slots = 100'000;
-
-auto string_field(const QJsonObject& object, const char* name) -> std::string
-{
-    return object.value(QLatin1String(name)).toString().toStdString();
-}
-
-/** Parses `{"service":..,"target":..,"address":"IP:PORT","slots":..}` and the optional fields. */
-auto read_announcement(const QJsonObject& object) -> result<target_announcement>
-{
-    target_announcement announcement;
-    announcement.service_ = string_field(object, "service");
-    announcement.target_ = string_field(object, "target");
-    if (announcement.service_.empty() || announcement.target_.empty()) {
-        return failure(error_kind::invalid_input,
-                       "an announcement requires 'service' and 'target'");
-    }
-    const auto address = parse_peer_address(string_field(object, "address"));
-    if (!address) {
-        return tl::unexpected(address.error());
-    }
-    announcement.address_ = *address;
-    const auto slots = object.value(QLatin1String("slots")).toInt();
-    const auto lease = object.value(QLatin1String("lease_ms")).toInt(default_lease_ms);
-    if (slots < 1 || slots > max_slots || lease < 1 || lease > max_lease_ms) {
-        return failure(error_kind::invalid_input,
-                       "'slots' must be from 1 to 100000 and 'lease_ms' from 1 to 600000");
-    }
-    announcement.slots_ = static_cast<std::uint32_t>(slots);
-    announcement.lease_ = std::chrono::milliseconds(lease);
-    announcement.cold_start_ =
-        std::chrono::milliseconds(object.value(QLatin1String("cold_start_ms")).toInt(0));
-    const auto started = object.value(QLatin1String("started")).toInteger(0);
-    if (started < 0) {
-        return failure(error_kind::invalid_input, "'started' must not be negative");
-    }
-    announcement.started_ = static_cast<std::uint64_t>(started);
-    announcement.draining_ = object.value(QLatin1String("draining")).toBool(false);
-    return announcement;
-}
 
 /** The admission control and load measurements of a target beside this node, kept across
  * announcements. */
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -47,6 +47,7 @@
     record.incarnation_ = incarnation_;
     record.slots_ = announcement.slots_;
     record.started_ = announcement.started_;
+    record.software_version_ = announcement.software_version_;
     record.left_start_ = target.is_leaving_ ? announcement.started_ : record.left_start_;
     // Later announcements of one start give a shorter remaining cold start, which is no change.
     if (is_new_start) {
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -29,6 +29,8 @@
     std::uint64_t started_ = 0;
     /** Increases with every announcement of one start; 0: ordered by arrival. */
     std::uint64_t sequence_ = 0;
+    /** Of the target, at most max_software_version_bytes long; empty if unknown. */
+    std::string software_version_;
 };
 
 /** One announced target. */
--- a/libs/daemon/test/correctness/target_registry.cpp
+++ b/libs/daemon/test/correctness/target_registry.cpp
@@ -23,6 +23,21 @@
     BOOST_TEST(is_newer(registry.records().front(), expired.front()));
 }
 
+// A target that restarts with another version under its name must not keep the old one.
+BOOST_AUTO_TEST_CASE(a_changed_software_version_makes_a_newer_record)
+{
+    target_registry registry("zone-a", "127.0.0.1:1", 5);
+    target_announcement announcement{.service_ = "dialer", .target_ = "d1"};
+    announcement.lease_ = std::chrono::seconds(5);
+    announcement.software_version_ = "1.0";
+    registry.announce(announcement, instant{});
+    const auto before = registry.records().front();
+    announcement.software_version_ = "1.1";
+    BOOST_TEST(registry.announce(announcement, instant{}));
+    BOOST_TEST(registry.records().front().software_version_ == "1.1");
+    BOOST_TEST(is_newer(registry.records().front(), before));
+}
+
 BOOST_AUTO_TEST_CASE(the_nodes_own_record_overrides_a_copy_marked_gone_elsewhere)
 {
     target_registry registry("zone-a", "127.0.0.1:1", 5);
--- a/libs/membership/target_record.cpp
+++ b/libs/membership/target_record.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr enum_names<target_state, 3> state_names{{"up", "draining", "gone"}};
-constexpr std::size_t record_fields = 12;
+constexpr std::size_t record_fields = 13;
 constexpr std::size_t max_field_bytes = 64;
 
 } // namespace
@@ -44,6 +44,7 @@
     writer.number(static_cast<std::uint64_t>(record.state_)).number(record.slots_);
     writer.number(static_cast<std::uint64_t>(record.cold_start_.count()));
     writer.number(record.started_).number(record.left_start_);
+    writer.text(record.software_version_);
 }
 
 auto read_target(cbor_reader& reader) -> target_record
@@ -66,6 +67,7 @@
     record.cold_start_ = std::chrono::milliseconds(reader.number());
     record.started_ = reader.number();
     record.left_start_ = reader.number();
+    record.software_version_ = reader.text(max_software_version_bytes);
     return record;
 }
 
--- a/libs/membership/target_record.h
+++ b/libs/membership/target_record.h
@@ -29,6 +29,9 @@
  * own next record, so the node's own record is always the newer one. */
 constexpr std::uint64_t sequence_step = 2;
 
+/** Maximum length of a software version. */
+constexpr std::size_t max_software_version_bytes = 160;
+
 /** One target of one service. The record with the higher (incarnation, sequence) replaces the
  * other, in whatever order they arrive; left_start_ is merged. */
 struct target_record {
@@ -47,6 +50,7 @@
     /** The latest start of the target that has said it is leaving; 0: none. Does not fall when
      * records are merged, since a node that has restarted does not know what was said before. */
     std::uint64_t left_start_ = 0;
+    std::string software_version_; ///< Empty if unknown.
 
     [[nodiscard]] auto operator==(const target_record&) const -> bool = default;
 };
--- a/libs/membership/test/correctness/target_directory.cpp
+++ b/libs/membership/test/correctness/target_directory.cpp
@@ -36,6 +36,7 @@
     value.cold_start_ = std::chrono::milliseconds(1500);
     value.started_ = 200;
     value.left_start_ = 100;
+    value.software_version_ = "2.1";
     cbor_writer writer;
     write_target(writer, value);
     const auto bytes = writer.take();
