Divide the targets of a service by the share of its roll-out

Routes joined the table with all targets that are up, so a new version would have got calls as soon as it was started. A call is given a side once, so that its retries cannot move. Caller limits are divided by the share as well: divided evenly, they would lose the part of new targets that get few calls.

--- a/libs/policy/limit_share.cpp
+++ b/libs/policy/limit_share.cpp
@@ -54,6 +54,12 @@
     return limit.concurrency_ == 0 ? burst : std::min(burst, limit.concurrency_);
 }
 
+auto has_target(const service_route& route, std::string_view name) -> bool
+{
+    return std::ranges::any_of(
+        route.targets_, [name](const auto& target) { return target.record_.target_ == name; });
+}
+
 } // namespace
 
 auto is_limited(const caller_limit& limit) -> bool
@@ -68,10 +74,12 @@
     if (!is_limited(limit)) {
         return names;
     }
-    const auto shares = compute_limit_shares(route, caller, limit);
+    const auto& whole = route.both_sides_ ? *route.both_sides_ : route;
+    const auto shares = compute_limit_shares(whole, caller, limit);
     for (std::size_t index = 0; index < shares.size(); ++index) {
-        if (!shares[index].admits_calls_) {
-            names.push_back(route.targets_[index].record_.target_);
+        const auto& name = whole.targets_[index].record_.target_;
+        if (!shares[index].admits_calls_ && (&whole == &route || has_target(route, name))) {
+            names.push_back(name);
         }
     }
     return names;
--- a/libs/policy/limit_share.h
+++ b/libs/policy/limit_share.h
@@ -32,7 +32,8 @@
 [[nodiscard]] auto compute_limit_shares(const service_route& route, std::string_view caller,
                                         const caller_limit& limit) -> std::vector<limit_share>;
 
-/** Returns the names of the targets that have no share of \p limit for \p caller. */
+/** Returns the names of the targets of \p route that have no share of \p limit for \p caller. The
+ * limit is divided among the targets of both sides if \p route is a side of a version_split. */
 [[nodiscard]] auto targets_without_share(const service_route& route, std::string_view caller,
                                          const caller_limit& limit) -> std::vector<std::string>;
 
--- a/libs/policy/route_table.h
+++ b/libs/policy/route_table.h
@@ -1,5 +1,6 @@
 /** \file
- * The routes of a node: the table in force joined with the currently known targets.
+ * The routes of a node: the table and the roll-outs in force joined with the currently known
+ * targets.
  *
  * A route table is immutable. Each call keeps the one that it started with until it ends, so it
  * sees a single version.
@@ -18,6 +19,7 @@
 #include "policy/path_index.h"
 #include "policy/service_state.h"
 #include "policy/target_health.h"
+#include "rollout/rollout.h"
 #include "table/table.h"
 
 namespace sycamorewinch {
@@ -30,6 +32,8 @@
 };
 
 struct service_route;
+struct version_split;
+class rollout_currency;
 
 /** One of the services that a row splits its calls among. */
 struct split_destination {
@@ -46,6 +50,18 @@
     std::shared_ptr<service_state> state_; ///< Outlives the route table; null without a hook.
     /** If not empty, calls go to these instead of targets_. */
     std::vector<split_destination> destinations_;
+    /** Set while a roll-out of the service sends calls to two versions. Each call then goes to one
+     * of the sides, and targets_ holds the targets of both, weighted by their shares. */
+    std::shared_ptr<const version_split> versions_;
+    /** In a side of a version_split: the targets of both sides, among which the limits of callers
+     * are divided. */
+    std::shared_ptr<const service_route> both_sides_;
+};
+
+/** The roll-outs that routes are created for. */
+struct rollouts_in_force {
+    std::shared_ptr<const rollout_set> set_;           ///< Null: none.
+    std::shared_ptr<const rollout_currency> currency_; ///< Null: always current.
 };
 
 /** Returns the state of a service, which is shared by successive route tables. */
@@ -54,10 +70,11 @@
 /** An immutable set of routes. */
 class route_table {
   public:
-    /** Joins \p table with \p targets. A null \p table means that no table is in force. */
-    [[nodiscard]] static auto create(std::shared_ptr<const table> table,
-                                     const std::vector<target_record>& targets,
-                                     const service_state_hook& state_of = {})
+    /** Joins \p table with \p targets and \p rollouts. A null \p table means that no table is in
+     * force. */
+    [[nodiscard]] static auto
+    create(std::shared_ptr<const table> table, const std::vector<target_record>& targets,
+           const service_state_hook& state_of = {}, const rollouts_in_force& rollouts = {})
         -> std::shared_ptr<const route_table>;
 
     /** Returns the route with the longest path prefix that matches \p path, among the rows for
