Route by the roll-outs in force, and measure the versions of targets

The nodes received roll-outs but routed all calls to all targets, and the leader had nothing to judge a version by.

A node creates its routes with the roll-outs in force; a call chooses its side where it chooses its destination.

The randomised distribution run checks that no node goes back to older roll-outs, with a broken variant whose proofs do not name their sequence.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -8,6 +8,7 @@
 #include "daemon/coalesced_call.h"
 #include "daemon/drain_api.h"
 #include "daemon/node_shutdown.h"
+#include "daemon/rollout_measurement.h"
 #include "daemon/run_channels.h"
 #include "daemon/target_registry.h"
 #include "daemon/upstream_link.h"
@@ -35,6 +36,7 @@
     std::shared_ptr<admission_controller> admission_;
     std::shared_ptr<target_meter> meter_;
     std::uint32_t starts_ = 0; ///< As in registered_target.
+    instant cold_start_end_{}; ///< Of the present start.
 };
 
 /** A node: subscribes to an upstream, registers targets, and serves calls on its workers. */
@@ -93,6 +95,9 @@
             send_runs();
         });
         run_timer_.setInterval(run_check_period);
+        QObject::connect(&version_timer_, &QTimer::timeout, &version_timer_,
+                         [this] { report_versions(); });
+        version_timer_.setInterval(version_report_period);
         if (interfaces_.header_mapping_) {
             state_.set_header_mapping(*interfaces_.header_mapping_);
         }
@@ -330,7 +335,7 @@
         auto local = std::make_shared<local_targets>();
         for (const auto& target : registry_.targets()) {
             const auto& record = target.record_;
-            auto& [target_admission, meter, starts] =
+            auto& [target_admission, meter, starts, cold_start_end] =
                 local_target_states_[{record.service_, record.target_}];
             const auto slots = record.slots_ + settings_.requests_ahead_;
             if (!target_admission) {
@@ -339,13 +344,56 @@
             }
             if (std::exchange(starts, target.starts_) != target.starts_) {
                 target_admission->begin_start();
+                cold_start_end = monotonic_now() + record.cold_start_;
             }
             target_admission->set_slots(slots);
             target_admission->set_draining(record.state_ != target_state::up);
             local->push_back({record.service_, record.target_, target.announcement_.address_,
-                              target_admission, meter});
+                              target_admission, meter, measurement_.meter_of(record),
+                              cold_start_end});
         }
         state_.publish_targets(std::move(local));
+        if (measurement_.is_active() != version_timer_.isActive()) {
+            measurement_.is_active() ? version_timer_.start() : version_timer_.stop();
+        }
+    }
+
+    /** Reports what was measured of running roll-outs. While disconnected, counts accumulate. */
+    void report_versions()
+    {
+        if (!link_.is_connected()) {
+            return;
+        }
+        std::vector<local_target_load> loads;
+        for (auto& record : registry_.records()) {
+            const auto& state = local_target_states_[{record.service_, record.target_}];
+            if (state.admission_) {
+                const auto in_flight = state.admission_->in_flight() + state.meter_->waiting();
+                loads.push_back({std::move(record), in_flight});
+            }
+        }
+        link_.logic().report_versions(measurement_.make_report(loads));
+        link_.process_output();
+    }
+
+    void apply_rollouts(const subscriber_output& output)
+    {
+        if (const auto& proved_at = link_.logic().proved_current_at()) {
+            state_.set_rollouts_proved_at(*proved_at);
+        }
+        if (!output.enforce_rollouts_) {
+            return;
+        }
+        for (const auto& rollout : measurement_.changed_rollouts(*output.enforce_rollouts_)) {
+            log_event(log_level::info, "rollout_in_force",
+                      {{"service", rollout.service_},
+                       {"version", rollout.new_version_},
+                       {"state", name_of(rollout.state_)},
+                       {"share", rollout.share_}});
+        }
+        if (measurement_.set_rollouts(output.enforce_rollouts_)) {
+            publish_local_targets();
+        }
     }
 
     void refresh_limit_gauges()
@@ -369,7 +417,11 @@
         }
     }
 
-    void publish_routes() { state_.publish_routes(link_.logic().enforced(), directory_.records()); }
+    void publish_routes()
+    {
+        state_.publish_routes(link_.logic().enforced(), directory_.records(),
+                              link_.logic().enforced_rollouts());
+    }
 
     // Called on worker threads; continues on the main thread.
     void post_reservation(run_operation operation, reservation_callback reply)
@@ -433,7 +485,8 @@
             const auto synced = on_sync(*output.sync_, output.sync_replaces_);
             updates.insert(updates.end(), synced.begin(), synced.end());
         }
-        if (output.enforce_) {
+        apply_rollouts(output);
+        if (output.enforce_ || output.enforce_rollouts_) {
             route_publication_.run_now();
         }
         else if (!updates.empty()) {
@@ -503,6 +556,8 @@
                                       }};
     QTimer lease_timer_;
     QTimer run_timer_;
+    rollout_measurement measurement_;
+    QTimer version_timer_;
     std::vector<std::unique_ptr<node_worker>> workers_;
     node_shutdown shutdown_{{settings_.leave_notice_, settings_.shutdown_grace_},
                             make_shutdown_hooks()};
--- a/libs/daemon/test/correctness/randomised_distribution.cpp
+++ b/libs/daemon/test/correctness/randomised_distribution.cpp
@@ -104,6 +104,12 @@
                std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(detects_rollouts_that_are_not_proved)
+{
+    BOOST_TEST(violation_of(broken_variant::rollouts_not_proved).find("routes by roll-outs") !=
+               std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(detects_a_lease_that_never_ends)
 {
     BOOST_TEST(violation_of(broken_variant::leases_never_end).find("work to dead") !=
--- a/libs/daemon/test/support/distribution_faults.cpp
+++ b/libs/daemon/test/support/distribution_faults.cpp
@@ -194,6 +194,11 @@
             return fmt::format("{} enforces {} and not {}", proc.name_,
                                enforced ? enforced->version_.number_ : 0, accepted_.size() - 1);
         }
+        const auto rollouts = proc.subscriber_->enforced_rollouts()->sequence_;
+        if (rollouts != accepted_.size() - 1) {
+            return fmt::format("{} routes by roll-outs {} and not {}", proc.name_, rollouts,
+                               accepted_.size() - 1);
+        }
         for (const auto& other : processes_) {
             for (const auto& record :
                  other.registry_ ? other.registry_->records() : std::vector<target_record>()) {
--- a/libs/daemon/test/support/distribution_simulation.cpp
+++ b/libs/daemon/test/support/distribution_simulation.cpp
@@ -19,6 +19,13 @@
 constexpr duration retransmission_delay = milliseconds(200);
 constexpr duration heartbeat_timeout = seconds(6);
 
+/** Returns the set of roll-outs that was accepted together with the table version \p sequence. None
+ * is running, since subscribers then request proofs more often, which hides late ones. */
+auto make_rollouts(std::uint64_t sequence) -> rollout_set
+{
+    return {sequence, {{"service-0", "2", sequence, rollout_state::completed, 0}}};
+}
+
 } // namespace
 
 auto service_name(std::size_t index) -> std::string
@@ -169,9 +176,30 @@
                   [](const auto& link) { return !link->is_lower_open_ && !link->is_upper_open_; });
 }
 
+void distribution_simulation::prove(process& proc, std::size_t version)
+{
+    const bool is_broken = options_.variant_ == broken_variant::rollouts_not_proved;
+    proc.publisher_->on_proof(version, is_broken ? 0 : version);
+}
+
+void distribution_simulation::check_rollouts(std::size_t index)
+{
+    auto& proc = processes_[index];
+    const auto sequence = proc.subscriber_->enforced_rollouts()->sequence_;
+    const auto required =
+        std::max<std::uint64_t>(proc.highest_rollouts_, proc.accepted_version_at_start_);
+    if (sequence < required) {
+        report_violation(fmt::format("{} routes by roll-outs {}, older than {}", proc.name_,
+                                     sequence, required));
+    }
+    proc.highest_rollouts_ = std::max(proc.highest_rollouts_, sequence);
+}
+
 void distribution_simulation::step_control(std::size_t index)
 {
     auto& proc = processes_[index];
+    // One step after the table, so that each of them may be the one that is missing.
+    proc.publisher_->set_rollouts(make_rollouts(proc.applied_version_));
     if (!proc.is_isolated_ && proc.applied_version_ + 1 < accepted_.size() && one_in(3)) {
         // A follower that was behind catches up by any number of versions at once.
         proc.applied_version_ += 1 + random_below(accepted_.size() - 1 - proc.applied_version_);
@@ -180,10 +208,10 @@
     if (proc.proof_due_at_ <= now_) {
         proc.proof_due_at_ = instant::max();
         if (!proc.is_isolated_) {
-            proc.publisher_->on_proof(accepted_.size() - 1, 0);
+            prove(proc, accepted_.size() - 1);
         }
         else if (options_.variant_ == broken_variant::proof_without_quorum) {
-            proc.publisher_->on_proof(proc.applied_version_, 0);
+            prove(proc, proc.applied_version_);
         }
         else {
             proc.publisher_->on_proof_failed();
@@ -451,6 +479,9 @@
         proc.publisher_->set_table(output.held_);
         proc.subscriber_->report_progress(proc.publisher_->progress());
     }
+    if (output.held_rollouts_) {
+        proc.publisher_->set_rollouts(*output.held_rollouts_);
+    }
     if (!output.targets_.empty()) {
         proc.publisher_->merge_targets({output.targets_, false});
     }
@@ -460,7 +491,8 @@
     if (output.proof_) {
         proc.publisher_->on_proof(output.proof_->version_, output.proof_->rollout_sequence_);
     }
-    if (output.held_ || output.sync_ || !output.targets_.empty() || output.proof_) {
+    if (output.held_ || output.held_rollouts_ || output.sync_ || !output.targets_.empty() ||
+        output.proof_) {
         process_publisher_output(index);
         process_subscriber_output(index);
     }
@@ -490,6 +522,9 @@
     if (output.enforce_) {
         check_enforced(index, *output.enforce_);
     }
+    if (output.enforce_ || output.enforce_rollouts_) {
+        check_rollouts(index);
+    }
     if (output.enforce_ || !updates.empty()) {
         publish_routes(index);
     }
--- a/libs/daemon/test/support/distribution_simulation.h
+++ b/libs/daemon/test/support/distribution_simulation.h
@@ -35,7 +35,8 @@
     never_leaves_stale_upstream,  ///< No process abandons an upstream that sends no proof.
     drain_not_reported,           ///< Reports of a draining target are lost.
     incarnation_not_raised,       ///< A node does not refute newer records of its targets.
-    leases_never_end              ///< Publishers keep the targets of stopped nodes.
+    leases_never_end,             ///< Publishers keep the targets of stopped nodes.
+    rollouts_not_proved           ///< Proofs do not name the sequence of the roll-outs.
 };
 
 /** Returns the name of the simulated service number \p index. */
@@ -104,6 +105,7 @@
         bool draining_ = false;
         std::size_t accepted_version_at_start_ = 0; ///< Highest accepted version when it started.
         std::uint64_t highest_enforced_ = 0;        ///< Kept across restarts.
+        std::uint64_t highest_rollouts_ = 0; ///< Highest sequence in force; kept across restarts.
         std::shared_ptr<const route_table> routes_;
     };
     struct control_message {
@@ -140,6 +142,8 @@
     void propagate_changes(std::size_t index, const std::vector<target_record>& changed);
     void publish_routes(std::size_t index);
     void check_enforced(std::size_t index, const table& enforced);
+    void check_rollouts(std::size_t index);
+    void prove(process& proc, std::size_t version);
     void check_routes(std::size_t index);
     [[nodiscard]] auto disagreement() -> std::string;
     [[nodiscard]] auto describe_knowledge(const target_record& record) const -> std::string;
--- a/libs/policy/target_meter.h
+++ b/libs/policy/target_meter.h
@@ -23,6 +23,11 @@
     /** Records that the target responded with an error, failed, or rejected the request. */
     void on_error();
 
+    /** Counts the requests that wait for a slot of the target. */
+    void on_wait_begun() { waiting_.fetch_add(1, std::memory_order_relaxed); }
+    void on_wait_ended() { waiting_.fetch_sub(1, std::memory_order_relaxed); }
+    [[nodiscard]] auto waiting() const -> std::uint32_t { return waiting_; }
+
     /** Average latency, in thousandths of the row's target latency; 0 before the first response. */
     [[nodiscard]] auto relative_latency() const -> std::uint32_t { return relative_latency_; }
     /** Error rate, in thousandths of the requests. */
@@ -31,6 +36,7 @@
   private:
     std::atomic<std::uint32_t> relative_latency_{0};
     std::atomic<std::uint32_t> error_rate_{0};
+    std::atomic<std::uint32_t> waiting_{0};
 };
 
 } // namespace sycamorewinch
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -7,6 +7,7 @@
 #include "event_loop/deadline_timer.h"
 #include "policy/limit_share.h"
 #include "policy/target_choice.h"
+#include "policy/version_choice.h"
 #include "request_path/call_log.h"
 #include "request_path/peer_headers.h"
 #include "request_path/response_buffer.h"
@@ -56,7 +57,8 @@
             time_used_before_ =
                 matched->state_->caller_timeouts().time_used(*metadata.time_allowed_, arrived_);
         }
-        route_ = &choose_destination(*matched, environment_.random_);
+        route_ = &choose_version(choose_destination(*matched, environment_.random_), arrived_,
+                                 environment_.random_);
         prepare_request(metadata);
         deadline_timer_.start_at(arrived_ + time_allowed_);
         start_attempt();
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -67,6 +67,8 @@
         limit_share_ = target_limit_share(route, request_);
         admission_ = target->admission_;
         meter_ = target->meter_;
+        version_meter_ = target->versions_;
+        cold_start_end_ = target->cold_start_end_;
         address_ = target->address_;
         if (request_.known_rate_limit_) {
             admission_->stated_limit().adopt(*request_.known_rate_limit_ / thousandths);
@@ -128,6 +130,7 @@
         const auto self = shared_from_this();
         queue_position_ = queue().enqueue(rank(), queue().service_time(row_service_),
                                           [self] { return self->try_start(); });
+        meter_->on_wait_begun();
         wait_timer_.emplace([this] { on_wait_timeout(); });
         wait_timer_->start_at(wait_end_);
         await_rate();
@@ -204,6 +207,7 @@
         rate_timer_.reset();
         if (const auto position = std::exchange(queue_position_, std::nullopt)) {
             queue().remove(*position);
+            meter_->on_wait_ended();
         }
     }
 
@@ -446,6 +450,7 @@
             return;
         }
         const auto elapsed = monotonic_now() - sent_at_;
+        measure_version(is_error_response_);
         if (is_error_response_) {
             meter_->on_error();
         }
@@ -526,8 +531,11 @@
             return;
         }
         meter_->on_error();
-        release_slot();
         const bool was_sent = failure != exchange_failure::not_sent;
+        if (was_sent) {
+            measure_version(true);
+        }
+        release_slot();
         const bool connection_broke =
             failure == exchange_failure::connection_lost || failure == exchange_failure::truncated;
         if (connection_broke && !responded_) {
@@ -549,6 +557,25 @@
         }
     }
 
+    /** Counts the request, which the target has received, while a roll-out of its service is
+     * running. Must be called before the slot is released, after which the request is no longer
+     * reported as in flight. */
+    void measure_version(bool is_failure)
+    {
+        if (version_meter_) {
+            version_meter_->record(row_service_, {is_failure, is_slow()});
+        }
+    }
+
+    /** Returns whether the request has run for longer than the row's target latency, and this is
+     * not explained by the cold start of the target. */
+    [[nodiscard]] auto is_slow() const -> bool
+    {
+        const bool is_cold = cold_start_end_ && sent_at_ < *cold_start_end_;
+        return target_latency_ > duration(0) && !is_cold &&
+               monotonic_now() - sent_at_ > target_latency_;
+    }
+
     /** Reports the target's latency, requests (running and waiting), slots and error rate to the
      * initiator of the exchange. */
     void report_load()
@@ -587,6 +614,11 @@
         }
         ended_ = true;
         leave_queue();
+        // A call that ended at its deadline shows that the target is slow; one whose caller left
+        // earlier shows nothing.
+        if (connection_ && !target_stated_not_run_ && is_slow()) {
+            measure_version(false);
+        }
         run_.reset();
         is_held_ = false;
         close_connection();
@@ -617,6 +649,9 @@
     void cancel_detached()
     {
         const auto self = shared_from_this(); // the connection's hooks hold the last reference
+        if (is_slow()) {
+            measure_version(false);
+        }
         run_.reset();
         close_connection();
         release_slot();
@@ -635,6 +670,8 @@
     limit_share limit_share_;
     std::shared_ptr<admission_controller> admission_; ///< Must outlive ticket_.
     std::shared_ptr<target_meter> meter_;
+    std::shared_ptr<version_meter> version_meter_; ///< As in local_target.
+    std::optional<instant> cold_start_end_;        ///< As in local_target.
     admission_ticket ticket_;
     peer_address address_;
     std::shared_ptr<http1_client_connection> connection_;
--- a/libs/request_path/node_state.cpp
+++ b/libs/request_path/node_state.cpp
@@ -11,10 +11,12 @@
 }
 
 void node_state::publish_routes(const std::shared_ptr<const table>& enforced,
-                                const std::vector<target_record>& targets)
+                                const std::vector<target_record>& targets,
+                                std::shared_ptr<const rollout_set> rollouts)
 {
     publish_routes(route_table::create(
-        enforced, targets, [this](const std::string& service) { return states_.of(service); }));
+        enforced, targets, [this](const std::string& service) { return states_.of(service); },
+        {std::move(rollouts), rollout_currency_}));
 }
 
 } // namespace sycamorewinch
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
 #include "policy/admission_controller.h"
 #include "policy/route_table.h"
 #include "policy/target_meter.h"
+#include "policy/version_choice.h"
+#include "policy/version_meter.h"
 #include "request_path/crash_guard.h"
 #include "request_path/header_mapping.h"
 #include "request_path/worker_run_client.h"
@@ -32,6 +35,8 @@
     peer_address address_;
     std::shared_ptr<admission_controller> admission_;
     std::shared_ptr<target_meter> meter_;
+    std::shared_ptr<version_meter> versions_; ///< Null unless a roll-out of the service is running.
+    std::optional<instant> cold_start_end_;   ///< As announced with the target's start.
 };
 
 /** All targets beside this node. */
@@ -68,10 +73,14 @@
     }
 
     [[nodiscard]] auto own_address() const -> const std::string& { return own_address_; }
-    /** Builds the routes from the table in force and the targets, and publishes them. Main thread
-     * only. */
+    /** Builds the routes from the table and the roll-outs in force and the targets, and publishes
+     * them. Main thread only. */
     void publish_routes(const std::shared_ptr<const table>& enforced,
-                        const std::vector<target_record>& targets);
+                        const std::vector<target_record>& targets,
+                        std::shared_ptr<const rollout_set> rollouts = nullptr);
+
+    /** Records when the roll-outs in force were last known to be current. */
+    void set_rollouts_proved_at(instant proved_at) { rollout_currency_->set_proved_at(proved_at); }
 
     /** Returns the service state that counts calls which match no route. */
     [[nodiscard]] auto unrouted() -> service_state& { return *unrouted_; }
@@ -121,6 +130,7 @@
     rcu_cell<route_table> routes_;
     rcu_cell<local_targets> targets_;
     service_states states_;
+    std::shared_ptr<rollout_currency> rollout_currency_ = std::make_shared<rollout_currency>();
     std::shared_ptr<service_state> unrouted_;
     header_mapping header_mapping_ = native_header_mapping();
     std::string preferred_zone_;
