--- a/tutorial/lesson_04_distribution/main.cpp
+++ b/tutorial/lesson_04_distribution/main.cpp
@@ -54,8 +54,9 @@
     lesson::check("the node enforces no table yet", node.enforced() == nullptr);
     lesson::check("the publisher requests a proof from its upstream", proof_requested);
 
-    // The quorum confirmed that version 9 is current, so the node must not enforce version 8.
-    upstream.on_proof(9);
+    // The quorum confirmed that version 9 is current (and no roll-out was ordered), so the node
+    // must not enforce version 8.
+    upstream.on_proof(9, 0);
     deliver_down(upstream, node);
     lesson::check("an older table is not enforced", node.enforced() == nullptr);
 
