--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -250,7 +250,7 @@
     }
 }
 
-void upstream_link::close(upstream closing)
+void upstream_link::close(const upstream& closing)
 {
     if (closing.channel_) {
         closing.channel_->close();
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -91,7 +91,7 @@
     {
         return !dials_.empty() || next_dial_.is_active();
     }
-    static void close(upstream closing);
+    static void close(const upstream& closing);
     void tick();
 
     upstream_selector selector_;
--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -26,6 +26,22 @@
 constexpr std::string_view environment_prefix = "SYCAMOREWINCH_";
 constexpr unsigned max_workers = 256;
 
+/** Adds how a node proves that its table is current. */
+void add_proof_options(po::options_description& options)
+{
+    auto add = options.add_options();
+    const auto with_default = [](const char* value) {
+        return po::value<std::string>()->default_value(value);
+    };
+    add("proof-period-ms", with_default("2000"),
+        "node: interval between proofs that its table is current");
+    add("proof-timeout-ms", with_default("8000"),
+        "node: time without a proof after which it switches to another upstream");
+    add("refusal-proof-age-ms", with_default("0"),
+        "node: refuses a request that its table does not allow only with a proof of at most this "
+        "age that the table is current; 0: with any proof since the start");
+}
+
 auto make_options() -> po::options_description
 {
     po::options_description options(
@@ -59,13 +75,7 @@
         "control: yes: the replicas in control-seeds form a new group; only for their first start");
     add("tolerated-losses", with_default("1"), "control: disk losses tolerated at once, 1 to 5");
     add("control-heartbeat-ms", with_default("50"), "control: interval of the leader's heartbeats");
-    add("proof-period-ms", with_default("2000"),
-        "node: interval between proofs that its table is current");
-    add("proof-timeout-ms", with_default("8000"),
-        "node: time without a proof after which it switches to another upstream");
-    add("refusal-proof-age-ms", with_default("0"),
-        "node: refuses a request that its table does not allow only with a proof of at most this "
-        "age that the table is current; 0: with any proof since the start");
+    add_proof_options(options);
     add("leave-notice-ms", with_default("0"),
         "node: on shutdown, how long it still serves requests while it reports not ready");
     add("shutdown-grace-s", empty_by_default(),
