--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -1,6 +1,7 @@
 #include "request_path/peer_headers.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <limits>
 
@@ -36,6 +37,12 @@
 constexpr int refusal_delay_divisor = 8;
 constexpr std::string_view retry_after_header = "sycamorewinch-retry-after-ms";
 
+/** All fields that a node adds to a request for another node. */
+constexpr std::array peer_request_headers{
+    service_header,    target_header,           peer_caller_header, origin_header,
+    time_left_header,  latency_budget_header,   last_choice_header, priority_header,
+    repeatable_header, known_rate_limit_header, peer_retry_header};
+
 auto parse_number(std::string_view text) -> std::optional<std::uint64_t>
 {
     std::uint64_t value = 0;
@@ -66,6 +73,14 @@
     return forwarded;
 }
 
+// Another node reads the first field of a name, so a client could set any of them.
+void remove_peer_request_headers(header_list& headers)
+{
+    for (const auto name : peer_request_headers) {
+        remove_header(headers, name);
+    }
+}
+
 } // namespace
 
 auto to_peer_request(const exchange_request& request) -> header_list
@@ -74,7 +89,9 @@
                         {":scheme", "http"},
                         {":authority", "sycamorewinch"},
                         {":path", request.head_.path_}};
-    for (auto& field : forwarded_fields(request.head_.headers_)) {
+    auto forwarded = forwarded_fields(request.head_.headers_);
+    remove_peer_request_headers(forwarded);
+    for (auto& field : forwarded) {
         headers.push_back(std::move(field));
     }
     if (request.head_.content_length_) {
