Keep slots free for calls that running requests wait for

Cause: a service that serves long requests and short calls of running requests lost the work of the callers. Long requests took every slot that became free, so a short call waited a third of its latency budget at one target and was refused by the next two.

Change: policy/slot_reservation keeps the slots that much shorter, no less urgent rows need, by their measured load; wait_queue starts much shorter requests first.

--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -77,6 +77,9 @@
         if (request_.known_rate_limit_) {
             admission_->stated_limit().adopt(*request_.known_rate_limit_ / thousandths);
         }
+        reservation_ = connections_.reservation_of(address_);
+        reservation_->on_arrival(row_service_, request_.priority_,
+                                 queue().service_time(row_service_), monotonic_now());
         if (const auto reason = try_admit()) {
             enqueue_or_refuse(*reason);
             return;
@@ -105,8 +108,15 @@
     /** Takes a slot if the request is admitted; otherwise returns the reason for the refusal. */
     auto try_admit() -> std::optional<refusal_reason>
     {
-        auto decision = admission_->admit(request_.caller_, limit_share_, monotonic_now());
+        const auto now = monotonic_now();
+        if (!reservation_->admits(row_service_, admission_->slots(), now)) {
+            return refusal_reason::target_full;
+        }
+        auto decision = admission_->admit(request_.caller_, limit_share_, now);
         ticket_ = std::move(decision.ticket_);
+        if (!decision.refusal_) {
+            slot_use_ = slot_use(reservation_, row_service_);
+        }
         return decision.refusal_;
     }
 
@@ -229,6 +239,7 @@
     {
         if (admission_) {
             ticket_ = admission_ticket();
+            slot_use_ = slot_use();
             queue().start_waiting();
         }
     }
@@ -743,6 +754,8 @@
     std::shared_ptr<version_meter> version_meter_; ///< As in local_target.
     std::optional<instant> cold_start_end_;        ///< As in local_target.
     admission_ticket ticket_;
+    std::shared_ptr<slot_reservation> reservation_; ///< Of the target's slots.
+    slot_use slot_use_;                             ///< While ticket_ holds a slot.
     peer_address address_;
     std::shared_ptr<http1_client_connection> connection_;
     std::optional<queue_position> queue_position_; ///< Set while the request waits for a slot.
--- a/libs/request_path/target_connections.cpp
+++ b/libs/request_path/target_connections.cpp
@@ -74,4 +74,14 @@
     }
 }
 
+auto target_connections::reservation_of(const peer_address& address)
+    -> const std::shared_ptr<slot_reservation>&
+{
+    auto& reservation = reservations_[address];
+    if (!reservation) {
+        reservation = std::make_shared<slot_reservation>();
+    }
+    return reservation;
+}
+
 } // namespace sycamorewinch
--- a/libs/request_path/target_connections.h
+++ b/libs/request_path/target_connections.h
@@ -1,6 +1,6 @@
 /** \file
  * One thread's HTTP/1.1 connections to the targets beside its node, with the queues of requests
- * that wait for these targets.
+ * that wait for these targets and the reservation of their slots.
  */
 #pragma once
 
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "http1/http1_client_connection.h"
+#include "policy/slot_reservation.h"
 #include "request_path/wait_queue.h"
 #include "request_path/worker_run_client.h"
 #include "transport/peer_connection.h"
@@ -44,6 +45,11 @@
         return queues_[address];
     }
 
+    /** Returns the division of the slots of the target at \p address between this thread's long and
+     * short requests. */
+    [[nodiscard]] auto reservation_of(const peer_address& address)
+        -> const std::shared_ptr<slot_reservation>&;
+
     /** Returns this thread's access to the record of unrepeatable requests. */
     [[nodiscard]] auto run_client() -> worker_run_client& { return run_client_; }
 
@@ -54,6 +60,7 @@
     http1_client_limits limits_;
     worker_run_client run_client_;
     std::map<peer_address, wait_queue> queues_;
+    std::map<peer_address, std::shared_ptr<slot_reservation>> reservations_;
     std::map<peer_address, std::vector<std::shared_ptr<http1_client_connection>>> idle_;
 };
 
--- a/libs/request_path/test/correctness/wait_queue.cpp
+++ b/libs/request_path/test/correctness/wait_queue.cpp
@@ -23,7 +23,7 @@
     static_cast<void>(queue.enqueue({2}, {}, start('a')));
     static_cast<void>(queue.enqueue({1}, {}, start('b')));
     static_cast<void>(queue.enqueue({2}, {}, start('c')));
-    static_cast<void>(queue.enqueue({1, true}, {}, start('e')));
+    static_cast<void>(queue.enqueue({1, 0, true}, {}, start('e')));
     static_cast<void>(queue.enqueue({1}, {}, start('d')));
     queue.start_waiting();
     BOOST_TEST(order == "bdeac");
--- a/libs/request_path/test/performance/queue_order.cpp
+++ b/libs/request_path/test/performance/queue_order.cpp
@@ -89,8 +89,9 @@
     {
         const auto rank =
             make_queue_rank(1, row.target_latency_, queue_.service_time(row.name_), now_);
-        return order_ == queue_order::by_latest_start ? rank
-                                                      : queue_rank{rank.priority_, rank.is_late_};
+        return order_ == queue_order::by_latest_start
+                   ? rank
+                   : queue_rank{rank.priority_, 0, rank.is_late_};
     }
 
     void arrive(const simulated_row& row)
--- a/libs/request_path/wait_queue.cpp
+++ b/libs/request_path/wait_queue.cpp
@@ -1,6 +1,7 @@
 #include "request_path/wait_queue.h"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace sycamorewinch {
@@ -38,8 +39,12 @@
 auto make_queue_rank(std::uint32_t priority, duration latency_budget, duration service_time,
                      instant now) -> queue_rank
 {
+    const auto microseconds =
+        static_cast<std::uint64_t>(std::max(service_time, duration(0)).count());
+    const auto length_class = static_cast<std::uint32_t>(std::bit_width(microseconds));
     const bool is_late = latency_budget <= service_time;
-    return {priority, is_late, is_late ? instant() : now + latency_budget - service_time};
+    return {priority, length_class, is_late,
+            is_late ? instant() : now + latency_budget - service_time};
 }
 
 auto wait_queue::expected_wait(const queue_rank& rank, std::uint32_t slots) const -> duration
--- a/libs/request_path/wait_queue.h
+++ b/libs/request_path/wait_queue.h
@@ -4,12 +4,13 @@
  *
  * The load that it answers is a target whose slots are all in use, or whose rate is used up, for
  * moments or for seconds, by rows of unequal length. Requests are started in the order of their
- * priority. Among equal priorities, those that can still meet the target latency of their row go
- * first, and among these the one that must start the earliest to do so: a short call that another
- * target waits for goes before a long request with time to spare, and a caller that returns after a
- * refusal goes before a new one. The wait of a new request is estimated from the service times of
- * the requests ahead of it. A request whose estimated wait exceeds its limit should be refused at
- * once, so that it can be tried at another target while there is time.
+ * priority. Among equal priorities, much shorter requests go first: a short call that another
+ * target waits for goes before a long request, which holds a slot for many times as long. Among
+ * requests of similar length, those that can still meet the target latency of their row go first,
+ * and among these the one that must start the earliest to do so, so that a caller that returns
+ * after a refusal goes before a new one. The wait of a new request is estimated from the service
+ * times of the requests ahead of it. A request whose estimated wait exceeds its limit should be
+ * refused at once, so that it can be tried at another target while there is time.
  *
  * \code
  * const auto rank = make_queue_rank(priority, latency_budget, service_time, now);
@@ -35,6 +36,8 @@
 /** The order of waiting requests; the lowest rank goes first. */
 struct queue_rank {
     std::uint32_t priority_ = 0;
+    /** The number of binary digits of the service time in microseconds. */
+    std::uint32_t length_class_ = 0;
     /** The response will exceed the row's target latency even without a wait. */
     bool is_late_ = false;
     /** Until when the request must start to meet the target latency; the same for all late ones. */
