Let an exchange end by itself when its response has no body

Cause: between two nodes a response without a body ends its stream with the head, before the exchange at the target has ended. The stream's end then cancelled the exchange: its connection to the target was closed, and the response was counted neither as an error nor as a run.

Change: peer_call does not cancel an exchange whose request and response are complete.

Test: request_path_test a_response_without_a_body_leaves_the_connection_open, seen failing before.

--- a/libs/request_path/peer_service.cpp
+++ b/libs/request_path/peer_service.cpp
@@ -27,6 +27,7 @@
     {
         ++node_.calls_in_flight();
         is_counted_ = true;
+        request_ended_ = !request.head_.has_body_;
         controls_ = start_local_exchange(node_, targets, request, make_exchange_hooks());
     }
 
@@ -39,6 +40,7 @@
             self->release_window(bytes.size());
         };
         hooks.on_end_ = [self] {
+            self->request_ended_ = true;
             self->controls_.finish_();
         };
         hooks.on_writable_ = [self] {
@@ -142,9 +144,16 @@
         }
     }
 
+    /** Returns whether both messages are complete, so that the exchange is about to end by itself.
+     * The stream closes first if the response has no body. */
+    [[nodiscard]] auto is_complete() const -> bool
+    {
+        return request_ended_ && has_responded_ && !body_open_;
+    }
+
     void on_closed()
     {
-        if (!exchange_ended_ && controls_.cancel_) {
+        if (!exchange_ended_ && !is_complete() && controls_.cancel_) {
             controls_.cancel_();
         }
         if (std::exchange(is_counted_, false)) {
@@ -161,6 +170,7 @@
     call_key key_;
     std::string load_report_; ///< Value of target_status_header; empty until reported.
     exchange_controls controls_;
+    bool request_ended_ = false;
     bool body_open_ = false;
     bool has_responded_ = false;
     bool exchange_ended_ = false;
--- a/libs/request_path/test/correctness/delivery.cpp
+++ b/libs/request_path/test/correctness/delivery.cpp
@@ -67,6 +67,28 @@
     BOOST_TEST(target.connections().size() == 1U);
 }
 
+// Guards against an exchange that is cancelled when its stream ends with the response's head: the
+// connection to the target is lost, and the response is not counted.
+BOOST_DATA_TEST_CASE(a_response_without_a_body_leaves_the_connection_open, both_paths, index)
+{
+    const scripted_server target([](loopback_socket& peer) {
+        if (peer.received().ends_with("\r\n\r\n")) {
+            peer.clear();
+            peer.write("HTTP/1.1 500 Error\r\ncontent-length: 0\r\n\r\n");
+        }
+    });
+    node_fixture nodes(path_of(index), target.port());
+    const auto caller = nodes.connect();
+    for (int call = 0; call < 3; ++call) {
+        caller->clear();
+        caller->write(get_request);
+        BOOST_TEST(wait_until([&] { return is_complete_response(caller->received()); }));
+        BOOST_TEST(caller->received().starts_with("HTTP/1.1 500"));
+    }
+    BOOST_TEST(target.connections().size() == 1U);
+    BOOST_TEST(nodes.target_node().state_.targets()->front().meter_->error_rate() > 0U);
+}
+
 BOOST_DATA_TEST_CASE(thirty_calls_are_in_flight_at_once, both_paths, index)
 {
     constexpr std::size_t calls = 30;
