--- a/libs/policy/slot_reservation.cpp
+++ b/libs/policy/slot_reservation.cpp
@@ -1,5 +1,6 @@
 #include "policy/slot_reservation.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -10,6 +11,9 @@
 /** Slots are reserved against requests that take at least this many times as long. Rows of similar
  * length compete on equal terms: neither would gain from slots that the other leaves unused. */
 constexpr int min_length_ratio = 3;
+/** At most 1/max_reserved_divisor of the slots are reserved: short calls may belong to requests
+ * that are less urgent than the long ones. */
+constexpr std::uint32_t max_reserved_divisor = 2;
 /** Above this number of rows, those without recent requests are dropped. A target serves few rows;
  * the others belong to earlier tables. */
 constexpr std::size_t max_rows = 64;
@@ -63,8 +67,9 @@
             running += other.running_;
         }
     }
-    const auto reserved = static_cast<std::uint32_t>(std::lround(slots_needed));
-    return running == 0 || running + reserved < slots || reserved == 0;
+    const auto reserved = std::min(static_cast<std::uint32_t>(std::lround(slots_needed)),
+                                   slots / max_reserved_divisor);
+    return reserved == 0 || running + reserved < slots;
 }
 
 void slot_reservation::on_ended(const std::string& row)
--- a/libs/policy/slot_reservation.h
+++ b/libs/policy/slot_reservation.h
@@ -9,8 +9,8 @@
  *
  * The slots reserved against a row are those that the target needs for the rows that are at least
  * as urgent and whose requests take at most a third of the time: the sum of the service times of
- * their recent arrivals, divided by the time in which they arrived. Longer requests get the other
- * slots, and at least one. Without short requests nothing is reserved.
+ * their recent arrivals, divided by the time in which they arrived; half of the slots at most.
+ * Longer requests get the other slots. Without short requests nothing is reserved.
  *
  * \code
  * reservation->on_arrival(row, priority, service_time, now);
