Move the wait for a slot out of local_exchange, and know the platform's variable

slot_request decides whether a request gets a slot, waits or is refused; it was spread over local_exchange, which loses 100 lines. Behaviour is unchanged.

The daemon warned at each start of the platform's own variable as an unknown setting; it no longer does when it serves the platform.

--- a/apps/sycamorewinchd/main.cpp
+++ b/apps/sycamorewinchd/main.cpp
@@ -111,7 +111,12 @@
         return exit_invalid_settings;
     }
     if (parsed->action_ == settings_action::run || parsed->action_ == settings_action::check_only) {
+        const bool is_on_platform =
+            parsed->settings_.interface_ == external_interface_kind::platform;
         for (const auto& name : find_unknown_variables(environment_variable_names())) {
+            if (is_on_platform && platform::is_platform_variable(name)) {
+                continue;
+            }
             log_event(log_level::warning, "unknown_variable", {{"name", name}});
         }
         if (const auto checked = check_setting_files(parsed->settings_); !checked) {
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -8,6 +8,7 @@
 #include "event_loop/deadline_timer.h"
 #include "observability/log.h"
 #include "request_path/crash_guard.h"
+#include "request_path/slot_request.h"
 #include "request_path/target_limit_share.h"
 #include "request_path/unrepeatable_run.h"
 
@@ -77,14 +78,7 @@
         if (request_.known_rate_limit_) {
             admission_->stated_limit().adopt(*request_.known_rate_limit_ / thousandths);
         }
-        reservation_ = connections_.reservation_of(address_);
-        reservation_->on_arrival(row_service_, request_.priority_,
-                                 queue().service_time(row_service_), monotonic_now());
-        if (const auto reason = try_admit()) {
-            enqueue_or_refuse(*reason);
-            return;
-        }
-        on_admitted();
+        request_slot();
     }
 
     auto controls() -> exchange_controls
@@ -105,21 +99,6 @@
     }
 
   private:
-    /** Takes a slot if the request is admitted; otherwise returns the reason for the refusal. */
-    auto try_admit() -> std::optional<refusal_reason>
-    {
-        const auto now = monotonic_now();
-        if (!reservation_->admits(row_service_, admission_->slots(), now)) {
-            return refusal_reason::target_full;
-        }
-        auto decision = admission_->admit(request_.caller_, limit_share_, now);
-        ticket_ = std::move(decision.ticket_);
-        if (!decision.refusal_) {
-            slot_use_ = slot_use(reservation_, row_service_);
-        }
-        return decision.refusal_;
-    }
-
     [[nodiscard]] auto queue() -> wait_queue& { return connections_.queue_of(address_); }
 
     [[nodiscard]] auto time_left() const -> duration
@@ -127,120 +106,35 @@
         return request_.time_left_ - (monotonic_now() - time_left_at_);
     }
 
-    /** Queues the request if the target has no room at present and the expected wait is below
-     * max_wait(); refuses it otherwise. Other reasons for a refusal do not pass by waiting. A wait
-     * that lets the response miss the row's target latency is worth it only if no other target is
-     * left to try, and one that lets it miss the call's deadline never is. */
-    void enqueue_or_refuse(refusal_reason reason)
-    {
-        const auto wait = expected_wait();
-        const auto service_time = queue().service_time(row_service_);
-        const auto wait_within_budget =
-            max_wait(request_.latency_budget_, service_time, request_.is_last_choice_);
-        const auto wait_before_deadline =
-            max_wait_before_deadline(time_left(), service_time, request_.refusal_delay_);
-        const auto wait_limit = std::min(wait_within_budget, wait_before_deadline);
-        if (!is_lack_of_room(reason) || wait >= wait_limit) {
-            refuse_not_run(reason, wait);
-            return;
-        }
-        wait_reason_ = reason;
-        wait_end_ = monotonic_now() + wait_limit;
-        wait_ends_with_deadline_ = wait_before_deadline <= wait_within_budget;
-        const auto self = shared_from_this();
-        queue_position_ = queue().enqueue(rank(), queue().service_time(row_service_),
-                                          [self] { return self->try_start(); });
-        meter_->on_wait_begun();
-        wait_timer_.emplace([this] { on_wait_timeout(); });
-        wait_timer_->start_at(wait_end_);
-        await_rate();
-    }
-
-    void on_wait_timeout()
-    {
-        const auto self = shared_from_this(); // leave_queue() destroys the queue's reference
-        leave_queue();
-        // Another target would not have the time that this one lacked.
-        refuse_not_run(wait_ends_with_deadline_ ? refusal_reason::not_started_in_time
-                                                : wait_reason_,
-                       expected_wait());
-        queue().start_waiting(); // the next request may wait for the target's rate
-    }
-
-    /** If the request waits for the target's rate, lets the queue start requests once the rate
-     * admits another one. */
-    void await_rate()
+    void request_slot()
     {
-        if (wait_reason_ != refusal_reason::target_rate_limited) {
-            return;
-        }
-        rate_timer_.emplace([this] {
-            const auto self = shared_from_this(); // the request may leave the queue
-            queue().start_waiting();
-        });
-        rate_timer_->start(admission_->stated_limit().delay(0, monotonic_now()));
-    }
-
-    [[nodiscard]] auto rank() -> queue_rank
-    {
-        return make_queue_rank(request_.priority_, request_.latency_budget_,
-                               queue().service_time(row_service_), monotonic_now());
-    }
-
-    /** Returns the expected wait for a slot or for the target's rate, whichever is longer. */
-    [[nodiscard]] auto expected_wait() -> duration
-    {
-        const auto position = rank();
-        const auto rate_delay =
-            admission_->stated_limit().delay(queue().requests_ahead(position), monotonic_now());
-        return std::max(queue().expected_wait(position, admission_->slots()), rate_delay);
-    }
-
-    /** Returns whether the target's rate admits no request before the longest wait has ended. */
-    [[nodiscard]] auto is_wait_hopeless() const -> bool
-    {
-        const auto now = monotonic_now();
-        return now + admission_->stated_limit().delay(0, now) >= wait_end_;
-    }
-
-    /** Called by the queue when the request may be admitted. Returns whether it has left the queue,
-     * either admitted or refused. */
-    auto try_start() -> bool
-    {
-        const auto reason = try_admit();
-        if (reason && is_lack_of_room(*reason) && !is_wait_hopeless()) {
-            wait_reason_ = *reason;
-            await_rate();
-            return false;
-        }
-        const auto self = shared_from_this(); // leave_queue() destroys the queue's reference
-        leave_queue();
-        if (reason) {
-            refuse_not_run(*reason, is_lack_of_room(*reason) ? expected_wait() : duration(0));
-        }
-        else {
-            on_admitted();
-        }
-        return true;
-    }
-
-    void leave_queue()
-    {
-        wait_timer_.reset();
-        rate_timer_.reset();
-        if (const auto position = std::exchange(queue_position_, std::nullopt)) {
-            queue().remove(*position);
-            meter_->on_wait_ended();
-        }
+        const auto self = shared_from_this();
+        slot_demand demand{request_.caller_,
+                           row_service_,
+                           limit_share_,
+                           request_.priority_,
+                           request_.latency_budget_,
+                           time_left(),
+                           request_.refusal_delay_,
+                           request_.is_last_choice_};
+        slot_hooks hooks{
+            [self] { self->on_admitted(); },
+            [self](refusal_reason reason, duration retry_after) {
+                self->refuse_not_run(reason, retry_after);
+            },
+        };
+        slot_source source{admission_, meter_, connections_.reservation_of(address_), queue()};
+        slot_ =
+            std::make_shared<slot_request>(std::move(source), std::move(demand), std::move(hooks));
+        const auto slot = slot_; // the hooks may drop the last reference to this exchange
+        slot->start();
     }
 
-    /** Gives up the slot, if one is held, and lets the queue start waiting requests. */
+    /** Gives up the slot or the wait for it, and lets the queue start waiting requests. */
     void release_slot()
     {
-        if (admission_) {
-            ticket_ = admission_ticket();
-            slot_use_ = slot_use();
-            queue().start_waiting();
+        if (slot_) {
+            slot_->release();
         }
     }
 
@@ -564,7 +458,8 @@
         if (run_) {
             run_->release();
         }
-        const auto retry_after = std::max<duration>(expected_wait(), min_retry_after_rejection);
+        const auto retry_after =
+            std::max<duration>(slot_->expected_wait(), min_retry_after_rejection);
         refuse({refusal_reason::target_full, request_outcome::not_run, true,
                 std::chrono::duration_cast<std::chrono::milliseconds>(retry_after)});
     }
@@ -662,7 +557,6 @@
             return;
         }
         ended_ = true;
-        leave_queue();
         // A call that ended at its deadline shows that the target is slow; one whose caller left
         // earlier shows nothing.
         if (connection_ && !target_stated_not_run_ && is_slow()) {
@@ -695,7 +589,6 @@
         if (send_timer_) {
             send_timer_->stop();
         }
-        leave_queue();
         is_held_ = false;
         if (run_) {
             run_->release();
@@ -749,22 +642,14 @@
     instant sent_at_{};
     std::uint32_t target_start_ = 0; ///< Start of the target that the request was sent in.
     limit_share limit_share_;
-    std::shared_ptr<admission_controller> admission_; ///< Must outlive ticket_.
+    std::shared_ptr<admission_controller> admission_;
     std::shared_ptr<target_meter> meter_;
     std::shared_ptr<version_meter> version_meter_; ///< As in local_target.
     std::optional<instant> cold_start_end_;        ///< As in local_target.
-    admission_ticket ticket_;
-    std::shared_ptr<slot_reservation> reservation_; ///< Of the target's slots.
-    slot_use slot_use_;                             ///< While ticket_ holds a slot.
+    std::shared_ptr<slot_request> slot_;           ///< Null before the target was found.
     peer_address address_;
     std::shared_ptr<http1_client_connection> connection_;
-    std::optional<queue_position> queue_position_; ///< Set while the request waits for a slot.
-    std::optional<deadline_timer> wait_timer_;     ///< Set while the request is in the queue.
-    std::optional<deadline_timer> rate_timer_; ///< Set while it waits there for the target's rate.
-    refusal_reason wait_reason_ = refusal_reason::target_full; ///< Why it is in the queue.
-    instant wait_end_{};                                       ///< End of its longest wait.
-    bool wait_ends_with_deadline_ = false;     ///< A longer wait would exceed the call's deadline.
-    std::optional<deadline_timer> send_timer_; ///< See limit_time_to_send().
+    std::optional<deadline_timer> send_timer_;     ///< See limit_time_to_send().
     std::optional<deadline_timer> detached_timer_; ///< Set once the caller has disconnected.
     std::optional<deadline_timer>
         discard_timer_; ///< Set while the rest of a response is discarded.
