Identify callers by API key and hold organisations to their quotas

Cause: a resource that the contract names had no code that serves it, and the decoder rejects a document whose resources it does not know, as it must.

Tenants become organisations of the table. A call must present the key of one of them unless its row is anonymous; 401 is given only with a recent proof of the table. Key and forged names are removed before a request leaves the node, and the target gets the organisation's name. Its priority goes before the row's. A call waits for a token of the organisation's quota, which nodes lease from a holder chosen by rendezvous hashing (libs/quota), over the links between nodes; without a token it is refused as not run, 429 with the time of the next token.

--- a/libs/request_path/call_log.cpp
+++ b/libs/request_path/call_log.cpp
@@ -11,6 +11,7 @@
               {{"request", fields.request_},
                {"route", fields.row_},
                {"service", fields.service_},
+               {"organisation", fields.organisation_},
                {"priority", fields.priority_},
                {"target", fields.target_},
                {"reason", reason},
--- a/libs/request_path/call_log.h
+++ b/libs/request_path/call_log.h
@@ -30,7 +30,8 @@
     std::string request_; ///< The caller's request id; may be empty.
     std::string row_;     ///< The service of the row that matched; empty: none.
     std::string service_;
-    std::string target_; ///< Of the last attempt; empty: none.
+    std::string organisation_; ///< Whose API key the caller presented; empty: none.
+    std::string target_;       ///< Of the last attempt; empty: none.
     std::uint32_t priority_ = 0;
     unsigned attempts_ = 0;
     unsigned reached_ = 0;      ///< Attempts that a target has or may have received.
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -58,6 +58,11 @@
             return;
         }
         row_ = matched->row_;
+        identify_caller(metadata.api_key_);
+        if (is_api_key_missing()) {
+            refuse(refusal_by_table(refusal_reason::unknown_api_key));
+            return;
+        }
         if (metadata.time_allowed_ && matched->state_) {
             time_used_before_ =
                 matched->state_->caller_timeouts().time_used(*metadata.time_allowed_, arrived_);
@@ -66,7 +71,7 @@
                                  environment_.random_);
         prepare_request(metadata);
         deadline_timer_.start_at(arrived_ + time_allowed_);
-        start_attempt();
+        request_quota();
     }
 
     auto make_request_hooks() -> request_hooks
@@ -82,12 +87,32 @@
     }
 
   private:
+    void identify_caller(std::string_view api_key)
+    {
+        if (const auto* found = routes_->organisations().find(api_key)) {
+            organisation_ = found->organisation_;
+            organisation_state_ = found->state_;
+            request_.organisation_ = organisation_->name_;
+            if (organisation_state_) {
+                organisation_state_->count_call();
+            }
+        }
+    }
+
+    [[nodiscard]] auto is_api_key_missing() const -> bool
+    {
+        return organisation_ == nullptr && !row_->allow_anonymous_ &&
+               !routes_->organisations().empty();
+    }
+
     void prepare_request(const call_metadata& metadata)
     {
         request_.caller_ = metadata.caller_;
         request_.origin_ = metadata.origin_;
         request_.service_ = route_->service_;
-        request_.priority_ = row_->priority_;
+        request_.priority_ = organisation_ != nullptr
+                                 ? organisation_->priority_.value_or(row_->priority_)
+                                 : row_->priority_;
         request_.repeatable_ = row_->repeatable_;
         time_allowed_ = std::min(row_->timeout_, metadata.time_allowed_.value_or(row_->timeout_));
         is_retry_ = metadata.is_retry_;
@@ -96,6 +121,51 @@
         tried_or_without_share_ =
             targets_without_share(*route_, request_.caller_, row_->limit_of(request_.caller_));
         remove_system_headers(request_.head_.headers_);
+        if (!routes_->organisations().empty()) {
+            environment_.node_.mapping().remove_identity_headers_(request_.head_.headers_);
+        }
+    }
+
+    /** Starts the first attempt once the organisation's quota has a token for the call. */
+    void request_quota()
+    {
+        if (organisation_ == nullptr) {
+            start_attempt();
+            return;
+        }
+        waits_for_quota_ = true;
+        quota_wait_ = environment_.quotas_.admit(
+            *organisation_, [weak = weak_from_this()](const quota_reply& reply) {
+                if (const auto self = weak.lock()) {
+                    self->on_quota(reply);
+                }
+            });
+        const auto connection = connection_.lock();
+        if (waits_for_quota_ && request_.head_.has_body_ && connection) {
+            is_body_held_ = true;
+            connection->pause_reading(true);
+        }
+    }
+
+    void on_quota(const quota_reply& reply)
+    {
+        if (ended_) {
+            return;
+        }
+        waits_for_quota_ = false;
+        if (reply.verdict_ == quota_verdict::granted) {
+            const auto connection = connection_.lock();
+            if (std::exchange(is_body_held_, false) && connection) {
+                connection->pause_reading(false);
+            }
+            start_attempt();
+            return;
+        }
+        auto refusal = make_refusal(reply.verdict_ == quota_verdict::exceeded
+                                        ? refusal_reason::quota_exceeded
+                                        : refusal_reason::quota_unavailable);
+        refusal.retry_after_ = reply.retry_after_;
+        refuse(refusal);
     }
 
     /** Returns whether a table has been accepted. Until then, a path without a route is not known
@@ -417,6 +487,9 @@
     /** Cancels the current attempt if its target has certainly not received the request. */
     auto withdraw_exchange() -> withdrawal
     {
+        if (waits_for_quota_) {
+            return withdrawal::withdrawn;
+        }
         const bool has_response = responded_ || response_buffer_.has_response();
         return has_response || !controls_.withdraw_ ? withdrawal::may_have_run
                                                     : controls_.withdraw_();
@@ -500,6 +573,9 @@
     {
         end();
         state().count_refusal(refusal.reason_);
+        if (organisation_state_) {
+            organisation_state_->count_refusal(refusal.reason_);
+        }
         log_decision(call_event::refused, name_of(refusal.reason_), refusal.outcome_);
         if (const auto connection = connection_.lock()) {
             send_refusal(*connection, environment_.node_.mapping(), refusal, request_.service_);
@@ -513,6 +589,7 @@
                  {.request_ = request_id_,
                   .row_ = row_ != nullptr ? row_->service_ : std::string(),
                   .service_ = request_.service_,
+                  .organisation_ = request_.organisation_,
                   .target_ = request_.target_,
                   .priority_ = request_.priority_,
                   .attempts_ = attempts_,
@@ -529,6 +606,9 @@
         if (!std::exchange(ended_, true)) {
             --environment_.node_.calls_in_flight();
         }
+        if (std::exchange(waits_for_quota_, false)) {
+            environment_.quotas_.cancel(request_.organisation_, quota_wait_);
+        }
         deadline_timer_.stop();
         withdrawal_timer_.stop();
         controls_ = {}; // breaks the reference cycle of call, exchange and hooks
@@ -539,11 +619,16 @@
     instant arrived_;
     std::chrono::milliseconds time_allowed_{0}; ///< From arrived_ to the deadline.
     duration time_used_before_{0};              ///< Time that the caller's earlier tries took.
-    bool is_retry_ = false; ///< The caller marked the call as part of a retried call.
+    quota_wait_id quota_wait_ = 0;
+    bool waits_for_quota_ = false; ///< No attempt has started.
+    bool is_body_held_ = false;    ///< The body is not read until an attempt starts.
+    bool is_retry_ = false;        ///< The caller marked the call as part of a retried call.
     exchange_request request_;
     std::string request_id_;
     std::shared_ptr<const route_table> routes_;
     const row* row_ = nullptr;
+    const organisation* organisation_ = nullptr; ///< Whose API key the caller presented.
+    std::shared_ptr<organisation_state> organisation_state_; ///< May be null.
     const service_route* route_ = nullptr;  ///< The service chosen for the call, with its targets.
     std::shared_ptr<target_health> health_; ///< Of the target of the current attempt.
     std::uint64_t target_start_ = 0;        ///< As in its target_record.
--- a/libs/request_path/caller_call.h
+++ b/libs/request_path/caller_call.h
@@ -11,6 +11,7 @@
 #include "request_path/node_state.h"
 #include "request_path/peer_exchange.h"
 #include "request_path/refusal_response.h"
+#include "request_path/worker_quotas.h"
 
 namespace sycamorewinch {
 
@@ -19,6 +20,7 @@
     node_state& node_;
     target_connections& targets_;
     peer_connections& peers_;
+    worker_quotas& quotas_;
     random_hook random_;
 };
 
--- a/libs/request_path/exchange.h
+++ b/libs/request_path/exchange.h
@@ -27,8 +27,9 @@
     message_head head_;
     std::string service_;
     std::string target_;
-    std::string caller_; ///< The client whose limits apply; empty: none.
-    std::string origin_; ///< The service that the caller's node runs beside; may be empty.
+    std::string caller_;       ///< The client whose limits apply; empty: none.
+    std::string origin_;       ///< The service that the caller's node runs beside; may be empty.
+    std::string organisation_; ///< Whose API key the caller presented; empty: none.
     std::chrono::milliseconds time_left_{0}; ///< Until the call's deadline.
     /** Time that a refusal needs to reach the caller's node: a request that has not been sent to
      * its target by then is refused before the deadline. */
--- a/libs/request_path/header_mapping.h
+++ b/libs/request_path/header_mapping.h
@@ -23,6 +23,7 @@
     std::string caller_; ///< The client whose limits apply; empty: callers are not distinguished.
     std::string origin_; ///< The service that the caller's node runs beside; may be empty.
     std::string request_id_; ///< Identifies the request in logs; may be empty.
+    std::string api_key_;    ///< As presented by the caller; must not be logged or passed on.
     std::optional<std::chrono::milliseconds> time_allowed_;
     bool is_retry_ = false; ///< The call belongs to a retried call.
 };
@@ -37,6 +38,9 @@
 /** Reads and writes the header fields that the system interprets. */
 struct header_mapping {
     std::function<call_metadata(const message_head& request)> read_metadata_;
+    /** Removes what only the system may know or state of a caller's identity: its API key, and
+     * any field that names an organisation to the target. */
+    std::function<void(header_list& fields)> remove_identity_headers_;
     /** Sets the header fields of \p request that the target reads, such as the deadline. */
     std::function<void(header_list& fields, const exchange_request& request)> write_target_headers_;
     std::function<response_kind(const exchange_request& request, const message_head& response)>
@@ -50,6 +54,14 @@
     std::function<void(message_head& response, const refusal& refusal)> write_refusal_;
 };
 
+/** Returns the API key in the header field \p name. Several such fields are joined as a list, which
+ * no valid key equals. */
+[[nodiscard]] auto read_api_key(const header_list& fields, std::string_view name) -> std::string;
+
+/** Removes the field \p name in every spelling that a target may take for it: some treat an
+ * underscore as a hyphen. */
+void remove_header_spellings(header_list& fields, std::string_view name);
+
 /** Returns the default mapping, which uses the `sycamorewinch-` header fields. */
 [[nodiscard]] auto native_header_mapping() -> header_mapping;
 
--- a/libs/request_path/native_header_mapping.cpp
+++ b/libs/request_path/native_header_mapping.cpp
@@ -15,17 +15,27 @@
             std::string(caller.empty() ? default_caller : caller),
             {},
             {},
+            read_api_key(request.headers_, api_key_header),
             parse_time_allowed(find_header(request.headers_, deadline_header)),
             !find_header(request.headers_, retry_header).empty()};
 }
 
-// A target passes these fields on when it makes calls itself.
+void remove_identity_headers(header_list& fields)
+{
+    remove_header_spellings(fields, api_key_header);
+    remove_header_spellings(fields, organisation_header);
+}
+
+// A target passes the deadline and the retry mark on when it makes calls itself.
 void write_target_headers(header_list& fields, const exchange_request& request)
 {
     set_header(fields, deadline_header, std::to_string(request.time_left_.count()));
     if (request.is_retry_) {
         set_header(fields, retry_header, "1");
     }
+    if (!request.organisation_.empty()) {
+        set_header(fields, organisation_header, request.organisation_);
+    }
 }
 
 void write_refusal(message_head& response, const refusal& refusal)
@@ -41,6 +51,7 @@
 auto native_header_mapping() -> header_mapping
 {
     return {read_metadata,
+            remove_identity_headers,
             write_target_headers,
             [](const exchange_request&, const message_head&) { return response_kind::genuine; },
             [](const message_head& response) {
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -23,6 +23,7 @@
 #include "policy/version_meter.h"
 #include "request_path/crash_guard.h"
 #include "request_path/header_mapping.h"
+#include "request_path/node_quotas.h"
 #include "request_path/worker_run_client.h"
 #include "transport/peer_connection.h"
 
@@ -82,6 +83,9 @@
     /** Records when the roll-outs in force were last known to be current. */
     void set_rollouts_proved_at(instant proved_at) { rollout_currency_->set_proved_at(proved_at); }
 
+    /** Returns the quotas of organisations. */
+    [[nodiscard]] auto quotas() -> node_quotas& { return quotas_; }
+
     /** Returns the service state that counts calls which match no route. */
     [[nodiscard]] auto unrouted() -> service_state& { return *unrouted_; }
 
@@ -144,9 +148,13 @@
 
   private:
     std::string own_address_;
+    node_quotas quotas_;
     rcu_cell<route_table> routes_;
     rcu_cell<local_targets> targets_;
     service_states states_;
+    organisation_states organisation_states_;
+    std::shared_ptr<const table> indexed_table_; ///< Whose organisations are indexed.
+    std::shared_ptr<const organisation_index> organisations_;
     std::shared_ptr<rollout_currency> rollout_currency_ = std::make_shared<rollout_currency>();
     std::shared_ptr<service_state> unrouted_;
     header_mapping header_mapping_ = native_header_mapping();
--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -52,7 +52,7 @@
     thread_state(node_state& node, cluster_key key)
         : node_(node), key_(key),
           peers_(std::move(key), outgoing_peer_limits), environment_{node, targets_, peers_,
-                                                                     system_random()}
+                                                                     quotas_, system_random()}
     {
     }
 
@@ -217,8 +217,9 @@
     node_state& node_;
     cluster_key key_;
     target_connections targets_;
-    peer_calls peer_calls_{node_, targets_};
     peer_connections peers_;
+    worker_quotas quotas_{node_, peers_};
+    peer_calls peer_calls_{node_, targets_, quotas_};
     call_environment environment_;
     std::unique_ptr<reuse_port_listener> caller_listener_;
     std::unique_ptr<reuse_port_listener> peer_listener_;
--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view peer_caller_header = "sycamorewinch-peer-caller";
 /** The service that the caller's node runs beside. */
 constexpr std::string_view origin_header = "sycamorewinch-origin";
+constexpr std::string_view peer_organisation_header = "sycamorewinch-peer-organisation";
 constexpr std::string_view time_left_header = "sycamorewinch-time-left-ms";
 /** The latency budget: the time left until the target latency of the row is exceeded. */
 constexpr std::string_view latency_budget_header = "sycamorewinch-time-in-aim-ms";
@@ -41,7 +42,7 @@
 constexpr std::array peer_request_headers{
     service_header,    target_header,           peer_caller_header, origin_header,
     time_left_header,  latency_budget_header,   last_choice_header, priority_header,
-    repeatable_header, known_rate_limit_header, peer_retry_header};
+    repeatable_header, known_rate_limit_header, peer_retry_header,  peer_organisation_header};
 
 auto parse_number(std::string_view text) -> std::optional<std::uint64_t>
 {
@@ -105,6 +106,9 @@
     if (!request.origin_.empty()) {
         add_field(headers, origin_header, request.origin_);
     }
+    if (!request.organisation_.empty()) {
+        add_field(headers, peer_organisation_header, request.organisation_);
+    }
     add_field(headers, time_left_header, std::to_string(request.time_left_.count()));
     add_field(headers, latency_budget_header, std::to_string(request.latency_budget_.count()));
     if (request.is_last_choice_) {
@@ -145,6 +149,7 @@
     request.target_ = find_header(headers, target_header);
     request.caller_ = find_header(headers, peer_caller_header);
     request.origin_ = find_header(headers, origin_header);
+    request.organisation_ = find_header(headers, peer_organisation_header);
     const auto number_or_zero = [&headers](std::string_view name) {
         return parse_number(find_header(headers, name)).value_or(0);
     };
@@ -161,12 +166,7 @@
     }
     request.is_retry_ = !find_header(headers, peer_retry_header).empty();
     request.head_.headers_ = forwarded_fields(headers);
-    for (const auto name :
-         {service_header, target_header, peer_caller_header, origin_header, time_left_header,
-          latency_budget_header, last_choice_header, priority_header, repeatable_header,
-          known_rate_limit_header, peer_retry_header}) {
-        remove_header(request.head_.headers_, name);
-    }
+    remove_peer_request_headers(request.head_.headers_);
     return request;
 }
 
--- a/libs/request_path/peer_headers.h
+++ b/libs/request_path/peer_headers.h
@@ -24,6 +24,11 @@
  * make calls themselves. */
 constexpr std::string_view retry_header = "sycamorewinch-retry";
 
+/** The caller's API key, sent by the caller. Not passed on if the table has organisations. */
+constexpr std::string_view api_key_header = "sycamorewinch-api-key";
+/** The organisation whose API key the caller presented, sent to targets. */
+constexpr std::string_view organisation_header = "sycamorewinch-organisation";
+
 /** The requests per second that a target takes from all nodes together, stated in its responses. */
 constexpr std::string_view target_limit_header = "sycamorewinch-target-limit";
 /** Set to `1` in the responses of a target that is leaving. */
--- a/libs/request_path/peer_service.cpp
+++ b/libs/request_path/peer_service.cpp
@@ -190,6 +190,11 @@
         connection->respond(stream, {{":status", "204"}}, true);
         return {};
     }
+    if (is_quota_ask(headers)) {
+        return serve_quota_ask(connection, stream, [this](const auto& ask, auto reply) {
+            quotas_.answer(ask, std::move(reply));
+        });
+    }
     const auto call = std::make_shared<peer_call>(*this, connection, stream);
     calls_[{connection.get(), stream}] = call;
     call->start(targets_, from_peer_request(headers, ends_stream));
--- a/libs/request_path/refusal_response.cpp
+++ b/libs/request_path/refusal_response.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr unsigned unauthorized_status = 401;
 constexpr unsigned too_many_requests_status = 429;
 constexpr unsigned bad_gateway_status = 502;
 constexpr unsigned unavailable_status = 503;
@@ -45,6 +46,9 @@
     head.has_body_ = true;
     head.content_length_ = body.size();
     head.headers_ = {{"content-type", "application/json"}};
+    if (head.status_ == unauthorized_status) {
+        head.headers_.push_back({"www-authenticate", "ApiKey"});
+    }
     mapping.write_refusal_(head, refusal);
     if (const auto retry_after = retry_after_seconds(refusal); !retry_after.empty()) {
         head.headers_.push_back({"retry-after", retry_after});
--- a/libs/request_path/test/node_fixture.cpp
+++ b/libs/request_path/test/node_fixture.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr const char* entry_node_address = "127.0.0.1:1";
+constexpr const char* target_node_address = "127.0.0.1:2";
 constexpr std::chrono::milliseconds row_timeout{120'000};
 constexpr std::string_view length_field = "content-length: ";
 
@@ -44,15 +45,14 @@
     return node;
 }
 
-void publish(test_node& node, const row& row, const std::string& node_address)
+auto make_record(const row& row, const std::string& node_address) -> target_record
 {
     target_record record;
     record.service_ = row.service_;
     record.target_ = "d1";
     record.node_address_ = node_address;
     record.slots_ = 1;
-    node.state_.publish_routes(
-        route_table::create(std::make_shared<const table>(make_table(1, {row})), {record}));
+    return record;
 }
 
 } // namespace
@@ -86,13 +86,13 @@
     (void)wait_until([] { return true; }); // creates the Qt application object before any thread
     entry_node_ = start_node(entry_node_address, mapping);
     if (path == call_path::through_peer) {
-        target_node_ = start_node("127.0.0.1:2", mapping);
-        publish(*entry_node_, row, to_text(target_node_->worker_->addresses().peers_));
-        publish(*target_node_, row, "127.0.0.1:2");
-    }
-    else {
-        publish(*entry_node_, row, entry_node_address);
+        target_node_ = start_node(target_node_address, mapping);
     }
+    for_each_node([&row](test_node& node, const std::string& target_address) {
+        node.state_.publish_routes(
+            route_table::create(std::make_shared<const table>(make_table(1, {row})),
+                                {make_record(row, target_address)}));
+    });
     auto targets = std::make_shared<local_targets>();
     targets->push_back({row.service_,
                         "d1",
@@ -102,6 +102,26 @@
     target_node().state_.publish_targets(std::move(targets));
 }
 
+void node_fixture::publish(const row& row, const std::vector<organisation>& organisations)
+{
+    const auto enforced = std::make_shared<const table>(make_table(1, {row}, {}, organisations));
+    for_each_node([&](test_node& node, const std::string& target_address) {
+        node.state_.publish_routes(enforced, {make_record(row, target_address)});
+    });
+}
+
+void node_fixture::for_each_node(
+    const std::function<void(test_node& node, const std::string& target_address)>& action)
+{
+    if (target_node_) {
+        action(*entry_node_, to_text(target_node_->worker_->addresses().peers_));
+        action(*target_node_, target_node_address);
+    }
+    else {
+        action(*entry_node_, entry_node_address);
+    }
+}
+
 auto node_fixture::caller_port() const -> std::uint16_t
 {
     return entry_node_->worker_->addresses().callers_.port_;
--- a/libs/request_path/test/node_fixture.h
+++ b/libs/request_path/test/node_fixture.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -56,10 +57,17 @@
     {
         return target_node_ ? *target_node_ : *entry_node_;
     }
+    /** Puts a table with \p row and \p organisations in force on each node. */
+    void publish(const row& row, const std::vector<organisation>& organisations);
     /** Opens a caller's connection to entry_node(). */
     [[nodiscard]] auto connect() const -> std::unique_ptr<loopback_socket>;
 
   private:
+    /** Calls \p action with each node and the address under which it knows the node beside the
+     * target. */
+    void for_each_node(
+        const std::function<void(test_node& node, const std::string& target_address)>& action);
+
     std::unique_ptr<test_node> target_node_;
     std::unique_ptr<test_node> entry_node_;
 };
