Test that a Connection field cannot remove what the system adds

Suspected while building identity: a caller that names a field of the system in its Connection field could have it removed on the way to the target. It cannot: the parser removes named fields before the system adds its own.

--- a/libs/request_path/test/correctness/identity.cpp
+++ b/libs/request_path/test/correctness/identity.cpp
@@ -142,3 +142,19 @@
     BOOST_TEST(fixture.call("sycamorewinch-api-key: k7\r\n").starts_with("HTTP/1.1 200"));
     BOOST_TEST(fixture.target_.has("sycamorewinch-api-key: k7\r\n"));
 }
+
+// Guards against a Connection field that removes what the system tells the target.
+BOOST_DATA_TEST_CASE(a_connection_field_cannot_remove_what_the_system_adds, both_paths, path)
+{
+    const recording_target target;
+    auto mapping = native_header_mapping();
+    mapping.write_target_headers_ = [](header_list& fields, const exchange_request&) {
+        set_header(fields, "x-tenant", "acme");
+    };
+    const node_fixture nodes(static_cast<call_path>(path), target.server_.port(),
+                             unrepeatable_row(), 1'000, mapping);
+    const auto caller = nodes.connect();
+    caller->write("GET /x HTTP/1.1\r\nhost: a\r\nconnection: x-tenant\r\n\r\n");
+    BOOST_TEST(wait_until([&] { return is_complete_response(caller->received()); }));
+    BOOST_TEST(target.has("x-tenant: acme\r\n"));
+}
