Stop taking calls at half of the grace period at the latest

An operator of a similar system reported requests that came late in the grace period of a planned stop, were passed on and were cut at its end without an answer. Here a call in the leave notice could be taken until just before the cut if the notice was as long as the grace period (leave-notice-ms 2200 with a grace period of 2 s would do), and got 504 when its target had hardly begun. The notice now ends at half of the grace period. The test failed before: the call was cut.

--- a/libs/daemon/node_shutdown.cpp
+++ b/libs/daemon/node_shutdown.cpp
@@ -22,6 +22,14 @@
     return std::min(max_cut_margin, grace / min_grace_per_margin);
 }
 
+/** Returns the leave notice, or half of a short grace period: calls that are taken at the end of
+ * the notice have the other half to end by themselves. */
+auto notice_within_grace(const node_shutdown_times& times) -> std::chrono::milliseconds
+{
+    return times.grace_.count() > 0 ? std::min(times.leave_notice_, times.grace_ / 2)
+                                    : times.leave_notice_;
+}
+
 } // namespace
 
 node_shutdown::node_shutdown(node_shutdown_times times, node_shutdown_hooks hooks)
@@ -37,7 +45,7 @@
     if (times_.grace_.count() > 0) {
         cut_timer_.start(times_.grace_ - cut_margin(times_.grace_));
     }
-    notice_timer_.start(times_.leave_notice_);
+    notice_timer_.start(notice_within_grace(times_));
 }
 
 void node_shutdown::stop_serving()
@@ -53,7 +61,7 @@
 
 void node_shutdown::cut_calls()
 {
-    stop_serving(); // the leave notice may be longer than the grace period
+    stop_serving();
     const auto calls = hooks_.cut_calls_();
     log_event(log_level::warning, "shutdown_cut_calls", {{"calls", calls}});
     end_timer_.start(cut_margin(times_.grace_) / 2); // the responses have this long to be sent
--- a/libs/daemon/node_shutdown.h
+++ b/libs/daemon/node_shutdown.h
@@ -29,8 +29,9 @@
 
 /** The times of a shutdown, measured from its start. */
 struct node_shutdown_times {
-    std::chrono::milliseconds leave_notice_{0}; ///< How long the node serves on.
-    std::chrono::milliseconds grace_{0};        ///< Until the forced end; zero: no limit.
+    /** How long the node serves on; at most half of the grace period, if that has a limit. */
+    std::chrono::milliseconds leave_notice_{0};
+    std::chrono::milliseconds grace_{0}; ///< Until the forced end; zero: no limit.
 };
 
 /** The node's part in its shutdown. */
--- a/libs/daemon/test/correctness/node_shutdown.cpp
+++ b/libs/daemon/test/correctness/node_shutdown.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "daemon/node_shutdown.h"
+#include "event_loop/deadline_timer.h"
 #include "standin/captured_output.h"
 #include "standin/loopback_socket.h"
 
@@ -27,7 +28,12 @@
 
     auto make_hooks() -> node_shutdown_hooks
     {
-        return {[this] { stopped_serving_ = time_since_start(); },
+        return {[this] {
+                    stopped_serving_ = time_since_start();
+                    if (last_call_time_) {
+                        last_call_timer_.start(*last_call_time_);
+                    }
+                },
                 [this] {
                     cut_ = time_since_start();
                     has_calls_ = has_calls_ && !ends_cut_calls_;
@@ -44,6 +50,11 @@
         return wait_until([this] { return ended_.has_value(); });
     }
 
+    /** If set, the calls end by themselves this long after the node has stopped serving. */
+    std::optional<duration> last_call_time_;
+    deadline_timer last_call_timer_{[this] {
+        has_calls_ = false;
+    }};
     bool has_calls_ = false;
     bool ends_cut_calls_ = true;
     bool has_unacknowledged_runs_ = false;
@@ -118,6 +129,17 @@
     BOOST_TEST((node.stopped_serving_ && node.cut_ && *node.stopped_serving_ <= *node.cut_));
 }
 
+// Guards against calls that are taken until just before they are cut.
+BOOST_AUTO_TEST_CASE(a_call_taken_at_the_end_of_an_overlong_leave_notice_is_not_cut)
+{
+    recorded_shutdown node(
+        {.leave_notice_ = std::chrono::minutes(10), .grace_ = std::chrono::seconds(4)});
+    node.has_calls_ = true;
+    node.last_call_time_ = std::chrono::milliseconds(100);
+    BOOST_TEST(node.wait_for_end());
+    BOOST_TEST(!node.cut_.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(neither_calls_nor_the_run_record_keep_a_node_beyond_the_cut)
 {
     recorded_shutdown node({.grace_ = std::chrono::milliseconds(120)});
