--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -87,6 +87,8 @@
     add("interface", with_default("own"), "external interface: own (built-in, HTTP) or platform");
     add("interface-control", empty_by_default(),
         "platform: IP:PORT to listen on, role control: for operators, role node: for its target");
+    add("interface-contracts", empty_by_default(),
+        "platform: names of the parts of its rules that are in force, separated by commas");
     add("interface-ready", empty_by_default(),
         "platform, node: IP:PORT to listen on for readiness checks");
     add("own-target", empty_by_default(), "platform, node: IP:PORT of the target beside this node");
@@ -244,6 +246,7 @@
         return;
     }
     settings.interface_control_ = reader.address("interface-control");
+    settings.interface_contracts_ = reader.optional_text("interface-contracts");
     if (settings.role_ == daemon_role::node) {
         settings.interface_ready_ = reader.address("interface-ready");
         settings.own_target_ = reader.optional_address("own-target");
--- a/libs/settings/daemon_settings.h
+++ b/libs/settings/daemon_settings.h
@@ -71,6 +71,8 @@
     external_interface_kind interface_ = external_interface_kind::own;
     /** Platform: listens here for operators (control) or for the server beside it (node). */
     std::optional<peer_address> interface_control_;
+    /** Platform: names of the parts of its rules that are in force, separated by commas. */
+    std::string interface_contracts_;
     std::optional<peer_address> interface_ready_; ///< Platform, node: for readiness checks.
     std::optional<peer_address> own_target_;      ///< Platform, node: the server beside this node.
     std::string own_service_;                     ///< Platform, node: the service of that server.
