Do not take a refusal that a target writes again for the answer to another request

An operator of a similar system reported a faulty server that wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that ran, or such a request ran twice. Both could happen here. A refusal without an id was attributed to whatever request its connection carried, and a call that was refused by the only target of its service was sent there again, under the same id and mostly on the same connection, so that a late copy of the refusal was the 'answer' to its second attempt.

A refusal that names no request now counts only on a connection that has carried no earlier one; elsewhere the outcome is unknown. An attempt that goes to a target for the second time gets a new connection.

--- a/libs/http1/http1_client_connection.cpp
+++ b/libs/http1/http1_client_connection.cpp
@@ -50,6 +50,7 @@
     bool is_paused_ = false;
     bool is_parsing_ = false;
     bool is_closed_ = false;
+    bool has_ended_exchange_ = false;
     bool disconnected_while_paused_ = false; ///< Handled when reading resumes.
     bool is_informational_ = false;          ///< The last parsed head is a 1xx; another follows.
     std::size_t informational_bytes_ = 0;    ///< Size of the 1xx responses of the exchange.
@@ -261,6 +262,7 @@
 void http1_client_connection::state::complete()
 {
     is_active_ = false;
+    has_ended_exchange_ = true;
     is_paused_ = false; // unsolicited bytes must be noticed while the connection is idle
     stall_timer_.stop();
     close_tcp_info_descriptor();
@@ -454,6 +456,11 @@
            (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+auto http1_client_connection::is_reused() const -> bool
+{
+    return state_->has_ended_exchange_;
+}
+
 auto http1_client_connection::keep_alive_time() const -> std::optional<std::chrono::seconds>
 {
     return state_->keep_alive_time_;
--- a/libs/http1/http1_client_connection.h
+++ b/libs/http1/http1_client_connection.h
@@ -82,6 +82,8 @@
     [[nodiscard]] auto has_sent_bytes() const -> bool;
     /** Returns whether another exchange may be started on this connection. */
     [[nodiscard]] auto is_reusable() const -> bool;
+    /** Returns whether an earlier exchange has ended on this connection. */
+    [[nodiscard]] auto is_reused() const -> bool;
     /** Returns how long the target keeps an idle connection (Keep-Alive header), if it said so. */
     [[nodiscard]] auto keep_alive_time() const -> std::optional<std::chrono::seconds>;
     /** Returns the time since the last exchange ended or, during an exchange, since it began. */
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -210,6 +210,9 @@
         request_.target_ = target->record_.target_;
         health_ = target->health_;
         target_start_ = target->record_.started_;
+        request_.repeats_at_target_ =
+            std::ranges::find(tried_or_without_share_, request_.target_) !=
+            tried_or_without_share_.end();
         tried_or_without_share_.push_back(request_.target_);
         if (health_ && health_->is_leaving(target_start_)) {
             on_refused(attempt_number, make_refusal(refusal_reason::target_draining));
--- a/libs/request_path/exchange.h
+++ b/libs/request_path/exchange.h
@@ -43,6 +43,9 @@
      * request per second. The node beside the target may have restarted since. */
     std::optional<std::uint32_t> known_rate_limit_;
     bool is_retry_ = false; ///< A further attempt of its call, or part of a retried call.
+    /** An earlier attempt of the call went to the same target, whose answer to it may come again.
+     */
+    bool repeats_at_target_ = false;
 };
 
 /** A refusal, with what is known about the request's execution. */
--- a/libs/request_path/header_mapping.h
+++ b/libs/request_path/header_mapping.h
@@ -30,8 +30,10 @@
 
 /** How a response received from a target's address relates to the request. */
 enum class response_kind : std::uint8_t {
-    genuine,    ///< The target's response to this request.
-    not_run,    ///< The target states that it has not run the request and will not run it.
+    genuine, ///< The target's response to this request.
+    not_run, ///< The target states that it has not run the request and will not run it.
+    /** The same statement, but the response does not say to which request. */
+    unattributed_not_run,
     mismatched, ///< The response to another request, or sent by something other than the target.
 };
 
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -241,7 +241,9 @@
     {
         sent_at_ = monotonic_now();
         target_start_ = admission_->start_number();
-        connection_ = connections_.acquire(address_, !request_.repeatable_);
+        connection_ = request_.repeats_at_target_
+                          ? connections_.dial(address_)
+                          : connections_.acquire(address_, !request_.repeatable_);
         const auto connection = connection_; // if start() fails at once, connection_ is reset
         request_.time_left_ =
             std::chrono::milliseconds(std::max<std::int64_t>(to_milliseconds(time_left()), 1));
@@ -326,7 +328,7 @@
 
     void on_response(message_head head)
     {
-        const auto kind = node_.mapping().classify_response_(request_, head);
+        const auto kind = classify(head);
         if (kind == response_kind::mismatched) {
             connection_->cancel();
             on_failed(exchange_failure::malformed);
@@ -353,6 +355,17 @@
         hooks_.on_response_(std::move(head));
     }
 
+    /** Returns how \p head relates to the request. A statement that does not name its request may
+     * be a copy of an earlier one, unless this is the connection's first request. */
+    [[nodiscard]] auto classify(const message_head& head) const -> response_kind
+    {
+        const auto kind = node_.mapping().classify_response_(request_, head);
+        if (kind != response_kind::unattributed_not_run) {
+            return kind;
+        }
+        return connection_->is_reused() ? response_kind::mismatched : response_kind::not_run;
+    }
+
     /** Applies what the target says about itself in a response that has arrived. */
     void on_notice(const target_notice& notice)
     {
--- a/libs/request_path/peer_headers.cpp
+++ b/libs/request_path/peer_headers.cpp
@@ -26,6 +26,8 @@
 constexpr std::string_view known_rate_limit_header = "sycamorewinch-known-rate-limit";
 /** Set for a further attempt of a call and for a call marked with retry_header. */
 constexpr std::string_view peer_retry_header = "sycamorewinch-peer-retry";
+/** Set for an attempt after another one of its call at the same target. */
+constexpr std::string_view repeats_at_target_header = "sycamorewinch-repeats-at-target";
 /** Whether the target has or may have received the request, which is assumed without the field. */
 constexpr std::string_view reached_target_header = "sycamorewinch-reached-target";
 /** In place of the usual authority, which a caller cannot choose, it marks a withdrawal. */
@@ -40,9 +42,10 @@
 
 /** All fields that a node adds to a request for another node. */
 constexpr std::array peer_request_headers{
-    service_header,    target_header,           peer_caller_header, origin_header,
-    time_left_header,  latency_budget_header,   last_choice_header, priority_header,
-    repeatable_header, known_rate_limit_header, peer_retry_header,  peer_organisation_header};
+    service_header,          target_header,           peer_caller_header, origin_header,
+    time_left_header,        latency_budget_header,   last_choice_header, priority_header,
+    repeatable_header,       known_rate_limit_header, peer_retry_header,  peer_organisation_header,
+    repeats_at_target_header};
 
 auto parse_number(std::string_view text) -> std::optional<std::uint64_t>
 {
@@ -124,6 +127,9 @@
     if (request.is_retry_) {
         add_field(headers, peer_retry_header, "1");
     }
+    if (request.repeats_at_target_) {
+        add_field(headers, repeats_at_target_header, "1");
+    }
     return headers;
 }
 
@@ -165,6 +171,7 @@
         request.known_rate_limit_ = static_cast<std::uint32_t>(std::min(*limit, largest));
     }
     request.is_retry_ = !find_header(headers, peer_retry_header).empty();
+    request.repeats_at_target_ = !find_header(headers, repeats_at_target_header).empty();
     request.head_.headers_ = forwarded_fields(headers);
     remove_peer_request_headers(request.head_.headers_);
     return request;
--- a/libs/request_path/target_connections.cpp
+++ b/libs/request_path/target_connections.cpp
@@ -40,6 +40,12 @@
             return connection;
         }
     }
+    return dial(address);
+}
+
+auto target_connections::dial(const peer_address& address)
+    -> std::shared_ptr<http1_client_connection>
+{
     auto connection = http1_client_connection::dial(address.host_, address.port_, limits_);
     // Called when a request is cancelled after a long wait without any byte of the response.
     connection->set_silent_hook([this, address, weak = std::weak_ptr(connection)] {
--- a/libs/request_path/target_connections.h
+++ b/libs/request_path/target_connections.h
@@ -32,6 +32,10 @@
     [[nodiscard]] auto acquire(const peer_address& address, bool recently_used_only)
         -> std::shared_ptr<http1_client_connection>;
 
+    /** Returns a new connection to \p address. */
+    [[nodiscard]] auto dial(const peer_address& address)
+        -> std::shared_ptr<http1_client_connection>;
+
     /** Returns a connection to the pool after an exchange. */
     void release(const peer_address& address, std::shared_ptr<http1_client_connection> connection);
 
