--- a/libs/cli/command_list.h
+++ b/libs/cli/command_list.h
@@ -25,6 +25,7 @@
 // Status of the system (system_commands.cpp, watch_command.cpp, refusals_command.cpp).
 auto show_status(command_context& context, const command_words& arguments) -> exit_status;
 auto show_targets(command_context& context, const command_words& arguments) -> exit_status;
+auto show_organisations(command_context& context, const command_words& arguments) -> exit_status;
 auto watch_version(command_context& context, const command_words& arguments) -> exit_status;
 auto show_refusals(command_context& context, const command_words& arguments) -> exit_status;
 
--- a/libs/cli/commands.cpp
+++ b/libs/cli/commands.cpp
@@ -41,6 +41,8 @@
     command{"status", "", 0, "print the state of each control replica", show_status},
     command{"watch", "", 0, "wait until a version is in force everywhere", watch_version},
     command{"targets", "", 0, "list the known targets", show_targets},
+    command{"organisations", "", 0, "list the organisations of the accepted table and their quotas",
+            show_organisations},
     command{"drain target", "SERVICE TARGET", 2, "stop sending new calls to a target",
             drain_target},
     command{"drain node", "ADDRESS", 1, "stop sending new calls to a node's targets", drain_node},
--- a/libs/cli/system_commands.cpp
+++ b/libs/cli/system_commands.cpp
@@ -84,4 +84,29 @@
     return exit_status::done;
 }
 
+auto show_organisations(command_context& context, const command_words&) -> exit_status
+{
+    const auto response = fetch(context, "/v1/organisations");
+    if (!response) {
+        return fail(context, response.error().message_);
+    }
+    if (context.json_) {
+        print_json(context, *response);
+        return exit_status::done;
+    }
+    for (const auto& value : response->value(QLatin1String("organisations")).toArray()) {
+        const auto organisation = value.toObject();
+        const auto rate = organisation.value(QLatin1String("per_second"));
+        const auto quota = rate.isDouble() ? fmt::format("{}/s, burst {}", rate.toDouble(),
+                                                         number_of(organisation, "burst"))
+                                           : std::string("no quota");
+        const auto priority = organisation.contains(QLatin1String("priority"))
+                                  ? fmt::format("{}", number_of(organisation, "priority"))
+                                  : std::string("of the row");
+        context.out_ << fmt::format("{}: {} keys, {}, priority {}\n", text_of(organisation, "name"),
+                                    number_of(organisation, "keys"), quota, priority);
+    }
+    return exit_status::done;
+}
+
 } // namespace sycamorewinch
--- a/libs/daemon/operator_api.cpp
+++ b/libs/daemon/operator_api.cpp
@@ -108,6 +108,16 @@
     return json_response({{"history", entries}});
 }
 
+auto on_organisations(const operator_api_hooks& hooks) -> QHttpServerResponse
+{
+    const auto& table = *hooks.replica_().state().current();
+    QJsonArray organisations;
+    for (const auto& organisation : table.organisations_) {
+        organisations.append(to_json(organisation));
+    }
+    return json_response({{"version", to_json(table.version_)}, {"organisations", organisations}});
+}
+
 auto on_status(const operator_api_hooks& hooks) -> QHttpServerResponse
 {
     auto& replica = hooks.replica_();
@@ -167,6 +177,8 @@
     };
     add(get, "/v1/status", [hooks](const auto&) { return on_status(hooks); });
     add(get, "/v1/table", leader_only(hooks, [hooks](const auto&) { return on_table(hooks); }));
+    add(get, "/v1/organisations",
+        leader_only(hooks, [hooks](const auto&) { return on_organisations(hooks); }));
     add(get, "/v1/progress",
         leader_only(hooks, [hooks](const auto&) { return on_progress(hooks); }));
     add(get, "/v1/table/history",
--- a/libs/daemon/operator_json.cpp
+++ b/libs/daemon/operator_json.cpp
@@ -73,6 +73,22 @@
             {"rows_changed", static_cast<qint64>(entry.rows_changed_)}};
 }
 
+auto to_json(const organisation& organisation) -> QJsonObject
+{
+    constexpr double thousandths = 1'000;
+    QJsonObject object{{"name", to_json(organisation.name_)},
+                       {"keys", static_cast<qint64>(organisation.keys_.size())}};
+    if (organisation.rate_thousandths_ > 0) {
+        object.insert("per_second",
+                      static_cast<double>(organisation.rate_thousandths_) / thousandths);
+        object.insert("burst", static_cast<qint64>(organisation.burst_));
+    }
+    if (organisation.priority_) {
+        object.insert("priority", static_cast<qint64>(*organisation.priority_));
+    }
+    return object;
+}
+
 auto read_accept_command(const QJsonObject& object, const table& current) -> result<accept_command>
 {
     accept_command command;
--- a/libs/daemon/operator_json.h
+++ b/libs/daemon/operator_json.h
@@ -19,6 +19,9 @@
 [[nodiscard]] auto to_json(const std::vector<zone_progress>& zones) -> QJsonArray;
 [[nodiscard]] auto to_json(const target_record& target) -> QJsonObject;
 [[nodiscard]] auto to_json(const history_entry& entry) -> QJsonObject;
+/** `{"name":..,"keys":2,"per_second":7.5,"burst":15,"priority":1}`; never a key or its digest. No
+ * rate: unlimited. No priority: that of the row. */
+[[nodiscard]] auto to_json(const organisation& organisation) -> QJsonObject;
 
 /** Parses `{"edit_id":..,"operator":..,"base":{"number":..,"digest":..},"csv":..}`. The change is
  * the difference of its rows from those of \p current, whose connection bounds and organisations
--- a/libs/daemon/test/correctness/operator_api.cpp
+++ b/libs/daemon/test/correctness/operator_api.cpp
@@ -153,3 +153,30 @@
     BOOST_TEST(contains(response, " 503 "));
     BOOST_TEST(contains(response, "unavailable"));
 }
+
+BOOST_AUTO_TEST_CASE(an_edit_by_csv_keeps_the_organisations_and_bounds_of_the_table)
+{
+    connection_bounds bounds;
+    bounds.header_bytes_ = 4'096;
+    const auto current = make_table(3, {}, bounds, {{.name_ = "acme"}});
+    const QJsonObject request{
+        {"edit_id", "e1"},
+        {"operator", "ann"},
+        {"base", to_json(current.version_)},
+        {"csv", to_json(write_csv({{.service_ = "a", .path_prefix_ = "/a"}}))}};
+    const auto command = read_accept_command(request, current);
+    BOOST_REQUIRE(command.has_value());
+    const auto next = apply_change(current, command->change_, 4);
+    BOOST_TEST(next.rows_.size() == 1U);
+    BOOST_TEST((next.bounds_ == bounds));
+    BOOST_TEST(next.find_organisation("acme") != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(organisations_are_listed_without_their_keys)
+{
+    const organisation acme{"acme", {digest_of_api_key("k1")}, 7'500, 15, 1};
+    const auto json = to_json(acme);
+    BOOST_TEST(QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString() ==
+               R"({"burst":15,"keys":1,"name":"acme","per_second":7.5,"priority":1})");
+    BOOST_TEST(!to_json(organisation{.name_ = "b"}).contains(QLatin1String("per_second")));
+}
