Allow list separators and letters beyond ASCII in names of organisations

A configuration whose tenant is called 'Acme, Inc.' would have been refused as a whole, although the name is only ever the value of a header field. Control characters and outer spaces stay errors.

--- a/libs/table/table_check.cpp
+++ b/libs/table/table_check.cpp
@@ -58,6 +58,48 @@
     return shown;
 }
 
+/** Returns the problem of a service, target, zone or caller name; empty if it is valid. */
+auto name_problem(std::string_view name) -> std::string_view
+{
+    if (name.empty()) {
+        return "is empty; a name is required";
+    }
+    if (name.size() > max_name_bytes) {
+        return "is longer than 64 bytes";
+    }
+    if (!std::ranges::all_of(name, is_printable_ascii)) {
+        return "contains a control character or a non-ASCII character";
+    }
+    if (name.front() == ' ' || name.back() == ' ') {
+        return "starts or ends with a space";
+    }
+    if (std::ranges::any_of(name, is_list_separator)) {
+        return "contains one of ; = , \" which separate list items";
+    }
+    return {};
+}
+
+/** Returns the problem of an organisation's name, which is the value of a header field; empty if it
+ * is valid. */
+auto organisation_name_problem(std::string_view name) -> std::string_view
+{
+    if (name.empty()) {
+        return "is empty; a name is required";
+    }
+    if (name.size() > max_name_bytes) {
+        return "is longer than 64 bytes";
+    }
+    const auto is_control = [](char character) {
+        return static_cast<unsigned char>(character) < ' ' || character == '\x7f';
+    };
+    if (std::ranges::any_of(name, is_control)) {
+        return "contains a control character";
+    }
+    return name.front() == ' ' || name.back() == ' '
+               ? std::string_view("starts or ends with a space")
+               : std::string_view();
+}
+
 auto has_dot_segment(std::string_view path) -> bool
 {
     while (!path.empty()) {
@@ -364,26 +406,6 @@
     return table_checker(rows).run();
 }
 
-auto name_problem(std::string_view name) -> std::string_view
-{
-    if (name.empty()) {
-        return "is empty; a name is required";
-    }
-    if (name.size() > max_name_bytes) {
-        return "is longer than 64 bytes";
-    }
-    if (!std::ranges::all_of(name, is_printable_ascii)) {
-        return "contains a control character or a non-ASCII character";
-    }
-    if (name.front() == ' ' || name.back() == ' ') {
-        return "starts or ends with a space";
-    }
-    if (std::ranges::any_of(name, is_list_separator)) {
-        return "contains one of ; = , \" which separate list items";
-    }
-    return {};
-}
-
 auto api_key_problem(std::string_view api_key) -> std::string_view
 {
     if (api_key.empty()) {
@@ -410,7 +432,7 @@
     std::map<digest, const organisation*> owners;
     for (const auto& each : organisations) {
         const auto name = printable(each.name_);
-        if (const auto problem = name_problem(each.name_); !problem.empty()) {
+        if (const auto problem = organisation_name_problem(each.name_); !problem.empty()) {
             return fmt::format("organisation '{}': its name {}", name, problem);
         }
         if (!names.insert(each.name_).second) {
--- a/libs/table/table_check.h
+++ b/libs/table/table_check.h
@@ -35,8 +35,4 @@
 /** Returns what is wrong with \p api_key, without the key; empty if it is valid. */
 [[nodiscard]] auto api_key_problem(std::string_view api_key) -> std::string_view;
 
-/** Returns the problem of a service, target, zone, caller or organisation name; empty if it is
- * valid. */
-[[nodiscard]] auto name_problem(std::string_view name) -> std::string_view;
-
 } // namespace sycamorewinch
--- a/libs/table/test/correctness/organisations.cpp
+++ b/libs/table/test/correctness/organisations.cpp
@@ -96,6 +96,8 @@
     BOOST_TEST(problem_of({make_organisation("a", {"k1"}), make_organisation("a", {"k2"})}) ==
                "organisation 'a' is listed twice");
     BOOST_TEST(problem_of({make_organisation("a\r\nx: y", {})}).starts_with("organisation 'a??"));
+    BOOST_TEST(problem_of({make_organisation("Acme, Inc.", {}),
+                           make_organisation("Caf\xC3\xA9", {})}) == "none");
     auto excessive = make_organisation("a", {});
     excessive.rate_thousandths_ = 10'000'001'000;
     BOOST_TEST(problem_of({excessive}) ==
