--- a/libs/table/test/correctness/organisations.cpp
+++ b/libs/table/test/correctness/organisations.cpp
@@ -113,6 +113,7 @@
 {
     constexpr int keys = 10'000;
     std::vector<std::string> many;
+    many.reserve(keys);
     for (int number = 0; number < keys; ++number) {
         many.push_back("key-" + std::to_string(number));
     }
