--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -280,6 +280,29 @@
     return answer.status_;
 }
 
+auto deployment::log_of(const machine& which) const -> std::string
+{
+    return read_text(folder_ + "/" + which.name_ + ".log");
+}
+
+auto deployment::find_leader() -> machine*
+{
+    const request question{"GET", "/-/config", {{"Host", "control"}}, ""};
+    for (const auto& asked : cores_) {
+        const auto answer = exchange(control(asked), question, milliseconds(1'000));
+        const auto location = field(answer.fields_, "Location");
+        for (auto& each : cores_) {
+            const bool is_named = answer.status_ == 307
+                                      ? location.find(each.ip_ + ":") != std::string::npos
+                                      : answer.status_ == 200 && each.ip_ == asked.ip_;
+            if (is_named) {
+                return &each;
+            }
+        }
+    }
+    return nullptr;
+}
+
 auto deployment::get_config(milliseconds patience) -> std::string
 {
     const request question{"GET", "/-/config", {{"Host", "control"}}, ""};
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -63,6 +63,11 @@
     /** Sends a configuration as the operator does: to any control machine, again until it has a
      * clear answer. Returns the final status, or 0. */
     auto put_config(const std::string& base, const std::string& body, milliseconds patience) -> int;
+    /** Returns what the process of \p which has logged. */
+    [[nodiscard]] auto log_of(const machine& which) const -> std::string;
+    /** Returns the control machine that the others name as the leader; nullptr if none does. */
+    [[nodiscard]] auto find_leader() -> machine*;
+
     /** Reads the configuration back; empty if no machine answers with one. */
     auto get_config(milliseconds patience) -> std::string;
 
