Match a prefix of the platform only below its closing slash

Cause: the table has prefixes without a closing slash, and on the product's own interface such a prefix takes the segment itself. The translation of a configuration removes the platform's closing slash, after which nothing tells the two kinds apart.

The index does what its header says and its test compares it with a scan, so the index was not at fault, the rule was.

Fix: path_index holds both kinds, and nodes that serve the platform's interface look rows up as subtrees.

--- a/libs/daemon/external_interface.h
+++ b/libs/daemon/external_interface.h
@@ -14,6 +14,7 @@
 #include "control/control_replica.h"
 #include "daemon/rollout_service.h"
 #include "daemon/target_registry.h"
+#include "policy/path_index.h"
 #include "request_path/header_mapping.h"
 #include "settings/daemon_settings.h"
 
@@ -50,6 +51,8 @@
  * that the serve hooks return. */
 struct external_interfaces {
     std::optional<header_mapping> header_mapping_;
+    /** How the path prefixes of the table match at a node. */
+    prefix_match prefix_match_ = prefix_match::segment;
     std::function<result<std::shared_ptr<void>>(const control_api& api)> serve_control_;
     std::function<result<std::shared_ptr<void>>(const node_api& api)> serve_node_;
 };
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -101,6 +101,7 @@
         if (interfaces_.header_mapping_) {
             state_.set_header_mapping(*interfaces_.header_mapping_);
         }
+        state_.set_prefix_match(interfaces_.prefix_match_);
         state_.set_max_refusal_proof_age(settings_.refusal_proof_age_);
         if (settings_.prefers_own_zone_) {
             state_.set_preferred_zone(settings_.availability_zone_);
--- a/libs/policy/path_index.cpp
+++ b/libs/policy/path_index.cpp
@@ -4,33 +4,36 @@
 
 namespace sycamorewinch {
 
-void path_index::add(std::string_view prefix, std::size_t position)
+void path_index::add(std::string_view prefix, std::size_t position, prefix_match match)
 {
-    positions_.emplace(prefix, position);
-    max_prefix_length_ = std::max(max_prefix_length_, prefix.size());
-}
-
-auto path_index::position_of(std::string_view prefix) const -> std::optional<std::size_t>
-{
-    const auto found = positions_.find(prefix);
-    if (found == positions_.end()) {
-        return std::nullopt;
+    if (prefix.ends_with('/')) {
+        prefix.remove_suffix(1);
+        match = prefix_match::subtree;
     }
-    return found->second;
+    auto& entry = positions_[prefix];
+    auto& known = match == prefix_match::subtree ? entry.subtree_ : entry.segment_;
+    known = known.value_or(position);
+    max_prefix_length_ = std::max(max_prefix_length_, prefix.size());
 }
 
-// A prefix can match only at a segment boundary: at the end of the path, before a '/' or '?', or
-// after a '/'.
+// A prefix can match only where a segment ends: at the end of the path, or before a '/' or '?'. The
+// empty prefix is that of "/".
 auto path_index::find(std::string_view path) const -> std::optional<std::size_t>
 {
-    for (auto length = std::min(path.size(), max_prefix_length_); length > 0; --length) {
-        const bool ends_segment =
-            length == path.size() || path[length] == '/' || path[length] == '?';
-        if (!ends_segment && path[length - 1] != '/') {
+    for (auto length = std::min(path.size(), max_prefix_length_) + 1; length-- > 0;) {
+        const bool has_subtree = length < path.size() && path[length] == '/';
+        if (!has_subtree && length < path.size() && path[length] != '?') {
+            continue;
+        }
+        const auto found = positions_.find(path.substr(0, length));
+        if (found == positions_.end()) {
             continue;
         }
-        if (const auto position = position_of(path.substr(0, length))) {
-            return position;
+        if (has_subtree && found->second.subtree_) {
+            return found->second.subtree_;
+        }
+        if (found->second.segment_) {
+            return found->second.segment_;
         }
     }
     return std::nullopt;
--- a/libs/policy/route_table.cpp
+++ b/libs/policy/route_table.cpp
@@ -178,8 +178,8 @@
 auto route_table::create(std::shared_ptr<const table> table,
                          const std::vector<target_record>& targets,
                          const service_state_hook& state_of, const rollouts_in_force& rollouts,
-                         std::shared_ptr<const organisation_index> organisations)
-    -> std::shared_ptr<const route_table>
+                         std::shared_ptr<const organisation_index> organisations,
+                         prefix_match match) -> std::shared_ptr<const route_table>
 {
     const std::shared_ptr<route_table> routes(new route_table());
     routes->table_ = std::move(table);
@@ -200,7 +200,7 @@
         service_route route;
         route.row_ = &row;
         route.service_ = row.service_;
-        routes->by_host_[row.host_].add(row.path_prefix_, routes->routes_.size());
+        routes->by_host_[row.host_].add(row.path_prefix_, routes->routes_.size(), match);
         route.state_ = state_of ? state_of(row.service_) : nullptr;
         if (row.split_.empty()) {
             filler.fill(route);
--- a/libs/policy/route_table.h
+++ b/libs/policy/route_table.h
@@ -72,12 +72,13 @@
 class route_table {
   public:
     /** Joins \p table with \p targets and \p rollouts. A null \p table means that no table is in
-     * force. \p organisations must be those of \p table; if null, they are indexed here. */
+     * force. \p organisations must be those of \p table; if null, they are indexed here. \p match
+     * is how the path prefixes of the rows match. */
     [[nodiscard]] static auto
     create(std::shared_ptr<const table> table, const std::vector<target_record>& targets,
            const service_state_hook& state_of = {}, const rollouts_in_force& rollouts = {},
-           std::shared_ptr<const organisation_index> organisations = nullptr)
-        -> std::shared_ptr<const route_table>;
+           std::shared_ptr<const organisation_index> organisations = nullptr,
+           prefix_match match = prefix_match::segment) -> std::shared_ptr<const route_table>;
 
     /** Returns the route with the longest path prefix that matches \p path, among the rows for
      * \p host or, if none of them matches, the rows for any host; nullptr if none matches. */
--- a/libs/policy/test/correctness/path_index.cpp
+++ b/libs/policy/test/correctness/path_index.cpp
@@ -10,6 +10,19 @@
 
 namespace {
 
+/** An entry of the index under test. */
+struct index_entry {
+    std::string prefix_;
+    prefix_match match_ = prefix_match::segment;
+};
+
+/** Returns the text that begins every path that \p entry matches. */
+auto literal_prefix(const index_entry& entry) -> std::string
+{
+    const bool adds_slash = entry.match_ == prefix_match::subtree && !entry.prefix_.ends_with('/');
+    return adds_slash ? entry.prefix_ + '/' : entry.prefix_;
+}
+
 auto matches(std::string_view path, std::string_view prefix) -> bool
 {
     if (!path.starts_with(prefix)) {
@@ -20,13 +33,14 @@
 }
 
 /** Returns the longest match by linear scan. */
-auto longest_match(std::string_view path, const std::vector<std::string>& prefixes)
+auto longest_match(std::string_view path, const std::vector<index_entry>& entries)
     -> std::optional<std::size_t>
 {
     std::optional<std::size_t> best;
-    for (std::size_t index = 0; index < prefixes.size(); ++index) {
-        const bool is_longer = !best || prefixes[index].size() > prefixes[*best].size();
-        if (is_longer && matches(path, prefixes[index])) {
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        const auto prefix = literal_prefix(entries[index]);
+        const bool is_longer = !best || prefix.size() > literal_prefix(entries[*best]).size();
+        if (is_longer && matches(path, prefix)) {
             best = index;
         }
     }
@@ -50,21 +64,37 @@
     const auto random = seeded_random(7);
     std::size_t found = 0;
     for (int table = 0; table < 50; ++table) {
-        std::vector<std::string> prefixes;
-        prefixes.reserve(20);
+        std::vector<index_entry> entries;
+        entries.reserve(20);
         for (int count = 0; count < 20; ++count) {
-            prefixes.push_back(random_path(random));
+            entries.push_back({random_path(random), uniform_below(random, 2) == 0
+                                                        ? prefix_match::segment
+                                                        : prefix_match::subtree});
         }
         path_index index;
-        for (std::size_t position = 0; position < prefixes.size(); ++position) {
-            index.add(prefixes[position], position);
+        for (std::size_t position = 0; position < entries.size(); ++position) {
+            index.add(entries[position].prefix_, position, entries[position].match_);
         }
         for (int call = 0; call < 200; ++call) {
             const auto path = random_path(random);
-            const auto expected = longest_match(path, prefixes);
+            const auto expected = longest_match(path, entries);
             BOOST_TEST((index.find(path) == expected), path);
             found += expected ? 1U : 0U;
         }
     }
     BOOST_TEST(found > 0U);
 }
+
+BOOST_AUTO_TEST_CASE(both_entries_of_one_prefix_may_be_present)
+{
+    path_index index;
+    index.add("/x", 0);
+    index.add("/x", 1, prefix_match::subtree);
+    index.add("/", 2);
+    BOOST_TEST(index.find("/x").value() == 0U);
+    BOOST_TEST(index.find("/x?q=/y").value() == 0U);
+    BOOST_TEST(index.find("/x/").value() == 1U);
+    BOOST_TEST(index.find("/x/y").value() == 1U);
+    BOOST_TEST(index.find("/xy").value() == 2U);
+    BOOST_TEST(!index.find("").has_value());
+}
--- a/libs/request_path/node_state.cpp
+++ b/libs/request_path/node_state.cpp
@@ -40,7 +40,7 @@
     }
     publish_routes(route_table::create(
         enforced, targets, [this](const std::string& service) { return states_.of(service); },
-        {std::move(rollouts), rollout_currency_}, organisations_));
+        {std::move(rollouts), rollout_currency_}, organisations_, prefix_match_));
 }
 
 } // namespace sycamorewinch
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -98,6 +98,9 @@
     void set_preferred_zone(std::string zone) { preferred_zone_ = std::move(zone); }
     [[nodiscard]] auto preferred_zone() const -> const std::string& { return preferred_zone_; }
 
+    /** Sets how the path prefixes of the table match. Call before the first table is published. */
+    void set_prefix_match(prefix_match match) { prefix_match_ = match; }
+
     /** Sets the access to the record of unrepeatable requests. Call before the workers start. */
     void set_run_record_hooks(run_record_hooks port) { run_record_hooks_ = std::move(port); }
     [[nodiscard]] auto run_hooks() const -> const run_record_hooks& { return run_record_hooks_; }
@@ -159,6 +162,7 @@
     std::shared_ptr<service_state> unrouted_;
     header_mapping header_mapping_ = native_header_mapping();
     std::string preferred_zone_;
+    prefix_match prefix_match_ = prefix_match::segment;
     run_record_hooks run_record_hooks_;
     crash_report_hook crash_report_hook_;
     leave_hook leave_hook_;
