--- a/libs/codec/cbor_reader.cpp
+++ b/libs/codec/cbor_reader.cpp
@@ -9,6 +9,12 @@
 
 namespace sycamorewinch {
 
+namespace {
+
+constexpr int max_item_depth = 64; ///< Of nested arrays in an item that is skipped.
+
+} // namespace
+
 struct cbor_reader::state {
     explicit state(std::string_view bytes)
         : input_(QByteArray::fromRawData(bytes.data(), static_cast<qsizetype>(bytes.size()))),
@@ -19,6 +25,46 @@
     QByteArray input_;
     QCborStreamReader reader_;
     std::optional<std::string> error_message_;
+
+    [[nodiscard]] auto remaining_bytes() const -> std::size_t
+    {
+        return static_cast<std::size_t>(input_.size() - reader_.currentOffset());
+    }
+
+    // QCborStreamReader::next() fails on a text string that is not UTF-8, without reaching its end.
+    auto skip_string() -> bool
+    {
+        if (!reader_.isLengthKnown() || reader_.length() > remaining_bytes()) {
+            return false;
+        }
+        std::string skipped(reader_.length(), '\0');
+        auto chunk = QCborStreamReader::Ok;
+        while (chunk == QCborStreamReader::Ok) {
+            chunk = reader_.readStringChunk(skipped.data(), static_cast<qsizetype>(skipped.size()))
+                        .status;
+        }
+        return chunk == QCborStreamReader::EndOfString;
+    }
+
+    auto skip(int max_depth) -> bool
+    {
+        if (reader_.isString() || reader_.isByteArray()) {
+            return skip_string();
+        }
+        if (!reader_.isContainer()) {
+            return reader_.isValid() && reader_.next();
+        }
+        if (max_depth == 0 || !reader_.enterContainer()) {
+            return false;
+        }
+        while (reader_.hasNext()) {
+            if (!skip(max_depth - 1)) {
+                return false;
+            }
+        }
+        return reader_.lastError() == QCborError::NoError && reader_.leaveContainer();
+    }
+
     // Decoding code never leaves an array itself: it is left once all its items have been read.
     void leave_finished_arrays()
     {
@@ -26,6 +72,13 @@
             reader_.leaveContainer();
         }
     }
+
+    void set_error(std::string_view reason)
+    {
+        if (!error_message_) {
+            error_message_ = fmt::format("{} at byte {}", reason, reader_.currentOffset());
+        }
+    }
 };
 
 cbor_reader::cbor_reader(std::string_view bytes) : state_(std::make_unique<state>(bytes)) {}
@@ -33,10 +86,7 @@
 
 void cbor_reader::reject(std::string_view reason)
 {
-    if (!state_->error_message_) {
-        state_->error_message_ =
-            fmt::format("{} at byte {}", reason, state_->reader_.currentOffset());
-    }
+    state_->set_error(reason);
 }
 
 auto cbor_reader::good() const -> bool
@@ -44,7 +94,7 @@
     return !state_->error_message_;
 }
 
-auto cbor_reader::list(std::size_t max_count) -> std::size_t
+auto cbor_reader::list() -> std::size_t
 {
     if (!good()) {
         return 0;
@@ -55,8 +105,8 @@
         return 0;
     }
     const auto count = reader.length();
-    if (count > max_count) {
-        reject("array too long");
+    if (count > state_->remaining_bytes()) { // each item has at least one byte
+        reject("array longer than the input");
         return 0;
     }
     if (!reader.enterContainer()) {
@@ -69,12 +119,21 @@
 
 void cbor_reader::array(std::size_t count)
 {
-    const auto found = list(count);
+    const auto found = list();
     if (good() && found != count) {
-        reject("too few items in the array");
+        reject("unexpected number of items in the array");
     }
 }
 
+auto cbor_reader::optional() -> bool
+{
+    const auto count = list();
+    if (count > 1) {
+        reject("expected no or one item in the array");
+    }
+    return good() && count == 1;
+}
+
 auto cbor_reader::number() -> std::uint64_t
 {
     if (!good() || !state_->reader_.isUnsignedInteger()) {
@@ -111,15 +170,15 @@
     return value;
 }
 
-auto cbor_reader::text(std::size_t max_bytes) -> std::string
+auto cbor_reader::text() -> std::string
 {
     auto& reader = state_->reader_;
     if (!good() || !reader.isString() || !reader.isLengthKnown()) {
         reject("expected a text string");
         return {};
     }
-    if (reader.length() > max_bytes) {
-        reject("text string too long");
+    if (reader.length() > state_->remaining_bytes()) {
+        reject("text string longer than the input");
         return {};
     }
     const auto chunk = reader.readString();
@@ -132,15 +191,15 @@
     return chunk.data.toStdString();
 }
 
-auto cbor_reader::bytes(std::size_t max_bytes) -> std::string
+auto cbor_reader::bytes() -> std::string
 {
     auto& reader = state_->reader_;
     if (!good() || !reader.isByteArray() || !reader.isLengthKnown()) {
         reject("expected a byte string");
         return {};
     }
-    if (reader.length() > max_bytes) {
-        reject("byte string too long");
+    if (reader.length() > state_->remaining_bytes()) {
+        reject("byte string longer than the input");
         return {};
     }
     const auto chunk = reader.readByteArray();
@@ -153,11 +212,27 @@
     return chunk.data.toStdString();
 }
 
+auto cbor_reader::item() -> std::string_view
+{
+    auto& reader = state_->reader_;
+    if (!good()) {
+        return {};
+    }
+    const auto start = reader.currentOffset();
+    if (!state_->skip(max_item_depth)) {
+        reject("malformed item");
+        return {};
+    }
+    const auto end = reader.currentOffset();
+    state_->leave_finished_arrays();
+    return {state_->input_.constData() + start, static_cast<std::size_t>(end - start)};
+}
+
 auto cbor_reader::digest_value() -> digest
 {
     constexpr std::size_t digest_bytes = 16;
     constexpr unsigned bits_in_byte = 8;
-    const auto packed = bytes(digest_bytes);
+    const auto packed = bytes();
     if (packed.size() != digest_bytes) {
         reject("expected a digest of 16 bytes");
         return {};
--- a/libs/codec/cbor_reader.h
+++ b/libs/codec/cbor_reader.h
@@ -1,6 +1,10 @@
 /** \file
- * Reads CBOR (RFC 8949) through Qt's stream reader, with a limit on the length of every string and
- * array.
+ * Reads CBOR (RFC 8949) through Qt's stream reader.
+ *
+ * Nothing that is read is longer than the input, so the limit on the size of a message or record
+ * also limits what a decoder allocates. Limits on single values are not the decoder's: they are
+ * checked where a value is admitted (see base/field_limits.h), since a message or log entry that
+ * its own process cannot read again would be lost as a whole.
  *
  * The reader keeps its first error: from then on every read returns 0, false or an empty value, and
  * finish() returns that error. Code that decodes a message can therefore read all fields and check
@@ -10,7 +14,7 @@
  * cbor_reader reader(bytes);
  * reader.array(2);
  * message.version_ = reader.number();
- * message.service_ = reader.text(max_name_bytes);
+ * message.service_ = reader.text();
  * if (auto end = reader.finish(); !end) return tl::unexpected(end.error());
  * \endcode
  */
@@ -39,17 +43,21 @@
 
     /** Enters an array that must have exactly \p count items. */
     void array(std::size_t count);
-    /** Enters an array of at most \p max_count items and returns its length. */
-    auto list(std::size_t max_count) -> std::size_t;
+    /** Enters an array of any length and returns its length. */
+    auto list() -> std::size_t;
+    /** Enters an array that has no or one item; returns whether it has one. */
+    auto optional() -> bool;
     /** Reads an unsigned integer. */
     auto number() -> std::uint64_t;
     /** Reads a double-precision floating-point number. */
     auto real() -> double;
     auto boolean() -> bool;
-    /** Reads a UTF-8 text string of at most \p max_bytes bytes. */
-    auto text(std::size_t max_bytes) -> std::string;
-    /** Reads a byte string of at most \p max_bytes bytes. */
-    auto bytes(std::size_t max_bytes) -> std::string;
+    /** Reads a UTF-8 text string. */
+    auto text() -> std::string;
+    auto bytes() -> std::string;
+    /** Skips one item and returns its encoded bytes, which are part of the input. A record can so
+     * be decoded by a reader of its own, whose error is not one of this reader. */
+    auto item() -> std::string_view;
     /** Reads a digest, a byte string of 16 bytes. */
     auto digest_value() -> digest;
 
--- a/libs/consensus/group_membership.cpp
+++ b/libs/consensus/group_membership.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-constexpr std::size_t max_members = 64;
-constexpr std::size_t max_replica_name_bytes = 64;
-
 void write_names(cbor_writer& writer, const std::vector<std::string>& names)
 {
     writer.array(names.size());
@@ -23,8 +20,8 @@
 auto read_names(cbor_reader& reader) -> std::vector<std::string>
 {
     std::vector<std::string> names;
-    for (auto remaining = reader.list(max_members); remaining > 0 && reader.good(); --remaining) {
-        names.push_back(reader.text(max_replica_name_bytes));
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
+        names.push_back(reader.text());
     }
     return names;
 }
--- a/libs/consensus/log_entry_codec.cpp
+++ b/libs/consensus/log_entry_codec.cpp
@@ -25,7 +25,7 @@
         reader.reject("log entry of unknown kind");
     }
     entry.kind_ = static_cast<entry_kind>(kind);
-    entry.payload_ = reader.bytes(max_entry_payload_bytes);
+    entry.payload_ = reader.bytes();
     return entry;
 }
 
--- a/libs/consensus/log_entry_codec.h
+++ b/libs/consensus/log_entry_codec.h
@@ -9,9 +9,6 @@
 
 namespace sycamorewinch {
 
-/** The maximum payload of one entry, in bytes; read_entry() rejects a longer one. */
-constexpr std::size_t max_entry_payload_bytes = 32U * 1024 * 1024;
-
 /** Appends \p entry to \p writer as one CBOR array. */
 void write_entry(cbor_writer& writer, const log_entry& entry);
 /** Reads one entry from \p reader. After an error, which \p reader records, the entry is
--- a/libs/consensus/raft_message.cpp
+++ b/libs/consensus/raft_message.cpp
@@ -16,10 +16,7 @@
      "pre_vote_reply", "snapshot_request", "snapshot_reply", "recovery_request", "recovery_reply"}};
 
 constexpr std::size_t message_fields = 15;
-constexpr std::size_t max_replica_name_bytes = 64;
-constexpr std::size_t max_entries_per_message = 4096;
 constexpr std::uint64_t max_quorum_age_ms = 60'000; ///< A greater age has the same effect.
-constexpr std::size_t max_payload_bytes = max_entry_payload_bytes;
 
 } // namespace
 
@@ -54,8 +51,8 @@
         reader.reject("replica message of unknown kind");
     }
     message.kind_ = static_cast<raft_message_kind>(kind);
-    message.from_ = reader.text(max_replica_name_bytes);
-    message.to_ = reader.text(max_replica_name_bytes);
+    message.from_ = reader.text();
+    message.to_ = reader.text();
     message.term_ = reader.number();
     message.log_index_ = reader.number();
     message.log_term_ = reader.number();
@@ -64,13 +61,12 @@
     message.quorum_age_ms_ = std::min(reader.number(), max_quorum_age_ms);
     message.recovering_ = reader.boolean();
     message.accepted_ = reader.boolean();
-    for (auto remaining = reader.list(max_entries_per_message); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         message.entries_.push_back(read_entry(reader));
     }
     message.offset_ = reader.number();
     message.total_ = reader.number();
-    message.data_ = reader.bytes(max_payload_bytes);
+    message.data_ = reader.bytes();
     if (auto finished = reader.finish(); !finished) {
         return tl::unexpected(finished.error());
     }
--- a/libs/control/accept_command.cpp
+++ b/libs/control/accept_command.cpp
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr enum_names<accept_status, 3> status_names{{"accepted", "conflict", "refused"}};
-constexpr std::size_t max_cell_bytes = 64U * 1024;
-constexpr std::size_t max_conflicts = 1024;
-constexpr std::size_t max_message_bytes = 64U * 1024;
 
 } // namespace
 
@@ -36,13 +33,13 @@
     accept_command command;
     cbor_reader reader(bytes);
     reader.array(7);
-    command.edit_id_ = reader.text(max_name_bytes);
-    command.operator_ = reader.text(max_name_bytes);
+    command.edit_id_ = reader.text();
+    command.operator_ = reader.text();
     command.base_.number_ = reader.number();
     command.base_.digest_ = reader.digest_value();
     command.change_ = read_change(reader);
     command.number_ = reader.number();
-    command.document_ = reader.bytes(max_document_bytes);
+    command.document_ = reader.bytes();
     if (auto finished = reader.finish(); !finished) {
         return tl::unexpected(finished.error());
     }
@@ -69,19 +66,27 @@
     accept_outcome outcome;
     cbor_reader reader(bytes);
     reader.array(5);
-    outcome.status_ = static_cast<accept_status>(reader.number());
+    const auto status = reader.number();
+    if (status >= status_names.size()) {
+        reader.reject("outcome of unknown status");
+    }
+    outcome.status_ = static_cast<accept_status>(status);
     outcome.version_.number_ = reader.number();
     outcome.version_.digest_ = reader.digest_value();
-    for (auto remaining = reader.list(max_conflicts); remaining > 0 && reader.good(); --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         cell_conflict conflict;
         reader.array(4);
-        conflict.service_ = reader.text(max_name_bytes);
-        conflict.column_ = static_cast<table_column>(reader.number());
-        conflict.current_ = reader.text(max_cell_bytes);
-        conflict.proposed_ = reader.text(max_cell_bytes);
+        conflict.service_ = reader.text();
+        const auto column = reader.number();
+        if (column >= table_column_count) {
+            reader.reject("conflict in an unknown column");
+        }
+        conflict.column_ = static_cast<table_column>(column);
+        conflict.current_ = reader.text();
+        conflict.proposed_ = reader.text();
         outcome.conflicts_.push_back(std::move(conflict));
     }
-    outcome.message_ = reader.text(max_message_bytes);
+    outcome.message_ = reader.text();
     if (auto finished = reader.finish(); !finished) {
         return tl::unexpected(finished.error());
     }
--- a/libs/control/accept_command.h
+++ b/libs/control/accept_command.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/field_limits.h"
 #include "base/result.h"
 #include "table/table_change.h"
 #include "table/table_csv.h"
@@ -29,9 +30,6 @@
     std::string document_;
 };
 
-/** The maximum size of document_, in bytes. */
-constexpr std::size_t max_document_bytes = 8U * 1024 * 1024;
-
 /** The result of an accept command. */
 enum class accept_status : std::uint8_t { accepted, conflict, refused };
 
--- a/libs/control/control_command.cpp
+++ b/libs/control/control_command.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::size_t max_body_bytes = 32U * 1024 * 1024;
 constexpr auto last_kind = command_kind::rollout;
 
 } // namespace
@@ -29,7 +28,7 @@
         reader.reject("command of unknown kind");
     }
     command.kind_ = static_cast<command_kind>(kind);
-    command.body_ = reader.bytes(max_body_bytes);
+    command.body_ = reader.bytes();
     if (auto finished = reader.finish(); !finished) {
         return tl::unexpected(finished.error());
     }
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 
+#include <fmt/core.h>
+
+#include "base/field_limits.h"
 #include "base/invariant.h"
-#include "control/control_command.h"
 
 namespace sycamorewinch {
 
@@ -11,6 +13,31 @@
 
 constexpr std::size_t entry_overhead_bytes = 32;
 
+template <typename Command>
+auto check_decoded(const result<Command>& command) -> result<void>
+{
+    return command ? result<void>() : tl::unexpected(command.error());
+}
+
+/** Returns an error if a replica could not apply \p command once it is committed. */
+auto check_command(const control_command& command, std::size_t payload_bytes) -> result<void>
+{
+    if (payload_bytes > max_entry_payload_bytes) {
+        return failure(error_kind::too_large,
+                       fmt::format("the change takes {} bytes of the log, at most {} are allowed",
+                                   payload_bytes, max_entry_payload_bytes));
+    }
+    switch (command.kind_) {
+    case command_kind::accept_table:
+        return check_decoded(decode_accept_command(command.body_));
+    case command_kind::run_batch:
+        return check_decoded(decode_run_batch(command.body_));
+    case command_kind::rollout:
+        return check_decoded(decode_rollout_command(command.body_));
+    }
+    return failure(error_kind::unsupported, "a command of unknown kind");
+}
+
 } // namespace
 
 auto control_replica::create(raft_options options, durable_state state, control_hooks hooks,
@@ -67,15 +94,24 @@
     }
 }
 
-void control_replica::accept(const accept_command& command, accept_callback callback, instant now)
+// A committed command that cannot be decoded would stop every replica, again at each restart, so
+// the bytes are decoded before they enter the log.
+auto control_replica::propose(const control_command& command, instant now) -> result<std::uint64_t>
 {
     now_ = now;
     if (const auto allowed = check_can_propose(); !allowed) {
-        callback(tl::unexpected(allowed.error()));
-        return;
+        return tl::unexpected(allowed.error());
     }
-    const auto index =
-        raft_.propose(encode_command({command_kind::accept_table, encode_command(command)}), now);
+    auto payload = encode_command(command);
+    if (const auto checked = check_command(command, payload.size()); !checked) {
+        return tl::unexpected(checked.error());
+    }
+    return raft_.propose(std::move(payload), now);
+}
+
+void control_replica::accept(const accept_command& command, accept_callback callback, instant now)
+{
+    const auto index = propose({command_kind::accept_table, encode_command(command)}, now);
     if (!index) {
         callback(tl::unexpected(index.error()));
         return;
@@ -98,13 +134,7 @@
 
 void control_replica::apply_runs(const run_batch& batch, runs_callback callback, instant now)
 {
-    now_ = now;
-    if (const auto allowed = check_can_propose(); !allowed) {
-        callback(tl::unexpected(allowed.error()));
-        return;
-    }
-    const auto index =
-        raft_.propose(encode_command({command_kind::run_batch, encode_run_batch(batch)}), now);
+    const auto index = propose({command_kind::run_batch, encode_run_batch(batch)}, now);
     if (!index) {
         callback(tl::unexpected(index.error()));
         return;
@@ -116,13 +146,7 @@
 void control_replica::apply_rollout(const rollout_command& command, rollout_callback callback,
                                     instant now)
 {
-    now_ = now;
-    if (const auto allowed = check_can_propose(); !allowed) {
-        callback(tl::unexpected(allowed.error()));
-        return;
-    }
-    const auto index =
-        raft_.propose(encode_command({command_kind::rollout, encode_command(command)}), now);
+    const auto index = propose({command_kind::rollout, encode_command(command)}, now);
     if (!index) {
         callback(tl::unexpected(index.error()));
         return;
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "consensus/raft.h"
+#include "control/control_command.h"
 #include "control/control_snapshot.h"
 #include "run_record/run_records.h"
 
@@ -80,7 +81,8 @@
     /** Persists, sends and answers what has accumulated since request_flush_ was called. */
     void flush();
 
-    /** Proposes a new table version. On a replica that is not the leader, fails immediately. */
+    /** Proposes a new table version. Fails immediately on a replica that is not the leader, and, as
+     * too_large, if the change does not fit into one entry of the log. */
     void accept(const accept_command& command, accept_callback callback, instant now);
 
     /** Proposes the next membership of the group; see raft::propose_membership(). */
@@ -131,6 +133,8 @@
     void on_disk_failure(const error& problem);
     void try_reload(instant now);
     [[nodiscard]] auto check_can_propose() const -> result<void>;
+    [[nodiscard]] auto propose(const control_command& command, instant now)
+        -> result<std::uint64_t>;
     [[nodiscard]] auto restore(const log_snapshot& snapshot) -> result<void>;
     void take_snapshot();
     void apply(const log_entry& entry);
--- a/libs/control/control_snapshot.cpp
+++ b/libs/control/control_snapshot.cpp
@@ -12,7 +12,6 @@
 constexpr std::uint64_t earlier_format_version = 2;
 constexpr std::size_t earlier_fields = 3;
 constexpr std::size_t fields = 4;
-constexpr std::size_t max_part_bytes = 512U * 1024 * 1024;
 
 } // namespace
 
@@ -32,13 +31,13 @@
 auto decode_state(std::string_view bytes, state_limits limits) -> result<control_state>
 {
     cbor_reader reader(bytes);
-    const bool has_rollouts = reader.list(fields) == fields;
+    const bool has_rollouts = reader.list() == fields;
     if (reader.number() != (has_rollouts ? format_version : earlier_format_version)) {
         reader.reject("the snapshot has an unknown format version");
     }
-    const auto tables_bytes = reader.bytes(max_part_bytes);
-    const auto runs_bytes = reader.bytes(max_part_bytes);
-    const auto rollouts_bytes = has_rollouts ? reader.bytes(max_part_bytes) : std::string();
+    const auto tables_bytes = reader.bytes();
+    const auto runs_bytes = reader.bytes();
+    const auto rollouts_bytes = has_rollouts ? reader.bytes() : std::string();
     if (auto finished = reader.finish(); !finished) {
         return tl::unexpected(finished.error());
     }
--- a/libs/control/replicated_state.cpp
+++ b/libs/control/replicated_state.cpp
@@ -15,8 +15,6 @@
 constexpr std::size_t max_conflict_cells = 256;
 constexpr std::size_t fields = 6; ///< Of the encoded state.
 constexpr std::size_t fields_with_organisations = fields + 1;
-constexpr std::size_t max_list_entries = 1'000'000;
-constexpr std::size_t max_outcome_bytes = 64U * 1024 * 1024;
 
 void write_version(cbor_writer& writer, const table_version& version)
 {
@@ -36,8 +34,8 @@
     history_entry entry;
     reader.array(5);
     entry.version_ = read_version(reader);
-    entry.operator_ = reader.text(max_name_bytes);
-    entry.edit_id_ = reader.text(max_name_bytes);
+    entry.operator_ = reader.text();
+    entry.edit_id_ = reader.text();
     entry.rows_changed_ = reader.number();
     return entry;
 }
@@ -189,33 +187,29 @@
 {
     replicated_state state(limits);
     cbor_reader reader(bytes);
-    const bool has_organisations =
-        reader.list(fields_with_organisations) == fields_with_organisations;
+    const bool has_organisations = reader.list() == fields_with_organisations;
     reader.array(2);
     const auto version = read_version(reader);
     const auto bounds = read_bounds(reader);
-    auto document = decompress(reader.bytes(max_document_bytes));
+    auto document = decompress(reader.bytes());
     if (!document) {
         return tl::unexpected(document.error());
     }
     state.document_ = std::move(*document);
     std::vector<row> rows;
-    for (auto remaining = reader.list(max_table_rows); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         rows.push_back(read_row(reader));
     }
-    for (auto remaining = reader.list(max_list_entries); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         reader.array(2);
-        const auto edit_id = reader.text(max_name_bytes);
-        const auto outcome = decode_accept_outcome(reader.bytes(max_outcome_bytes));
+        const auto edit_id = reader.text();
+        const auto outcome = decode_accept_outcome(reader.bytes());
         if (!outcome) {
             return tl::unexpected(outcome.error());
         }
         state.retain_outcome(edit_id, *outcome);
     }
-    for (auto remaining = reader.list(max_list_entries); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         state.history_.push_back(read_history_entry(reader));
     }
     auto organisations =
--- a/libs/crash_record/crash_record.cpp
+++ b/libs/crash_record/crash_record.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::size_t record_fields = 4;
-constexpr std::size_t max_target_bytes = 160;
 
 } // namespace
 
@@ -38,7 +37,7 @@
     record.event_ = reader.boolean() ? crash_event::answered : crash_event::crashed;
     record.head_.value_ = reader.number();
     record.fingerprint_ = reader.digest_value();
-    record.target_ = reader.text(max_target_bytes);
+    record.target_ = reader.text();
     return record;
 }
 
--- a/libs/daemon/operator_json.cpp
+++ b/libs/daemon/operator_json.cpp
@@ -1,11 +1,11 @@
 #include "daemon/operator_json.h"
 
+#include "base/field_limits.h"
+
 namespace sycamorewinch {
 
 namespace {
 
-constexpr std::size_t max_id_bytes = 64;
-
 auto string_field(const QJsonObject& object, const char* name) -> std::string
 {
     return object.value(QLatin1String(name)).toString().toStdString();
@@ -94,8 +94,8 @@
     accept_command command;
     command.edit_id_ = string_field(object, "edit_id");
     command.operator_ = string_field(object, "operator");
-    if (command.edit_id_.empty() || command.edit_id_.size() > max_id_bytes ||
-        command.operator_.size() > max_id_bytes) {
+    if (command.edit_id_.empty() || command.edit_id_.size() > max_name_bytes ||
+        command.operator_.size() > max_name_bytes) {
         return failure(error_kind::invalid_input,
                        "'edit_id' must have 1 to 64 bytes and 'operator' at most 64");
     }
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -91,7 +91,9 @@
     void forward_runs()
     {
         if (run_uplink_.is_open()) {
-            run_uplink_.send(run_server_.forwarder().take_operations());
+            while (run_server_.forwarder().has_operations()) {
+                run_uplink_.send(run_server_.forwarder().take_operations());
+            }
             return;
         }
         run_server_.forwarder().on_upstream_disconnected();
--- a/libs/daemon/replica_links.cpp
+++ b/libs/daemon/replica_links.cpp
@@ -16,14 +16,12 @@
 /** A dial that takes longer than several round trips between zones is probably waiting for TCP to
  * retransmit a SYN that was lost while the replica was down. */
 constexpr duration stalled_dial_threshold = std::chrono::milliseconds(100);
-constexpr std::size_t max_name_length = 64;
 constexpr std::size_t max_links = 64;
 /** A replica must detect a silent link, and reconnect to a restarted replica, well within the time
  * of a few elections. */
 constexpr connection_limits link_limits{.ping_interval_ = std::chrono::milliseconds(1'000),
                                         .heartbeat_timeout_ = std::chrono::milliseconds(2'500),
                                         .handshake_timeout_ = std::chrono::milliseconds(1'000)};
-constexpr std::size_t max_body_bytes = 64U * 1024 * 1024;
 constexpr std::size_t max_queued_bytes = 16U * 1024 * 1024;
 
 /** The payload type of a message between replicas. */
@@ -189,8 +187,8 @@
     cbor_reader reader(bytes);
     reader.array(3);
     const auto kind = static_cast<replica_payload>(reader.number());
-    const auto from = reader.text(max_name_length);
-    const auto body = reader.bytes(max_body_bytes);
+    const auto from = reader.text();
+    const auto body = reader.bytes();
     const auto key = link_key(from);
     if (!reader.finish() || !find_or_dial(key)) {
         log_event(log_level::warning, "bad_replica_message", {{"from", from}});
@@ -201,19 +199,29 @@
         hooks_.on_join_(body);
         return;
     }
+    const auto log_problem = [&from](const error& problem) {
+        log_event(log_level::warning, "bad_replica_message",
+                  {{"from", from}, {"reason", problem.message_}});
+    };
     if (kind == replica_payload::raft) {
         if (const auto message = decode_raft_message(body)) {
             hooks_.on_raft_(*message);
         }
+        else {
+            log_problem(message.error());
+        }
         return;
     }
     if (kind == replica_payload::runs) {
         hooks_.on_run_message_(key, body);
         return;
     }
-    if (const auto message = decode_distribution_message(body)) {
+    if (const auto message = decode_distribution_message(body, log_problem)) {
         hooks_.on_distribution_(key, *message);
     }
+    else {
+        log_problem(message.error());
+    }
 }
 
 void replica_links::send(const raft_message& message)
--- a/libs/daemon/run_record_service.cpp
+++ b/libs/daemon/run_record_service.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::size_t max_message_bytes = 64U * 1024 * 1024;
-
 /** The direction of a message between two replicas: operations to the leader, results from it. */
 enum class run_direction : std::uint8_t { operations, results };
 
@@ -72,8 +70,10 @@
 
 void run_record_service::forward(const std::string& leader)
 {
-    hooks_.send_(leader, wrap(run_direction::operations,
-                              encode_run_batch({0, server_.forwarder().take_operations()})));
+    while (server_.forwarder().has_operations()) {
+        hooks_.send_(leader, wrap(run_direction::operations,
+                                  encode_run_batch({0, server_.forwarder().take_operations()})));
+    }
 }
 
 void run_record_service::receive(const std::string& from, std::string_view bytes)
@@ -81,7 +81,7 @@
     cbor_reader reader(bytes);
     reader.array(2);
     const auto direction = static_cast<run_direction>(reader.number());
-    const auto body = reader.bytes(max_message_bytes);
+    const auto body = reader.bytes();
     if (!reader.finish()) {
         return;
     }
--- a/libs/distribution/distribution_message.cpp
+++ b/libs/distribution/distribution_message.cpp
@@ -1,5 +1,7 @@
 #include "distribution/distribution_message.h"
 
+#include <algorithm>
+
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
 #include "distribution/compressed_message.h"
@@ -9,12 +11,8 @@
 
 namespace {
 
-constexpr std::size_t max_zones = 256;
-constexpr std::size_t max_crashes = 16'384;
-constexpr std::size_t max_at_lowest_names = 64;
-constexpr std::size_t max_publishers = 64;
+/** A greater age has the same effect. */
 constexpr std::uint64_t max_proof_age_ms = 3'600'000;
-constexpr std::size_t max_targets = 100'000;
 
 void write_version(cbor_writer& writer, const table_version& version)
 {
@@ -38,15 +36,6 @@
     }
 }
 
-auto read_target_list(cbor_reader& reader) -> std::vector<target_record>
-{
-    std::vector<target_record> targets;
-    for (auto remaining = reader.list(max_targets); remaining > 0 && reader.good(); --remaining) {
-        targets.push_back(read_target(reader));
-    }
-    return targets;
-}
-
 /** Writes the body of a message by its kind. */
 struct message_writer {
     cbor_writer& writer_;
@@ -137,18 +126,20 @@
     void operator()(const version_report& message) const { write_version_report(writer_, message); }
 };
 
-auto read_subscribe(cbor_reader& reader) -> distribution_message
+auto read_subscribe(cbor_reader& reader, const skipped_record_hook& /*on_skipped*/)
+    -> distribution_message
 {
     subscribe message;
     reader.array(4);
-    message.name_ = reader.text(max_name_bytes);
-    message.availability_zone_ = reader.text(max_name_bytes);
+    message.name_ = reader.text();
+    message.availability_zone_ = reader.text();
     message.is_relay_ = reader.boolean();
     message.held_ = read_version(reader);
     return message;
 }
 
-auto read_table_update(cbor_reader& reader) -> distribution_message
+auto read_table_update(cbor_reader& reader, const skipped_record_hook& /*on_skipped*/)
+    -> distribution_message
 {
     table_update message;
     reader.array(3);
@@ -158,108 +149,111 @@
     return message;
 }
 
-auto read_currency_request(cbor_reader& reader) -> distribution_message
+auto read_currency_request(cbor_reader& reader, const skipped_record_hook& /*on_skipped*/)
+    -> distribution_message
 {
     reader.array(2);
     const auto nonce = reader.number();
     return currency_request{nonce, reader.boolean()};
 }
 
-auto read_currency_proof(cbor_reader& reader) -> distribution_message
+auto read_currency_proof(cbor_reader& reader, const skipped_record_hook& /*on_skipped*/)
+    -> distribution_message
 {
     currency_proof message;
     reader.array(4);
     message.nonce_ = reader.number();
     message.version_ = reader.number();
-    message.age_ms_ = reader.number();
-    if (message.age_ms_ > max_proof_age_ms) {
-        reader.reject("the age of a proof of currency is out of range");
-    }
+    message.age_ms_ = std::min(reader.number(), max_proof_age_ms);
     message.rollout_sequence_ = reader.number();
     return message;
 }
 
-auto read_progress_report(cbor_reader& reader) -> distribution_message
+auto read_zone(cbor_reader& reader) -> zone_progress
 {
-    progress_report message;
-    for (auto remaining = reader.list(max_zones); remaining > 0 && reader.good(); --remaining) {
-        zone_progress zone;
-        reader.array(5);
-        zone.availability_zone_ = reader.text(max_name_bytes);
-        zone.nodes_ = reader.number();
-        zone.lowest_version_ = reader.number();
-        zone.at_lowest_ = reader.number();
-        for (auto names = reader.list(max_at_lowest_names); names > 0 && reader.good(); --names) {
-            zone.at_lowest_names_.push_back(reader.text(max_name_bytes));
-        }
-        message.zones_.push_back(std::move(zone));
+    zone_progress zone;
+    reader.array(5);
+    zone.availability_zone_ = reader.text();
+    zone.nodes_ = reader.number();
+    zone.lowest_version_ = reader.number();
+    zone.at_lowest_ = reader.number();
+    for (auto names = reader.list(); names > 0 && reader.good(); --names) {
+        zone.at_lowest_names_.push_back(reader.text());
     }
-    return message;
+    return zone;
 }
 
-auto read_target_report(cbor_reader& reader) -> distribution_message
+auto read_progress_report(cbor_reader& reader, const skipped_record_hook& on_skipped)
+    -> distribution_message
+{
+    return progress_report{read_record_list(reader, read_zone, on_skipped)};
+}
+
+auto read_target_report(cbor_reader& reader, const skipped_record_hook& on_skipped)
+    -> distribution_message
 {
     target_report message;
     reader.array(2);
     message.holds_leases_ = reader.boolean();
-    message.targets_ = read_target_list(reader);
+    message.targets_ = read_record_list(reader, read_target, on_skipped);
     return message;
 }
 
-auto read_target_summary(cbor_reader& reader) -> distribution_message
+auto read_target_summary(cbor_reader& reader, const skipped_record_hook& /*on_skipped*/)
+    -> distribution_message
 {
     target_summary message;
-    for (auto remaining = reader.list(target_buckets); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         message.digests_.push_back(static_cast<std::uint32_t>(reader.number()));
     }
     return message;
 }
 
-auto read_target_sync(cbor_reader& reader) -> distribution_message
+auto read_target_sync(cbor_reader& reader, const skipped_record_hook& on_skipped)
+    -> distribution_message
 {
     target_sync message;
     reader.array(2);
-    for (auto remaining = reader.list(target_buckets); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         message.contents_.buckets_.push_back(reader.number());
     }
-    message.contents_.targets_ = read_target_list(reader);
+    message.contents_.targets_ = read_record_list(reader, read_target, on_skipped);
     return message;
 }
 
-auto read_crash_report(cbor_reader& reader) -> distribution_message
+auto read_crash_report(cbor_reader& reader, const skipped_record_hook& on_skipped)
+    -> distribution_message
 {
-    crash_report message;
-    for (auto remaining = reader.list(max_crashes); remaining > 0 && reader.good(); --remaining) {
-        message.crashes_.push_back(read_crash(reader));
-    }
-    return message;
+    return crash_report{read_record_list(reader, read_crash, on_skipped)};
 }
 
-auto read_publisher_list(cbor_reader& reader) -> distribution_message
+auto read_publisher(cbor_reader& reader) -> publisher_address
 {
-    publisher_list message;
-    for (auto remaining = reader.list(max_publishers); remaining > 0 && reader.good();
-         --remaining) {
-        reader.array(2);
-        auto zone = reader.text(max_name_bytes);
-        message.publishers_.push_back({std::move(zone), reader.text(max_name_bytes)});
-    }
-    return message;
+    publisher_address publisher;
+    reader.array(2);
+    publisher.availability_zone_ = reader.text();
+    publisher.address_ = reader.text();
+    return publisher;
+}
+
+auto read_publisher_list(cbor_reader& reader, const skipped_record_hook& on_skipped)
+    -> distribution_message
+{
+    return publisher_list{read_record_list(reader, read_publisher, on_skipped)};
 }
 
-auto read_rollout_update(cbor_reader& reader) -> distribution_message
+auto read_rollout_update(cbor_reader& reader, const skipped_record_hook& /*on_skipped*/)
+    -> distribution_message
 {
     return rollout_update{read_rollout_set(reader)};
 }
 
-auto read_report(cbor_reader& reader) -> distribution_message
+auto read_report(cbor_reader& reader, const skipped_record_hook& on_skipped) -> distribution_message
 {
-    return read_version_report(reader);
+    return read_version_report(reader, on_skipped);
 }
 
-using message_reader = distribution_message (*)(cbor_reader&);
+using message_reader = distribution_message (*)(cbor_reader&, const skipped_record_hook&);
 
 /** The body readers, indexed by message kind: the order of the variant's alternatives. */
 constexpr std::array<message_reader, std::variant_size_v<distribution_message>> message_readers{
@@ -270,7 +264,8 @@
 /** The message kind whose body is a compressed message of another kind. */
 constexpr std::uint64_t compressed_kind = 63;
 
-auto read_uncompressed(std::string_view bytes) -> result<distribution_message>
+auto read_uncompressed(std::string_view bytes, const skipped_record_hook& on_skipped)
+    -> result<distribution_message>
 {
     cbor_reader reader(bytes);
     reader.array(2);
@@ -279,7 +274,7 @@
         reader.reject("unknown kind of distribution message");
         return tl::unexpected(reader.finish().error());
     }
-    auto message = message_readers.at(kind)(reader);
+    auto message = message_readers.at(kind)(reader, on_skipped);
     if (auto finished = reader.finish(); !finished) {
         return tl::unexpected(finished.error());
     }
@@ -309,19 +304,21 @@
     return wrapper.take();
 }
 
-auto decode_distribution_message(std::string_view bytes) -> result<distribution_message>
+auto decode_distribution_message(std::string_view bytes, const skipped_record_hook& on_skipped)
+    -> result<distribution_message>
 {
     if (!is_compressed(bytes)) {
-        return read_uncompressed(bytes);
+        return read_uncompressed(bytes, on_skipped);
     }
     cbor_reader reader(bytes);
     reader.array(2);
     reader.number();
-    const auto frame = reader.bytes(max_decompressed_bytes);
+    const auto frame = reader.bytes();
     if (auto finished = reader.finish(); !finished) {
         return tl::unexpected(finished.error());
     }
-    return decompress(frame).and_then(read_uncompressed);
+    return decompress(frame).and_then(
+        [&on_skipped](const auto& message) { return read_uncompressed(message, on_skipped); });
 }
 
 } // namespace sycamorewinch
--- a/libs/distribution/distribution_message.h
+++ b/libs/distribution/distribution_message.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "base/result.h"
+#include "codec/record_list.h"
 #include "crash_record/crash_record.h"
 #include "membership/target_directory.h"
 #include "membership/target_record.h"
@@ -126,8 +127,10 @@
 /** Encodes \p message as CBOR, compressed if it is large. */
 [[nodiscard]] auto encode_message(const distribution_message& message) -> std::string;
 
-/** Decodes a message; damaged or oversized input is an error. */
-[[nodiscard]] auto decode_distribution_message(std::string_view bytes)
+/** Decodes a message; damaged input is an error. Of a list of independent records, those that
+ * cannot be read are skipped and passed to \p on_skipped. */
+[[nodiscard]] auto decode_distribution_message(std::string_view bytes,
+                                               const skipped_record_hook& on_skipped = {})
     -> result<distribution_message>;
 
 } // namespace sycamorewinch
--- a/libs/distribution/publisher.h
+++ b/libs/distribution/publisher.h
@@ -120,6 +120,12 @@
     /** Returns the number of targets that are kept although their lease holder is disconnected. */
     [[nodiscard]] auto stale_targets() const -> std::size_t { return leases_.stale_count(); }
     [[nodiscard]] auto subscriber_count() const -> std::size_t { return subscribers_.size(); }
+    /** Returns the name of a subscriber; empty before its first message. */
+    [[nodiscard]] auto name_of_subscriber(subscriber_id id) const -> std::string
+    {
+        const auto found = subscribers_.find(id);
+        return found == subscribers_.end() ? std::string() : found->second.name_;
+    }
 
   private:
     struct subscription {
--- a/libs/membership/target_record.cpp
+++ b/libs/membership/target_record.cpp
@@ -10,7 +10,19 @@
 
 constexpr enum_names<target_state, 3> state_names{{"up", "draining", "gone"}};
 constexpr std::size_t record_fields = 13;
-constexpr std::size_t max_field_bytes = 64;
+
+/** Returns whether the names of \p record are as short as those of an announcement must be. Earlier
+ * versions pass longer ones on, and cannot read them. */
+auto has_admitted_lengths(const target_record& record) -> bool
+{
+    const auto is_admitted = [](const std::string& name) {
+        return name.size() <= max_name_bytes;
+    };
+    return is_admitted(record.service_) && is_admitted(record.target_) &&
+           is_admitted(record.availability_zone_) && is_admitted(record.node_address_) &&
+           is_admitted(record.node_admin_) &&
+           record.software_version_.size() <= max_software_version_bytes;
+}
 
 } // namespace
 
@@ -51,11 +63,11 @@
 {
     target_record record;
     reader.array(record_fields);
-    record.service_ = reader.text(max_field_bytes);
-    record.target_ = reader.text(max_field_bytes);
-    record.availability_zone_ = reader.text(max_field_bytes);
-    record.node_address_ = reader.text(max_field_bytes);
-    record.node_admin_ = reader.text(max_field_bytes);
+    record.service_ = reader.text();
+    record.target_ = reader.text();
+    record.availability_zone_ = reader.text();
+    record.node_address_ = reader.text();
+    record.node_admin_ = reader.text();
     record.incarnation_ = reader.number();
     record.sequence_ = reader.number();
     const auto state = reader.number();
@@ -67,7 +79,10 @@
     record.cold_start_ = std::chrono::milliseconds(reader.number());
     record.started_ = reader.number();
     record.left_start_ = reader.number();
-    record.software_version_ = reader.text(max_software_version_bytes);
+    record.software_version_ = reader.text();
+    if (!has_admitted_lengths(record)) {
+        reader.reject("a name in the target record is too long");
+    }
     return record;
 }
 
--- a/libs/membership/target_record.h
+++ b/libs/membership/target_record.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/field_limits.h"
 #include "base/result.h"
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
@@ -29,9 +30,6 @@
  * own next record, so the node's own record is always the newer one. */
 constexpr std::uint64_t sequence_step = 2;
 
-/** Maximum length of a software version. */
-constexpr std::size_t max_software_version_bytes = 160;
-
 /** One target of one service. The record with the higher (incarnation, sequence) replaces the
  * other, in whatever order they arrive; left_start_ is merged. */
 struct target_record {
@@ -66,7 +64,8 @@
 
 /** Appends \p record to \p writer as one CBOR array. */
 void write_target(cbor_writer& writer, const target_record& record);
-/** Reads one record; check \p reader for errors afterwards. */
+/** Reads one record; check \p reader for errors afterwards. A name that is longer than an
+ * announcement may have is an error. */
 [[nodiscard]] auto read_target(cbor_reader& reader) -> target_record;
 
 } // namespace sycamorewinch
--- a/libs/quota/quota_message.cpp
+++ b/libs/quota/quota_message.cpp
@@ -11,7 +11,6 @@
 
 constexpr std::size_t ask_fields = 7;
 constexpr std::size_t grant_fields = 3;
-constexpr std::size_t max_name_bytes = 256;
 /** Bounds the numbers of a message, so that sums of them do not overflow. */
 constexpr std::uint64_t max_tokens = 1'000'000'000;
 constexpr std::uint64_t max_milliseconds = 3'600'000;
@@ -56,7 +55,7 @@
     cbor_reader reader(bytes);
     quota_ask ask;
     reader.array(ask_fields);
-    ask.organisation_ = reader.text(max_name_bytes);
+    ask.organisation_ = reader.text();
     ask.needed_ = read_tokens(reader);
     ask.ahead_ = read_tokens(reader);
     ask.returned_ = read_tokens(reader);
--- a/libs/request_path/unrepeatable_run.cpp
+++ b/libs/request_path/unrepeatable_run.cpp
@@ -7,13 +7,6 @@
 
 namespace sycamorewinch {
 
-namespace {
-
-/** Most header fields of a stored response. */
-constexpr std::size_t max_fields = 256;
-
-} // namespace
-
 auto encode_response(const stored_response& response) -> std::string
 {
     cbor_writer writer;
@@ -32,11 +25,11 @@
     cbor_reader reader(bytes);
     reader.array(3);
     response.head_.status_ = static_cast<unsigned>(reader.number());
-    response.body_ = reader.bytes(max_outcome_bytes);
-    for (auto left = reader.list(max_fields); left > 0 && reader.good(); --left) {
+    response.body_ = reader.bytes();
+    for (auto left = reader.list(); left > 0 && reader.good(); --left) {
         reader.array(2);
-        auto name = reader.bytes(max_outcome_bytes);
-        auto value = reader.bytes(max_outcome_bytes);
+        auto name = reader.bytes();
+        auto value = reader.bytes();
         response.head_.headers_.push_back({std::move(name), std::move(value)});
     }
     if (auto done = reader.finish(); !done) {
--- a/libs/rollout/rollout.cpp
+++ b/libs/rollout/rollout.cpp
@@ -10,15 +10,13 @@
 
 constexpr enum_names<rollout_state, 3> state_names{{"running", "completed", "rolled_back"}};
 constexpr std::size_t rollout_fields = 5;
-constexpr std::size_t max_name_bytes = 160;
-constexpr std::size_t max_rollouts = 16'384;
 
 auto read_rollout(cbor_reader& reader) -> rollout
 {
     rollout read;
     reader.array(rollout_fields);
-    read.service_ = reader.text(max_name_bytes);
-    read.new_version_ = reader.text(max_name_bytes);
+    read.service_ = reader.text();
+    read.new_version_ = reader.text();
     read.id_ = reader.number();
     const auto state = reader.number();
     const auto share = reader.number();
@@ -59,7 +57,7 @@
     rollout_set rollouts;
     reader.array(2);
     rollouts.sequence_ = reader.number();
-    for (auto remaining = reader.list(max_rollouts); remaining > 0 && reader.good(); --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         rollouts.rollouts_.push_back(read_rollout(reader));
     }
     const bool is_sorted =
--- a/libs/rollout/rollout_records.cpp
+++ b/libs/rollout/rollout_records.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::size_t max_reason_bytes = 1'024;
 constexpr std::size_t command_fields = 11;
 constexpr std::size_t record_fields = 10;
 constexpr std::size_t step_fields = 4;
@@ -52,8 +51,8 @@
 {
     rollout_record record;
     reader.array(record_fields);
-    record.rollout_.service_ = reader.text(max_rollout_name_bytes);
-    record.rollout_.new_version_ = reader.text(max_rollout_name_bytes);
+    record.rollout_.service_ = reader.text();
+    record.rollout_.new_version_ = reader.text();
     record.rollout_.id_ = reader.number();
     record.rollout_.state_ = read_state(reader);
     record.rollout_.share_ = read_share(reader);
@@ -61,13 +60,13 @@
     record.duration_ms_ = reader.number();
     record.elapsed_ms_ = reader.number();
     record.share_since_ms_ = reader.number();
-    for (auto remaining = reader.list(max_steps); remaining > 0 && reader.good(); --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         rollout_step step;
         reader.array(step_fields);
         step.elapsed_ms_ = reader.number();
         step.state_ = read_state(reader);
         step.share_ = read_share(reader);
-        step.reason_ = reader.text(max_reason_bytes);
+        step.reason_ = reader.text();
         record.steps_.push_back(std::move(step));
     }
     return record;
@@ -181,8 +180,7 @@
     reader.array(3);
     records.sequence_ = reader.number();
     records.latest_id_ = reader.number();
-    for (auto remaining = reader.list(max_rollout_records); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         auto record = read_record(reader);
         const auto service = record.rollout_.service_;
         if (!records.records_.emplace(service, std::move(record)).second) {
@@ -216,8 +214,8 @@
         reader.reject("a roll-out command of unknown kind");
     }
     command.kind_ = static_cast<rollout_command_kind>(kind);
-    command.service_ = reader.text(max_rollout_name_bytes);
-    command.version_ = reader.text(max_rollout_name_bytes);
+    command.service_ = reader.text();
+    command.version_ = reader.text();
     command.id_ = reader.number();
     command.step_ = reader.number();
     command.share_ = read_share(reader);
@@ -225,7 +223,7 @@
     command.duration_ms_ = reader.number();
     command.elapsed_ms_ = reader.number();
     command.repeats_rolled_back_ = reader.boolean();
-    command.reason_ = reader.text(max_reason_bytes);
+    command.reason_ = reader.text();
     if (auto finished = reader.finish(); !finished) {
         return tl::unexpected(finished.error());
     }
--- a/libs/rollout/rollout_records.h
+++ b/libs/rollout/rollout_records.h
@@ -10,15 +10,11 @@
 
 #include <map>
 
+#include "base/field_limits.h"
 #include "rollout/rollout.h"
 
 namespace sycamorewinch {
 
-/** The maximum size of the name of a service or version in a roll-out, in bytes. */
-constexpr std::size_t max_rollout_name_bytes = 160;
-/** The number of services that may have a record. */
-constexpr std::size_t max_rollout_records = 16'384;
-
 /** One change of the share or state, for operators. */
 struct rollout_step {
     std::uint64_t elapsed_ms_ = 0; ///< Since the order.
--- a/libs/rollout/version_report.cpp
+++ b/libs/rollout/version_report.cpp
@@ -8,16 +8,14 @@
 
 constexpr std::size_t sample_fields = 6;
 constexpr std::size_t load_fields = 4;
-constexpr std::size_t max_name_bytes = 160;
-constexpr std::size_t max_entries = 16'384;
 
 auto read_sample(cbor_reader& reader) -> version_sample
 {
     version_sample sample;
     reader.array(sample_fields);
-    sample.service_ = reader.text(max_name_bytes);
-    sample.version_ = reader.text(max_name_bytes);
-    sample.row_ = reader.text(max_name_bytes);
+    sample.service_ = reader.text();
+    sample.version_ = reader.text();
+    sample.row_ = reader.text();
     sample.responses_ = reader.number();
     sample.failures_ = reader.number();
     sample.slow_ = reader.number();
@@ -28,8 +26,8 @@
 {
     version_load load;
     reader.array(load_fields);
-    load.service_ = reader.text(max_name_bytes);
-    load.version_ = reader.text(max_name_bytes);
+    load.service_ = reader.text();
+    load.version_ = reader.text();
     load.in_flight_ = reader.number();
     load.targets_ = reader.number();
     return load;
@@ -79,16 +77,13 @@
     }
 }
 
-auto read_version_report(cbor_reader& reader) -> version_report
+auto read_version_report(cbor_reader& reader, const skipped_record_hook& on_skipped)
+    -> version_report
 {
     version_report report;
     reader.array(2);
-    for (auto remaining = reader.list(max_entries); remaining > 0 && reader.good(); --remaining) {
-        report.samples_.push_back(read_sample(reader));
-    }
-    for (auto remaining = reader.list(max_entries); remaining > 0 && reader.good(); --remaining) {
-        report.loads_.push_back(read_load(reader));
-    }
+    report.samples_ = read_record_list(reader, read_sample, on_skipped);
+    report.loads_ = read_record_list(reader, read_load, on_skipped);
     return report;
 }
 
--- a/libs/rollout/version_report.h
+++ b/libs/rollout/version_report.h
@@ -13,6 +13,7 @@
 #include "base/result.h"
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
+#include "codec/record_list.h"
 
 namespace sycamorewinch {
 
@@ -52,7 +53,10 @@
 
 /** Appends \p report to \p writer as one CBOR array. */
 void write_version_report(cbor_writer& writer, const version_report& report);
-/** Reads one report; check \p reader for errors afterwards. */
-[[nodiscard]] auto read_version_report(cbor_reader& reader) -> version_report;
+/** Reads one report; check \p reader for errors afterwards. Entries that cannot be read are skipped
+ * and passed to \p on_skipped. */
+[[nodiscard]] auto read_version_report(cbor_reader& reader,
+                                       const skipped_record_hook& on_skipped = {})
+    -> version_report;
 
 } // namespace sycamorewinch
--- a/libs/run_record/run_forwarder.cpp
+++ b/libs/run_record/run_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "run_record/run_forwarder.h"
 
+#include <iterator>
 #include <utility>
 
 namespace sycamorewinch {
@@ -64,7 +65,22 @@
 
 auto run_forwarder::take_operations() -> std::vector<run_operation>
 {
-    return std::exchange(outgoing_operations_, {});
+    std::size_t count = 0;
+    std::size_t outcome_bytes = 0;
+    for (const auto& operation : outgoing_operations_) {
+        outcome_bytes += operation.outcome_.size();
+        const bool is_full = count == options_.max_batch_operations_ ||
+                             outcome_bytes > options_.max_batch_outcome_bytes_;
+        if (is_full && count > 0) {
+            break;
+        }
+        ++count;
+    }
+    const auto end = outgoing_operations_.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<run_operation> batch(std::make_move_iterator(outgoing_operations_.begin()),
+                                     std::make_move_iterator(end));
+    outgoing_operations_.erase(outgoing_operations_.begin(), end);
+    return batch;
 }
 
 auto run_forwarder::take_results() -> std::map<run_sender_id, std::vector<run_result>>
--- a/libs/run_record/run_forwarder.h
+++ b/libs/run_record/run_forwarder.h
@@ -25,6 +25,9 @@
 struct run_forwarder_options {
     duration response_timeout_ = std::chrono::seconds(3);
     std::size_t max_pending_ = 65'536;
+    /** A batch is one message and one entry of the replicated log. */
+    std::size_t max_batch_operations_ = 16'384;
+    std::size_t max_batch_outcome_bytes_ = 4U * 1024 * 1024;
 };
 
 /** Forwards the operations of many senders to one upstream. */
@@ -42,7 +45,8 @@
     void tick(instant now);
 
     [[nodiscard]] auto has_operations() const -> bool { return !outgoing_operations_.empty(); }
-    /** Returns and clears the operations to send upstream, in order of arrival. */
+    /** Removes and returns the operations to send upstream next, in order of arrival, at most one
+     * batch of them. */
     [[nodiscard]] auto take_operations() -> std::vector<run_operation>;
     /** Returns and clears the results to return, by sender. */
     [[nodiscard]] auto take_results() -> std::map<run_sender_id, std::vector<run_result>>;
--- a/libs/run_record/run_operation.cpp
+++ b/libs/run_record/run_operation.cpp
@@ -13,8 +13,6 @@
 constexpr enum_names<run_verdict, run_verdict_count> verdict_names{
     {"granted", "running", "finished", "not_kept", "lost", "key_reused", "record_full",
      "unreachable", "acknowledged"}};
-constexpr std::size_t max_operations = 16'384;
-constexpr std::size_t max_node_name_bytes = 256;
 
 void write_operation(cbor_writer& writer, const run_operation& operation)
 {
@@ -39,9 +37,12 @@
     operation.key_.digest_ = reader.digest_value();
     operation.attempt_ = reader.digest_value();
     operation.request_hash_ = reader.number();
-    operation.node_ = reader.text(max_node_name_bytes);
+    operation.node_ = reader.text();
     operation.incarnation_ = reader.number();
-    operation.outcome_ = reader.bytes(max_outcome_bytes);
+    operation.outcome_ = reader.bytes();
+    if (operation.outcome_.size() > max_outcome_bytes) {
+        reader.reject("outcome of a run too long");
+    }
     return operation;
 }
 
@@ -87,8 +88,7 @@
     cbor_reader reader(bytes);
     reader.array(2);
     batch.time_ms_ = reader.number();
-    for (auto remaining = reader.list(max_operations); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         batch.operations_.push_back(read_operation(reader));
     }
     if (auto done = reader.finish(); !done) {
@@ -112,8 +112,7 @@
 {
     std::vector<run_result> results;
     cbor_reader reader(bytes);
-    for (auto remaining = reader.list(max_operations); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         run_result item;
         reader.array(3);
         item.attempt_ = reader.digest_value();
@@ -122,7 +121,7 @@
             reader.reject("unknown verdict in a run result");
         }
         item.verdict_ = static_cast<run_verdict>(verdict);
-        item.outcome_ = reader.bytes(max_outcome_bytes);
+        item.outcome_ = reader.bytes();
         results.push_back(std::move(item));
     }
     if (auto done = reader.finish(); !done) {
--- a/libs/run_record/run_records.cpp
+++ b/libs/run_record/run_records.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::size_t max_snapshot_items = 10'000'000;
-constexpr std::size_t max_node_name_bytes = 256;
 constexpr std::uint64_t last_entry_state = 3;
 
 } // namespace
@@ -200,8 +198,7 @@
     reader.array(6);
     records.leader_time_ms_ = reader.number();
     records.now_ms_ = reader.number();
-    for (auto remaining = reader.list(max_snapshot_items); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         run_key key;
         entry record;
         reader.array(9);
@@ -214,16 +211,15 @@
         record.state_ = static_cast<entry_state>(state);
         record.attempt_ = reader.digest_value();
         record.request_hash_ = reader.number();
-        record.node_ = reader.text(max_node_name_bytes);
+        record.node_ = reader.text();
         record.incarnation_ = reader.number();
         record.reserved_ms_ = reader.number();
-        record.outcome_ = reader.bytes(max_outcome_bytes);
+        record.outcome_ = reader.bytes();
         records.outcome_bytes_ += record.outcome_.size();
         records.entries_[key] = std::move(record);
     }
     for (auto* order : {&records.reservation_order_, &records.outcome_order_}) {
-        for (auto remaining = reader.list(max_snapshot_items); remaining > 0 && reader.good();
-             --remaining) {
+        for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
             run_key key;
             reader.array(3);
             key.shard_ = static_cast<std::uint32_t>(reader.number());
@@ -232,10 +228,9 @@
             order->emplace_back(key, attempt);
         }
     }
-    for (auto remaining = reader.list(max_snapshot_items); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         reader.array(2);
-        const auto node = reader.text(max_node_name_bytes);
+        const auto node = reader.text();
         records.latest_incarnations_[node] = reader.number();
     }
     if (auto done = reader.finish(); !done) {
--- a/libs/run_record/test/correctness/run_client.cpp
+++ b/libs/run_record/test/correctness/run_client.cpp
@@ -94,3 +94,19 @@
     BOOST_TEST(forwarder.take_operations().size() == 1U);
     BOOST_TEST((forwarder.take_results().at(7).front().attempt_ == digest{2, 0}));
 }
+
+// A batch is one entry of the replicated log and one message, both of which have a largest size.
+BOOST_AUTO_TEST_CASE(a_forwarder_splits_its_operations_into_batches)
+{
+    run_forwarder forwarder({.max_batch_operations_ = 3, .max_batch_outcome_bytes_ = 100});
+    auto with_outcome = make_operation(5);
+    with_outcome.outcome_.assign(101, 'x');
+    forwarder.on_operations(7,
+                            {make_operation(1), make_operation(2), make_operation(3),
+                             make_operation(4), with_outcome, make_operation(6)},
+                            start);
+    for (const std::size_t size : {3U, 1U, 1U, 1U}) {
+        BOOST_TEST(forwarder.take_operations().size() == size);
+    }
+    BOOST_TEST(!forwarder.has_operations());
+}
--- a/libs/settings/settings_reader.cpp
+++ b/libs/settings/settings_reader.cpp
@@ -6,16 +6,11 @@
 
 #include <fmt/format.h>
 
+#include "base/field_limits.h"
 #include "base/split.h"
 
 namespace sycamorewinch::internal {
 
-namespace {
-
-constexpr std::size_t max_name_length = 64;
-
-} // namespace
-
 auto settings_reader::is_set(const std::string& name) const -> bool
 {
     return values_.count(name) > 0 && !values_[name].as<std::string>().empty();
@@ -38,8 +33,8 @@
 auto settings_reader::name(const std::string& setting) -> std::string
 {
     auto value = text(setting);
-    if (value.size() > max_name_length) {
-        reject(setting, value, fmt::format("must have at most {} bytes", max_name_length));
+    if (value.size() > max_name_bytes) {
+        reject(setting, value, fmt::format("must have at most {} bytes", max_name_bytes));
     }
     const auto is_allowed = [](char character) {
         return character > ' ' && character <= '~' && character != ';' && character != '=' &&
@@ -60,7 +55,7 @@
     -> peer_address
 {
     const auto address = parse_peer_address(value);
-    if (!address) {
+    if (!address || value.size() > max_name_bytes) {
         reject(name, value, "must be an IP address and a port, such as 127.0.0.1:7000");
         return {};
     }
@@ -72,7 +67,7 @@
     std::vector<control_peer> peers;
     for (const auto& item : split_commas(optional_text(name))) {
         const auto equals = item.find('=');
-        if (equals == std::string::npos || equals == 0 || equals > max_name_length) {
+        if (equals == std::string::npos || equals == 0 || equals > max_name_bytes) {
             reject(name, item, "must be NAME=IP:PORT, separated by commas");
             continue;
         }
--- a/libs/storage/replica_store.cpp
+++ b/libs/storage/replica_store.cpp
@@ -18,7 +18,6 @@
 constexpr const char* snapshot_path = "snapshot";
 constexpr std::string_view header_prefix = "sycamorewinch/";
 constexpr unsigned format_version = 2;
-constexpr std::size_t max_name_length = 64;
 constexpr std::size_t max_record_bytes = 1024U * 1024 * 1024;
 constexpr std::size_t word_bytes = 8;
 constexpr std::size_t frame_header_bytes = 2 * word_bytes; // length and checksum
@@ -176,7 +175,7 @@
     cbor_reader reader(*payload);
     reader.array(3);
     recovered_.vote_.term_ = reader.number();
-    recovered_.vote_.voted_for_ = reader.text(max_name_length);
+    recovered_.vote_.voted_for_ = reader.text();
     recovered_.vote_.is_recovered_ = reader.boolean();
     return reader.finish();
 }
@@ -191,8 +190,8 @@
     reader.array(4);
     recovered_.snapshot_.index_ = reader.number();
     recovered_.snapshot_.term_ = reader.number();
-    recovered_.snapshot_.data_ = reader.bytes(max_record_bytes);
-    recovered_.snapshot_.membership_ = reader.bytes(max_record_bytes);
+    recovered_.snapshot_.data_ = reader.bytes();
+    recovered_.snapshot_.membership_ = reader.bytes();
     return reader.finish();
 }
 
--- a/libs/table/row_codec.cpp
+++ b/libs/table/row_codec.cpp
@@ -44,7 +44,7 @@
     traffic_weight weight;
     reader.array(3);
     weight.scope_ = reader.boolean() ? weight_scope::availability_zone : weight_scope::target;
-    weight.name_ = reader.text(max_name_bytes);
+    weight.name_ = reader.text();
     weight.weight_ = read_number32(reader);
     return weight;
 }
@@ -53,7 +53,7 @@
 {
     named_limit named;
     reader.array(2);
-    named.caller_ = reader.text(max_name_bytes);
+    named.caller_ = reader.text();
     named.limit_ = read_limit(reader);
     return named;
 }
@@ -61,7 +61,7 @@
 /** Enters an array of \p few or \p many fields, and returns how many it has. */
 auto read_field_count(cbor_reader& reader, std::size_t few, std::size_t many) -> std::size_t
 {
-    const auto count = reader.list(many);
+    const auto count = reader.list();
     if (count != few && count != many) {
         reader.reject("the number of fields is not a known one");
     }
@@ -85,13 +85,13 @@
 {
     organisation value;
     reader.array(organisation_fields);
-    value.name_ = reader.text(max_name_bytes);
-    for (auto remaining = reader.list(max_api_keys); remaining > 0 && reader.good(); --remaining) {
+    value.name_ = reader.text();
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         value.keys_.push_back(reader.digest_value());
     }
     value.rate_thousandths_ = reader.number();
     value.burst_ = reader.number();
-    if (reader.list(1) == 1) {
+    if (reader.optional()) {
         value.priority_ = read_number32(reader);
     }
     return value;
@@ -136,22 +136,19 @@
 {
     row value;
     const auto fields = read_field_count(reader, row_fields, anonymous_row_fields);
-    value.service_ = reader.text(max_name_bytes);
-    value.host_ = reader.text(max_path_bytes);
-    value.path_prefix_ = reader.text(max_path_bytes);
-    for (auto remaining = reader.list(max_list_items); remaining > 0 && reader.good();
-         --remaining) {
+    value.service_ = reader.text();
+    value.host_ = reader.text();
+    value.path_prefix_ = reader.text();
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         reader.array(2);
-        auto service = reader.text(max_name_bytes);
+        auto service = reader.text();
         value.split_.push_back({std::move(service), read_number32(reader)});
     }
-    for (auto remaining = reader.list(max_list_items); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         value.weights_.push_back(read_weight(reader));
     }
     value.default_limit_ = read_limit(reader);
-    for (auto remaining = reader.list(max_list_items); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         value.named_limits_.push_back(read_named_limit(reader));
     }
     value.timeout_ = std::chrono::milliseconds(read_number32(reader));
@@ -159,9 +156,8 @@
     value.repeatable_ = reader.boolean();
     value.priority_ = read_number32(reader);
     value.target_latency_ = std::chrono::milliseconds(read_number32(reader));
-    for (auto remaining = reader.list(max_list_items); remaining > 0 && reader.good();
-         --remaining) {
-        value.depends_on_.push_back(reader.text(max_name_bytes));
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
+        value.depends_on_.push_back(reader.text());
     }
     value.allow_anonymous_ = fields == anonymous_row_fields && reader.boolean();
     return value;
@@ -217,8 +213,7 @@
 auto read_organisations(cbor_reader& reader) -> std::vector<organisation>
 {
     std::vector<organisation> organisations;
-    for (auto remaining = reader.list(max_organisations); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         organisations.push_back(read_organisation(reader));
     }
     return organisations;
@@ -252,22 +247,19 @@
 {
     table_change change;
     const auto fields = read_field_count(reader, change_fields, change_fields_with_organisations);
-    for (auto remaining = reader.list(max_table_rows); remaining > 0 && reader.good();
-         --remaining) {
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
         change.upserts_.push_back(read_row(reader));
     }
-    for (auto remaining = reader.list(max_table_rows); remaining > 0 && reader.good();
-         --remaining) {
-        change.removals_.push_back(reader.text(max_name_bytes));
+    for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
+        change.removals_.push_back(reader.text());
     }
-    if (reader.list(1) == 1) {
+    if (reader.optional()) {
         change.bounds_ = read_bounds(reader);
     }
     if (fields == change_fields_with_organisations) {
         change.organisation_upserts_ = read_organisations(reader);
-        for (auto remaining = reader.list(max_organisations); remaining > 0 && reader.good();
-             --remaining) {
-            change.organisation_removals_.push_back(reader.text(max_name_bytes));
+        for (auto remaining = reader.list(); remaining > 0 && reader.good(); --remaining) {
+            change.organisation_removals_.push_back(reader.text());
         }
     }
     return change;
--- a/libs/table/row_codec.h
+++ b/libs/table/row_codec.h
@@ -14,14 +14,6 @@
 
 namespace sycamorewinch {
 
-/** Limits on the content of a table, checked on every input. */
-constexpr std::size_t max_name_bytes = 64;
-constexpr std::size_t max_path_bytes = 256;
-constexpr std::size_t max_list_items = 256;
-constexpr std::size_t max_table_rows = 20'000;
-constexpr std::size_t max_organisations = 20'000;
-constexpr std::size_t max_api_keys = 20'000; ///< Of one organisation.
-
 /** Appends \p value to \p writer as one CBOR array. */
 void write_row(cbor_writer& writer, const row& value);
 /** Reads one row. Errors are reported by cbor_reader::finish(). */
--- a/libs/table/table.cpp
+++ b/libs/table/table.cpp
@@ -14,6 +14,15 @@
     return found != rows_.end() && found->service_ == service ? &*found : nullptr;
 }
 
+auto table::names_service(std::string_view service) const -> bool
+{
+    return std::ranges::any_of(rows_, [service](const row& row) {
+        return row.split_.empty() ? row.service_ == service
+                                  : std::ranges::find(row.split_, service,
+                                                      &service_share::service_) != row.split_.end();
+    });
+}
+
 auto table::find_organisation(std::string_view name) const -> const organisation*
 {
     const auto found = std::ranges::lower_bound(organisations_, name, {}, &organisation::name_);
--- a/libs/table/table.h
+++ b/libs/table/table.h
@@ -45,6 +45,8 @@
 
     /** Returns the row of \p service, or nullptr if there is none. */
     [[nodiscard]] auto find(std::string_view service) const -> const row*;
+    /** Returns whether calls of any row may go to \p service. */
+    [[nodiscard]] auto names_service(std::string_view service) const -> bool;
     /** Returns the organisation called \p name, or nullptr if there is none. */
     [[nodiscard]] auto find_organisation(std::string_view name) const -> const organisation*;
 };
--- a/libs/table/table_check.cpp
+++ b/libs/table/table_check.cpp
@@ -9,7 +9,7 @@
 
 #include <fmt/core.h>
 
-#include "table/row_codec.h"
+#include "base/field_limits.h"
 
 namespace sycamorewinch {
 
@@ -21,7 +21,6 @@
 constexpr std::chrono::milliseconds max_timeout{600'000};
 
 constexpr std::size_t max_findings = 256;
-constexpr std::size_t max_api_key_bytes = 256;
 constexpr std::uint64_t thousandths = 1'000; ///< Per unit.
 
 auto is_printable_ascii(char character) -> bool
--- a/libs/table/table_csv.cpp
+++ b/libs/table/table_csv.cpp
@@ -10,7 +10,7 @@
 #include <fmt/format.h>
 
 #include "base/enum_names.h"
-#include "table/row_codec.h"
+#include "base/field_limits.h"
 
 namespace sycamorewinch {
 
@@ -122,10 +122,6 @@
         }
         items.push_back(std::move(*item));
     }
-    if (items.size() > max_list_items) {
-        return failure(error_kind::too_large,
-                       fmt::format("a list may have at most {} items", max_list_items));
-    }
     return items;
 }
 
--- a/libs/transport/message_channel.cpp
+++ b/libs/transport/message_channel.cpp
@@ -1,11 +1,12 @@
 #include "transport/message_channel.h"
 
+#include "base/field_limits.h"
+
 namespace sycamorewinch {
 
 namespace {
 
 constexpr std::size_t length_prefix_bytes = 4;
-constexpr std::size_t max_message_bytes = 64U * 1024 * 1024;
 constexpr unsigned bits_in_byte = 8;
 
 auto encode_length(std::size_t length) -> std::string
