Keep one record that cannot be read from costing its channel

Cause: the node registered names of any length, and read_target() read at most 64 bytes. Every publisher closed the channel on the report; the node reconnected and sent the same records again before it had taken an update.

Fix: both interfaces refuse an announcement that other processes would not read. Records are skipped one by one, and a message that cannot be read is ignored and counted, without closing its channel.

--- a/libs/daemon/announcement_json.cpp
+++ b/libs/daemon/announcement_json.cpp
@@ -45,10 +45,10 @@
     }
     announcement.started_ = static_cast<std::uint64_t>(started);
     announcement.software_version_ = string_field(object, "version");
-    if (announcement.software_version_.size() > max_software_version_bytes) {
-        return failure(error_kind::invalid_input, "'version' must have at most 160 bytes");
-    }
     announcement.draining_ = object.value(QLatin1String("draining")).toBool(false);
+    if (auto problem = announcement_problem(announcement); !problem.empty()) {
+        return failure(error_kind::invalid_input, std::move(problem));
+    }
     return announcement;
 }
 
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -205,6 +205,15 @@
         if (state_.is_shutting_down()) {
             return failure(error_kind::unavailable, "this node is shutting down");
         }
+        const auto is_named = [this](const std::string& service) {
+            const auto& enforced = link_.logic().enforced();
+            return enforced && enforced->names_service(service);
+        };
+        if (registry_.displaces_named_target(announcement, is_named)) {
+            return failure(error_kind::invalid_input,
+                           "the table does not name the service, and the address is that of a "
+                           "target whose service it names");
+        }
         if (registry_.announce(announcement, monotonic_now())) {
             log_event(log_level::info, "target_announced",
                       {{"service", announcement.service_},
--- a/libs/daemon/publisher_server.cpp
+++ b/libs/daemon/publisher_server.cpp
@@ -8,6 +8,9 @@
     : hooks_(std::move(hooks)),
       bad_messages_(metrics.count("sycamorewinch_hub_bad_messages_total",
                                   "Messages from subscribers that could not be decoded.")),
+      bad_records_(metrics.count("sycamorewinch_hub_bad_records_total",
+                                 "Records in messages from subscribers that were skipped because "
+                                 "they could not be decoded.")),
       bytes_sent_(metrics.count("sycamorewinch_hub_bytes_sent_total",
                                 "Bytes of messages sent to subscribers.")),
       subscribers_(metrics.gauge("sycamorewinch_hub_subscribers", "Connected subscribers.")),
@@ -42,12 +45,19 @@
 
 void publisher_server::on_message(subscriber_id from, std::string_view bytes)
 {
-    const auto message = decode_distribution_message(bytes);
+    const auto message = decode_distribution_message(bytes, [this, from](const error& problem) {
+        bad_records_.add();
+        log_event(
+            log_level::warning, "bad_subscriber_record",
+            {{"subscriber", publisher_.name_of_subscriber(from)}, {"reason", problem.message_}});
+    });
     if (!message) {
+        // The subscriber would send the same again on its next channel, which would keep it from
+        // tables for good.
         bad_messages_.add();
         log_event(log_level::warning, "bad_subscriber_message",
-                  {{"reason", message.error().message_}});
-        disconnect(from);
+                  {{"subscriber", publisher_.name_of_subscriber(from)},
+                   {"reason", message.error().message_}});
         return;
     }
     publisher_.set_currency_age(hooks_.currency_age_ ? hooks_.currency_age_() : std::nullopt);
--- a/libs/daemon/publisher_server.h
+++ b/libs/daemon/publisher_server.h
@@ -55,6 +55,7 @@
     std::map<subscriber_id, std::shared_ptr<message_channel>> channels_;
     subscriber_id next_id_ = 1;
     counter& bad_messages_;
+    counter& bad_records_;
     counter& bytes_sent_;
     counter& subscribers_;
     counter& stale_targets_;
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 
+#include <fmt/core.h>
+
+#include "codec/text_check.h"
+
 namespace sycamorewinch {
 
 namespace {
@@ -13,6 +17,26 @@
 
 } // namespace
 
+auto announcement_problem(const target_announcement& announcement) -> std::string
+{
+    if (const auto problem = foreign_name_problem(announcement.service_, max_name_bytes);
+        !problem.empty()) {
+        return fmt::format("the name of the service {}; it must have 1 to {} bytes of UTF-8",
+                           problem, max_name_bytes);
+    }
+    if (const auto problem = foreign_name_problem(announcement.target_, max_name_bytes);
+        !problem.empty()) {
+        return fmt::format("the name of the target {}; it must have 1 to {} bytes of UTF-8",
+                           problem, max_name_bytes);
+    }
+    const auto& version = announcement.software_version_;
+    if (version.size() > max_software_version_bytes || !is_utf8(version)) {
+        return fmt::format("the software version must have at most {} bytes of UTF-8",
+                           max_software_version_bytes);
+    }
+    return announcement.address_.port_ == 0 ? "the address has no port" : std::string();
+}
+
 target_registry::target_registry(std::string availability_zone, std::string node_address,
                                  std::uint64_t incarnation, std::string node_admin)
     : availability_zone_(std::move(availability_zone)), node_address_(std::move(node_address)),
@@ -106,6 +130,18 @@
     return has_retired;
 }
 
+auto target_registry::displaces_named_target(
+    const target_announcement& announcement,
+    const std::function<bool(const std::string& service)>& is_named) const -> bool
+{
+    const auto is_displaced = [&](const auto& entry) {
+        const auto& [name, target] = entry;
+        return name.first != announcement.service_ && target.record_.state_ != target_state::gone &&
+               has_same_address(target.announcement_, announcement) && is_named(name.first);
+    };
+    return std::ranges::any_of(targets_, is_displaced) && !is_named(announcement.service_);
+}
+
 auto target_registry::next_sequence() -> std::uint64_t
 {
     sequence_ = (sequence_ / sequence_step + 1) * sequence_step;
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -33,6 +34,10 @@
     std::string software_version_;
 };
 
+/** Returns what keeps \p announcement from being registered: a name that the other processes would
+ * not read, or an address without a port. Empty if it may be. */
+[[nodiscard]] auto announcement_problem(const target_announcement& announcement) -> std::string;
+
 /** One announced target. */
 struct registered_target {
     target_announcement announcement_;
@@ -58,6 +63,13 @@
      */
     auto announce(const target_announcement& announcement, instant now) -> bool;
 
+    /** Returns whether \p announcement, of a service that the table does not name, would replace a
+     * target at its address whose service it names. \p is_named says so of a service. */
+    [[nodiscard]] auto
+    displaces_named_target(const target_announcement& announcement,
+                           const std::function<bool(const std::string& service)>& is_named) const
+        -> bool;
+
     /** Marks the target named \p target as gone in every service. Returns the changed records. */
     auto withdraw(const std::string& target) -> std::vector<target_record>;
 
--- a/libs/daemon/test/correctness/target_registry.cpp
+++ b/libs/daemon/test/correctness/target_registry.cpp
@@ -184,3 +184,29 @@
     const target_registry other_node("zone-a", "127.0.0.1:2", 6);
     BOOST_TEST(other_node.disown(received).empty());
 }
+
+// Another writer may announce a service that the table does not name at the address of a running
+// target: it must not take the target's place.
+BOOST_AUTO_TEST_CASE(an_unnamed_service_does_not_displace_a_target_of_a_named_one)
+{
+    target_registry registry("zone-a", "127.0.0.1:1", 5);
+    const auto is_named = [](const std::string& service) {
+        return service == "dialer";
+    };
+    target_announcement dialer{
+        .service_ = "dialer", .target_ = "d1", .address_ = {"127.0.0.1", 8080}};
+    dialer.lease_ = std::chrono::seconds(5);
+    dialer.started_ = 1;
+    BOOST_TEST(!registry.displaces_named_target(dialer, is_named));
+    registry.announce(dialer, instant{});
+    auto other = dialer;
+    other.service_ = "other";
+    other.started_ = 2;
+    BOOST_TEST(registry.displaces_named_target(other, is_named));
+    BOOST_TEST(!registry.displaces_named_target(dialer, is_named));
+    other.address_.port_ = 8081;
+    BOOST_TEST(!registry.displaces_named_target(other, is_named));
+    other.address_ = dialer.address_;
+    static_cast<void>(registry.withdraw("d1")); // the address is free
+    BOOST_TEST(!registry.displaces_named_target(other, is_named));
+}
--- a/libs/daemon/test/correctness/upstream_link.cpp
+++ b/libs/daemon/test/correctness/upstream_link.cpp
@@ -39,6 +39,12 @@
 
     [[nodiscard]] auto address() const -> peer_address { return address_of(listener_->port()); }
     [[nodiscard]] auto subscribers() -> std::size_t { return server_.logic().subscriber_count(); }
+    [[nodiscard]] auto logic() -> publisher& { return server_.logic(); }
+    void publish(table newest)
+    {
+        server_.logic().set_table(std::make_shared<const table>(std::move(newest)));
+        server_.process_output();
+    }
 
   private:
     metrics_registry metrics_;
@@ -84,6 +90,38 @@
     BOOST_TEST(wait_until([&] { return is_open(first) && is_open(second); }));
 }
 
+// Guards against one record that cuts a node off from tables: review/3, where every publisher
+// closed the channel on a record with a name of 70 bytes, which a node of an earlier version passes
+// on.
+BOOST_AUTO_TEST_CASE(a_record_that_cannot_be_read_costs_neither_its_message_nor_the_channel)
+{
+    unproving_publisher upstream;
+    metrics_registry metrics;
+    std::uint64_t received_version = 0;
+    std::size_t connections = 0;
+    upstream_link link({upstream.address()}, test_cluster_key(),
+                       options_with(std::chrono::seconds(20)), metrics,
+                       {[&](const subscriber_output& output) {
+                            if (output.held_) {
+                                received_version = output.held_->version_.number_;
+                            }
+                        },
+                        [&](bool) {
+                            ++connections;
+                            target_record odd{.service_ = std::string(70, 's'), .target_ = "t1"};
+                            target_record not_utf8{.service_ = "dialer", .target_ = "\xff"};
+                            const target_record good{.service_ = "dialer", .target_ = "d1"};
+                            link.logic().report_targets({{odd, good, not_utf8}, true});
+                        }});
+    link.start();
+    BOOST_REQUIRE(wait_until([&] { return upstream.logic().targets().size() == 1; }));
+    BOOST_TEST(upstream.logic().targets().find("dialer", "d1") != nullptr);
+    row dialer{.service_ = "dialer", .path_prefix_ = "/dialer"};
+    upstream.publish(make_table(1, {dialer}));
+    BOOST_TEST(wait_until([&] { return received_version == 1; }));
+    BOOST_TEST(connections == 1U);
+}
+
 // Guards against leaving an upstream that may only be slow before another one has been reached.
 BOOST_AUTO_TEST_CASE(a_stale_upstream_stays_connected_until_another_is_ready)
 {
--- a/libs/daemon/upstream_link.cpp
+++ b/libs/daemon/upstream_link.cpp
@@ -48,6 +48,11 @@
       stale_(metrics.count(
           "sycamorewinch_upstream_stale_total",
           "Upstreams abandoned because they did not prove the current version in time.")),
+      bad_messages_(metrics.count("sycamorewinch_upstream_bad_messages_total",
+                                  "Messages from upstreams that could not be decoded.")),
+      bad_records_(metrics.count("sycamorewinch_upstream_bad_records_total",
+                                 "Records in messages from upstreams that were skipped because "
+                                 "they could not be decoded.")),
       proof_age_(metrics.gauge("sycamorewinch_table_proof_age_ms",
                                "Milliseconds since this process's table was last proved current.")),
       bytes_received_(metrics.count("sycamorewinch_upstream_bytes_received_total",
@@ -172,10 +177,20 @@
 void upstream_link::on_message(std::string_view bytes)
 {
     bytes_received_.add(bytes.size());
-    const auto message = decode_distribution_message(bytes);
-    const auto handled =
-        message ? subscriber_.on_message(*message) : result<void>(tl::unexpected(message.error()));
-    if (!handled) {
+    const auto message = decode_distribution_message(bytes, [this](const error& problem) {
+        bad_records_.add();
+        log_event(log_level::warning, "bad_upstream_record",
+                  {{"upstream", to_text(current_.address_)}, {"reason", problem.message_}});
+    });
+    if (!message) {
+        // A new channel would bring the same message. Without a table update that it needs, the
+        // subscriber leaves an upstream that proves a newer version.
+        bad_messages_.add();
+        log_event(log_level::warning, "bad_upstream_message",
+                  {{"upstream", to_text(current_.address_)}, {"reason", message.error().message_}});
+        return;
+    }
+    if (const auto handled = subscriber_.on_message(*message); !handled) {
         on_upstream_lost(handled.error().message_);
         return;
     }
--- a/libs/daemon/upstream_link.h
+++ b/libs/daemon/upstream_link.h
@@ -112,6 +112,8 @@
     bool is_stale_ = false; ///< The current upstream has not proved its table in time.
     counter& lost_;
     counter& stale_;
+    counter& bad_messages_;
+    counter& bad_records_;
     counter& proof_age_;
     counter& bytes_received_;
 };
