--- a/libs/codec/cbor_reader.cpp
+++ b/libs/codec/cbor_reader.cpp
@@ -68,8 +68,12 @@
     // Decoding code never leaves an array itself: it is left once all its items have been read.
     void leave_finished_arrays()
     {
+        // Where the next item is malformed there is none, and the array cannot be left either.
         while (reader_.containerDepth() > 0 && !reader_.hasNext()) {
-            reader_.leaveContainer();
+            if (reader_.lastError() != QCborError::NoError || !reader_.leaveContainer()) {
+                set_error("malformed item");
+                return;
+            }
         }
     }
 
--- a/libs/codec/test/error/limits.cpp
+++ b/libs/codec/test/error/limits.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "base/random.h"
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
 
@@ -100,3 +101,43 @@
     reader.number();
     BOOST_TEST(!reader.finish().has_value());
 }
+
+// Guards against a reader that never returns: behind the text is a simple value that is not well
+// formed, at which the array has no next item and cannot be left.
+BOOST_AUTO_TEST_CASE(a_malformed_item_in_an_array_is_rejected)
+{
+    const std::string encoded("\x84\x07\x62"
+                              "ab\xf8\x01\x2c\x41\x78");
+    cbor_reader reader(encoded);
+    reader.array(4);
+    BOOST_TEST(reader.number() == 7U);
+    BOOST_TEST(reader.text() == "ab");
+    reader.number();
+    reader.bytes();
+    BOOST_TEST(!reader.finish().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(damaged_items_are_read_or_rejected)
+{
+    constexpr int rounds = 200'000;
+    const auto random = seeded_random(43);
+    cbor_writer writer;
+    writer.array(4).number(7).text("ab").array(2).number(300).boolean(true).bytes("x");
+    const auto valid = writer.take();
+    int rejected = 0;
+    for (int round = 0; round < rounds; ++round) {
+        auto damaged = valid;
+        for (auto left = 1 + uniform_below(random, 3); left > 0; --left) {
+            damaged[uniform_below(random, damaged.size())] = static_cast<char>(random());
+        }
+        cbor_reader reader(damaged);
+        reader.array(4);
+        reader.number();
+        reader.text();
+        reader.item();
+        reader.bytes();
+        rejected += reader.finish() ? 0 : 1;
+    }
+    BOOST_TEST(rejected > 0);
+    BOOST_TEST(rejected < rounds);
+}
