--- a/libs/daemon/test/error/odd_texts.cpp
+++ b/libs/daemon/test/error/odd_texts.cpp
@@ -1,6 +1,5 @@
 // Random damage to what a process reads from others: texts of the product's own interface and of
-// operators, and the bytes of messages. SYCAMOREWINCH_ODD_TEXTS and SYCAMOREWINCH_SEED set the
-// number of texts and the seed.
+// operators, and the bytes of messages.
 #include <boost/test/unit_test.hpp>
 
 #include <QJsonDocument>
@@ -19,24 +18,6 @@
 
 namespace {
 
-constexpr std::uint64_t default_texts = 2'000;
-
-auto number_from_environment(const char* name, std::uint64_t default_value) -> std::uint64_t
-{
-    const auto* text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
-    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
-}
-
-auto text_count() -> std::uint64_t
-{
-    return number_from_environment("SYCAMOREWINCH_ODD_TEXTS", default_texts);
-}
-
-auto test_random() -> random_hook
-{
-    return seeded_random(number_from_environment("SYCAMOREWINCH_SEED", 43));
-}
-
 auto parse_object(const std::string& text) -> std::optional<QJsonObject>
 {
     const auto document = QJsonDocument::fromJson(QByteArray::fromStdString(text));
@@ -68,7 +49,7 @@
                    const random_hook& random)
 {
     BOOST_REQUIRE(decode(encoded).has_value());
-    for (auto left = text_count(); left > 0; --left) {
+    for (auto left = odd_text_count(); left > 0; --left) {
         const auto decoded = decode(damage_bytes(encoded, random));
         if (decoded) {
             BOOST_REQUIRE(decode(encode(*decoded)).has_value());
@@ -90,13 +71,13 @@
 
 BOOST_AUTO_TEST_CASE(odd_announcements_are_refused_or_can_be_read_by_every_process)
 {
-    const auto random = test_random();
+    const auto random = odd_text_random();
     const std::string valid = R"({"service":"ledger","target":"l1","address":"127.0.0.1:8080",)"
                               R"("slots":10,"version":"2.1","lease_ms":5000,"started":7,)"
                               R"("cold_start_ms":250,"draining":false})";
     target_registry registry("zone-a", "127.0.0.1:1", 5);
     std::uint64_t accepted = 0;
-    for (auto left = text_count(); left > 0; --left) {
+    for (auto left = odd_text_count(); left > 0; --left) {
         const auto object = parse_object(damage_json(valid, random));
         const auto announcement =
             object ? read_announcement(*object) : failure(error_kind::invalid_input, "no object");
@@ -115,7 +96,7 @@
 
 BOOST_AUTO_TEST_CASE(odd_edits_are_refused_or_can_be_read_by_every_replica)
 {
-    const auto random = test_random();
+    const auto random = odd_text_random();
     const auto base = make_table(0, {});
     const std::string valid =
         R"({"edit_id":"e1","operator":"ann","base":{"number":0,"digest":")" +
@@ -124,7 +105,7 @@
         R"(retries,repeatable,depends_on,split\nledger,/ledger,,10,20,0,desk=1/2/3,500,1,yes,,)"
         R"(a=1;b=2\n"})";
     std::uint64_t accepted = 0;
-    for (auto left = text_count(); left > 0; --left) {
+    for (auto left = odd_text_count(); left > 0; --left) {
         const auto object = parse_object(damage_json(valid, random));
         const auto command = object ? read_accept_command(*object, base)
                                     : failure(error_kind::invalid_input, "no object");
@@ -140,7 +121,7 @@
 
 BOOST_AUTO_TEST_CASE(damaged_messages_are_refused)
 {
-    const auto random = test_random();
+    const auto random = odd_text_random();
     const target_record target{.service_ = "dialer", .target_ = "d1"};
     const auto encode = [](const auto& message) {
         return encode_message(message);
@@ -162,7 +143,7 @@
 
 BOOST_AUTO_TEST_CASE(damaged_commands_and_states_are_refused)
 {
-    const auto random = test_random();
+    const auto random = odd_text_random();
     accept_command command{"e1", "ann", {}, {{make_row()}, {"gone"}}};
     check_damaged(
         encode_command(command), [](const auto& value) { return encode_command(value); },
--- a/libs/settings/test/error/odd_settings.cpp
+++ b/libs/settings/test/error/odd_settings.cpp
@@ -3,21 +3,13 @@
 #include <QTemporaryFile>
 #include <boost/test/unit_test.hpp>
 
-#include "base/random.h"
 #include "settings/daemon_settings.h"
+#include "standin/odd_json.h"
 
 using namespace sycamorewinch;
 
 namespace {
 
-constexpr std::uint64_t default_texts = 2'000;
-
-auto number_from_environment(const char* name, std::uint64_t default_value) -> std::uint64_t
-{
-    const auto* text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
-    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
-}
-
 const std::string node_settings = "role = node\n"
                                   "name = side-1\n"
                                   "zone = zone-a\n"
@@ -101,10 +93,9 @@
 BOOST_AUTO_TEST_CASE(odd_settings_are_refused_with_a_reason)
 {
     BOOST_REQUIRE(parse(node_settings).has_value());
-    const auto random = seeded_random(number_from_environment("SYCAMOREWINCH_SEED", 43));
+    const auto random = odd_text_random();
     std::uint64_t refused = 0;
-    for (auto left = number_from_environment("SYCAMOREWINCH_ODD_TEXTS", default_texts); left > 0;
-         --left) {
+    for (auto left = odd_text_count(); left > 0; --left) {
         const auto parsed = parse(damage(node_settings, random));
         if (!parsed) {
             ++refused;
--- a/libs/standin/odd_json.cpp
+++ b/libs/standin/odd_json.cpp
@@ -1,6 +1,8 @@
 #include "standin/odd_json.h"
 
+#include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <string_view>
 #include <vector>
 
@@ -168,8 +170,26 @@
     }
 }
 
+auto number_from_environment(const char* name, std::uint64_t default_value) -> std::uint64_t
+{
+    const auto* text = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
+}
+
 } // namespace
 
+auto odd_text_count() -> std::uint64_t
+{
+    constexpr std::uint64_t default_count = 2'000;
+    return number_from_environment("SYCAMOREWINCH_ODD_TEXTS", default_count);
+}
+
+auto odd_text_random() -> random_hook
+{
+    constexpr std::uint64_t default_seed = 43;
+    return seeded_random(number_from_environment("SYCAMOREWINCH_SEED", default_seed));
+}
+
 auto damage_json(const std::string& text, const random_hook& random) -> std::string
 {
     constexpr std::size_t max_bytes = 1'000'000;
