Do not propose a membership that no replica can decode

A join request names the replica that wants to join. A name that is not UTF-8, as from a damaged message, was proposed and committed, and the membership entry then ended every replica ("the membership in entry 3 cannot be decoded").

Found by listing what else enters the log besides commands. The membership is now decoded before it is proposed, and a join request whose name is no address is refused, so that it is not proposed again and again.

consensus_test a_membership_that_cannot_be_decoded_is_not_proposed ended the test program on the earlier code and passes now.

--- a/libs/consensus/raft_membership.cpp
+++ b/libs/consensus/raft_membership.cpp
@@ -25,7 +25,11 @@
             error_kind::invalid_input,
             "a membership change may add or remove one voter at most, and one must remain");
     }
-    append_entry(entry_kind::membership, encode_membership(next));
+    auto encoded = encode_membership(next);
+    if (auto decoded = decode_membership(encoded); !decoded) { // would stop every replica
+        return tl::unexpected(decoded.error());
+    }
+    append_entry(entry_kind::membership, std::move(encoded));
     replicate();
     advance_commit();
     return last_index();
--- a/libs/consensus/test/correctness/membership.cpp
+++ b/libs/consensus/test/correctness/membership.cpp
@@ -97,6 +97,16 @@
     BOOST_TEST(leader().commit_index() >= 2U);
 }
 
+// Guards against a membership that is committed and that no replica can read, which would end them
+// all: a candidate whose name was damaged.
+BOOST_FIXTURE_TEST_CASE(a_membership_that_cannot_be_decoded_is_not_proposed, founded_group)
+{
+    const auto last_index = leader().last_index();
+    BOOST_TEST(!propose({founders, {"\xff"}}));
+    BOOST_TEST(leader().last_index() == last_index);
+    BOOST_TEST(propose({founders, {"d"}}));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_new_replica_joins_as_learner_and_becomes_a_voter, founded_group)
 {
     start("d");
--- a/libs/daemon/control_group.cpp
+++ b/libs/daemon/control_group.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "codec/text_check.h"
 #include "observability/log.h"
 #include "storage/replica_identity.h"
 
@@ -101,6 +102,10 @@
 
 void control_group::on_join(const std::string& candidate, instant now)
 {
+    if (!is_utf8(candidate) || !parse_peer_address(replica_address_of(candidate))) {
+        log_event(log_level::warning, "bad_join_request", {{"candidate", candidate}});
+        return;
+    }
     const auto& raft = replica_().raft_state();
     if (raft.role() == raft_role::leader) {
         planner_.add_join_request(candidate, now);
