--- a/review/lab/lab.cpp
+++ b/review/lab/lab.cpp
@@ -743,12 +743,11 @@
                 return;
             }
         }
-        const auto body = input.substr(head_end + 4, options_.echoes_ ? length : 0);
         input.erase(0, needed);
         if (lower(fields["transfer-encoding"]) == "chunked" && !skip_chunks(input, read_more)) {
             return;
         }
-        if (!is_rejected && !answer_request(socket, fields, body)) {
+        if (!is_rejected && !answer_request(socket, fields)) {
             return;
         }
     }
@@ -759,8 +758,7 @@
     return random_number(0, 999) < rejected_share_ * 1'000;
 }
 
-auto server::answer_request(int socket, const std::map<std::string, std::string>& fields,
-                            const std::string& request_body) -> bool
+auto server::answer_request(int socket, const std::map<std::string, std::string>& fields) -> bool
 {
     const auto field = [&fields](const std::string& name) {
         const auto found = fields.find(name);
@@ -797,7 +795,7 @@
         runs_.push_back({clock::now(), id, false});
     }
     std::this_thread::sleep_for(options_.work_);
-    const auto body = options_.echoes_ ? "taken: " + request_body : std::string(200, 'a');
+    const std::string body(200, 'a');
     const bool is_written =
         open_ && write_all(socket, head("200 OK") + "X-Response-Signature: " + options_.id_ + "." +
                                        id + "\r\nContent-Length: " + std::to_string(body.size()) +
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -202,7 +202,6 @@
     unsigned queue_ = 36;
     milliseconds work_{50};
     milliseconds heartbeat_{1'500};
-    bool echoes_ = false; ///< The answer repeats the body of the request.
 };
 
 /** A run of one request at a server. */
@@ -240,8 +239,7 @@
     void accept_all();
     void serve(int socket);
     [[nodiscard]] auto rejects_next() const -> bool;
-    auto answer_request(int socket, const std::map<std::string, std::string>& fields,
-                        const std::string& request_body) -> bool;
+    auto answer_request(int socket, const std::map<std::string, std::string>& fields) -> bool;
     void beat();
 
     deployment& system_;
