--- a/review/lab/leaving_caller.cpp
+++ b/review/lab/leaving_caller.cpp
@@ -140,7 +140,8 @@
     if (boss.put(controls, 5, 0, document, milliseconds(20'000)) != 200) {
         give_up("the configuration was not accepted");
     }
-    std::map<unsigned, std::unique_ptr<server>> servers;
+    // never destroyed: their threads run until the program ends
+    auto& servers = *new std::map<unsigned, std::unique_ptr<server>>;
     for (const auto& [machine, service] : services) {
         server_options options{service, "i-" + std::to_string(machine)};
         options.slots_ = 18;
--- a/review/lab/refused_uploads.cpp
+++ b/review/lab/refused_uploads.cpp
@@ -154,7 +154,8 @@
     if (boss.put(controls, 5, 0, document, milliseconds(20'000)) != 200) {
         give_up("the configuration was not accepted");
     }
-    std::map<unsigned, std::unique_ptr<server>> servers;
+    // never destroyed: their threads run until the program ends
+    auto& servers = *new std::map<unsigned, std::unique_ptr<server>>;
     for (const auto& [machine, service] : services) {
         server_options options{service, "i-" + std::to_string(machine)};
         options.work_ = milliseconds(150);
@@ -162,7 +163,7 @@
     }
     pause(milliseconds(4'000));
 
-    users all(system);
+    auto& all = *new users(system); // never destroyed: its threads run until the program ends
     bool is_killed = false;
     std::uint64_t most_mb = 0;
     const auto watch = [&](milliseconds time) {
