Test that no crowd of clients ends a process

Callers saw processes end for lack of memory: a process bounds what one client may hold, but not what all clients hold together. These tests start a control process and two nodes on loopback with limits of 80 MB and 600 descriptors each, and play crowds of 60 to 1,200 clients: large bodies whole, in pieces and in chunks that stop short, bodies over the limit, many connections, and targets whose responses do not end. They check that each process lives, its memory and its descriptors, and that each address answers one ordinary request while the crowd stays; no times and no shares.

ctest runs the suite apart from all other tests.

--- a/cmake/sycamorewinch.cmake
+++ b/cmake/sycamorewinch.cmake
@@ -8,10 +8,10 @@
 endif()
 target_compile_definitions(sycamorewinch_options INTERFACE QT_NO_KEYWORDS QT_NO_CAST_TO_ASCII)
 
-# sycamorewinch_library(NAME LINKS target...)
+# sycamorewinch_library(NAME LINKS target... [SERIAL_SUITE suite])
 # Builds libs/NAME/*.cpp as a library and libs/NAME/test/**/*.cpp as the test program NAME_test.
 function(sycamorewinch_library name)
-  cmake_parse_arguments(ARG "" "" "LINKS" ${ARGN})
+  cmake_parse_arguments(ARG "" "SERIAL_SUITE" "LINKS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   set(target sycamorewinch_${name})
   if(sources)
@@ -27,22 +27,30 @@
 
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
   if(tests)
-    sycamorewinch_test(${name} SOURCES ${tests} LINKS sycamorewinch::${name})
+    sycamorewinch_test(${name} SOURCES ${tests} LINKS sycamorewinch::${name}
+                       SERIAL_SUITE ${ARG_SERIAL_SUITE})
   endif()
 endfunction()
 
-# sycamorewinch_test(NAME SOURCES file... LINKS target...)
-# Builds the test program NAME_test and registers it with ctest as NAME.
+# sycamorewinch_test(NAME SOURCES file... LINKS target... [SERIAL_SUITE suite])
+# Builds the test program NAME_test and registers it with ctest as NAME. The cases of SERIAL_SUITE are
+# registered as NAME_SUITE, which ctest runs while no other test runs.
 function(sycamorewinch_test name)
   if(SYCAMOREWINCH_DAEMON_ONLY)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+  cmake_parse_arguments(ARG "" "SERIAL_SUITE" "SOURCES;LINKS" ${ARGN})
   set(target ${name}_test)
+  set(run ${CMAKE_SOURCE_DIR}/scripts/run-test-program $<TARGET_FILE:${target}>)
   add_executable(${target} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp ${ARG_SOURCES})
   target_link_libraries(${target} PRIVATE ${ARG_LINKS} sycamorewinch_options
                                           Boost::unit_test_framework)
-  add_test(NAME ${name} COMMAND ${CMAKE_SOURCE_DIR}/scripts/run-test-program $<TARGET_FILE:${target}>)
+  if(ARG_SERIAL_SUITE)
+    add_test(NAME ${name}_${ARG_SERIAL_SUITE} COMMAND ${run} --run_test=${ARG_SERIAL_SUITE})
+    set_tests_properties(${name}_${ARG_SERIAL_SUITE} PROPERTIES TIMEOUT 1200 RUN_SERIAL TRUE)
+    list(APPEND run --run_test=!${ARG_SERIAL_SUITE})
+  endif()
+  add_test(NAME ${name} COMMAND ${run})
   set_tests_properties(${name} PROPERTIES TIMEOUT 240)
 endfunction()
 
--- a/libs/soak/child_process.cpp
+++ b/libs/soak/child_process.cpp
@@ -20,6 +20,11 @@
 {
     process_->setProcessChannelMode(QProcess::MergedChannels);
     process_->setStandardOutputFile(QString::fromStdString(command_.log_file_), QIODevice::Append);
+    auto environment = QProcess::systemEnvironment();
+    for (const auto& variable : command_.environment_) {
+        environment << QString::fromStdString(variable);
+    }
+    process_->setEnvironment(environment);
     QObject::connect(process_.get(), &QProcess::finished, process_.get(), [this] {
         is_terminating_ = false;
         if (std::exchange(restart_after_exit_, false)) {
@@ -67,6 +72,11 @@
     return process_->state() != QProcess::NotRunning;
 }
 
+auto child_process::process_id() const -> std::int64_t
+{
+    return process_->processId();
+}
+
 void child_process::signal(int number) const
 {
     if (process_->processId() > 0) {
--- a/libs/soak/child_process.h
+++ b/libs/soak/child_process.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,7 +19,8 @@
 struct child_command {
     std::string program_;
     std::vector<std::string> arguments_;
-    std::string log_file_; ///< Standard output and error are appended here.
+    std::string log_file_;                      ///< Standard output and error are appended here.
+    std::vector<std::string> environment_ = {}; ///< NAME=VALUE, added to that of this process.
 };
 
 /** One process, which can be restarted any number of times. */
@@ -41,6 +43,8 @@
     /** Asks the process to exit (SIGTERM) and returns without waiting. */
     void terminate();
     [[nodiscard]] auto is_running() const -> bool;
+    /** Returns the process id, or 0 if the process is not running. */
+    [[nodiscard]] auto process_id() const -> std::int64_t;
     /** Returns whether the process was asked to exit and still runs. */
     [[nodiscard]] auto is_terminating() const -> bool { return is_terminating_; }
     /** Starts the process if it is not running. After terminate(), starts it once it has exited. */
--- a/libs/standin/loopback_socket.cpp
+++ b/libs/standin/loopback_socket.cpp
@@ -128,6 +128,11 @@
     return static_cast<std::size_t>(socket_->bytesToWrite());
 }
 
+auto loopback_socket::is_connected() const -> bool
+{
+    return socket_->state() == QAbstractSocket::ConnectedState;
+}
+
 scripted_server::scripted_server(loopback_socket::event_hook script) : script_(std::move(script))
 {
     ensure_application();
--- a/libs/standin/loopback_socket.h
+++ b/libs/standin/loopback_socket.h
@@ -70,6 +70,7 @@
     [[nodiscard]] auto bytes_received() const -> std::uint64_t { return bytes_received_; }
     /** Returns the number of written bytes that the operating system has not accepted yet. */
     [[nodiscard]] auto queued_bytes() const -> std::size_t;
+    [[nodiscard]] auto is_connected() const -> bool;
     [[nodiscard]] auto is_closed() const -> bool { return is_closed_; }
 
   private:
