Do not parse an incomplete element again without further bytes

Callers saw a node end, with all requests in flight: a request with an empty chunked body whose last two bytes came later, or not at all, ended the process by an assertion of Boost.Beast.

Cause: the loops of the connections pass what is left of the input to the parser again whenever it has consumed something. Beast requires more bytes than before once it has asked for them. Resuming after a pause passes the same bytes too.

The parser now remembers how many bytes it left for lack of more, and does not pass them to Beast until more have come, so no caller can break the contract.

--- a/libs/http1/http1_parser.cpp
+++ b/libs/http1/http1_parser.cpp
@@ -198,6 +198,8 @@
     std::unique_ptr<beast_parser<true>> request_;
     std::unique_ptr<beast_parser<false>> response_;
     http1_parse_error parse_error_ = http1_parse_error::none;
+    /** Bytes that the last feed() left because the element that they begin is incomplete. */
+    std::size_t incomplete_bytes_ = 0;
 
     template <typename Action>
     auto with(Action action)
@@ -233,13 +235,16 @@
 
 auto http1_parser::feed(std::string_view bytes) -> std::size_t
 {
-    if (parse_error() != http1_parse_error::none || is_done() || bytes.empty()) {
+    // Beast must not be given an incomplete element again without further bytes.
+    if (parse_error() != http1_parse_error::none || is_done() ||
+        bytes.size() <= state_->incomplete_bytes_) {
         return 0;
     }
     boost_error code;
     const auto consumed = state_->with([&](auto& parser) {
         return parser.put(boost::asio::buffer(bytes.data(), bytes.size()), code);
     });
+    state_->incomplete_bytes_ = code == http::error::need_more ? bytes.size() - consumed : 0;
     if (code && code != http::error::need_more) {
         state_->parse_error_ = to_parse_error(code);
     }
--- a/libs/http1/http1_parser.h
+++ b/libs/http1/http1_parser.h
@@ -79,7 +79,8 @@
     ~http1_parser();
 
     /** Parses \p bytes and returns how many were consumed; the caller must pass the rest again,
-     * with more bytes after it. Stops at the end of the message. */
+     * with more bytes after it. Passed without more bytes, it is not parsed again. Stops at the end
+     * of the message. */
     auto feed(std::string_view bytes) -> std::size_t;
 
     /** Reports that the peer closed its sending side. This completes a message whose body lasts
--- a/libs/http1/test/error/parser_errors.cpp
+++ b/libs/http1/test/error/parser_errors.cpp
@@ -79,3 +79,30 @@
     BOOST_TEST(chunked.body_ == "abcde");
     BOOST_TEST(chunked.ended_);
 }
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_passed_again_without_more_bytes_are_not_parsed_again)
+{
+    for (const std::string body : {"0\r\n\r\n", "3\r\nabc\r\n0\r\n\r\n", "0\r\na: b\r\n\r\n"}) {
+        const auto message =
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
+        for (std::size_t cut = 1; cut < message.size(); ++cut) {
+            bool ended = false;
+            auto parser = http1_parser::for_request({}, {[](const auto&) {}, [](auto) {},
+                                                         [&ended] {
+                                                             ended = true;
+                                                         }});
+            std::size_t start = 0;
+            for (const auto available : {cut, cut, message.size()}) {
+                const auto arrived = std::string_view(message).substr(0, available);
+                while (start < arrived.size() && !ended) {
+                    const auto consumed = parser.feed(arrived.substr(start));
+                    start += consumed;
+                    if (consumed == 0) {
+                        break;
+                    }
+                }
+            }
+            BOOST_TEST(ended);
+        }
+    }
+}
