Pass on the chunks that arrive together in one call

A body in chunks of one byte cost a call of each layer, an HTTP/2 frame and a write for each byte: with a crowd of such clients, a node was busy with them alone, and the encoded bytes that waited for a target were six times the body.

The parser now collects the chunks of one feed() and passes them on together, so the cost of a body follows its bytes and the reads, not the number of its chunks.

The new case of http1_test counted 5,000 calls before, and one now.

--- a/libs/http1/http1_parser.cpp
+++ b/libs/http1/http1_parser.cpp
@@ -77,6 +77,15 @@
         this->eager(true);
     }
 
+    /** Passes on the body bytes collected since the last call. */
+    void deliver_body()
+    {
+        if (!body_.empty()) {
+            const auto body = std::exchange(body_, {});
+            hooks_.on_body_(body);
+        }
+    }
+
     /** The response is to a HEAD request: it has no body, whatever its header fields say. */
     void skip_body()
     {
@@ -141,11 +150,15 @@
     auto on_chunk_body_impl(std::uint64_t, beast::string_view body, boost_error&)
         -> std::size_t override
     {
-        hooks_.on_body_({body.data(), body.size()});
+        body_.append(body.data(), body.size());
         return body.size();
     }
 
-    void on_finish_impl(boost_error&) override { hooks_.on_end_(); }
+    void on_finish_impl(boost_error&) override
+    {
+        deliver_body();
+        hooks_.on_end_();
+    }
 
     /** Rejects fields that Beast accepts but that two parsers could interpret differently, which
      * would allow request smuggling. */
@@ -170,6 +183,7 @@
 
     http1_parser_hooks hooks_;
     message_head head_;
+    std::string body_; ///< Of the chunks parsed since the last deliver_body().
     bool ignores_body_ = false;
 };
 
@@ -242,7 +256,9 @@
     }
     boost_error code;
     const auto consumed = state_->with([&](auto& parser) {
-        return parser.put(boost::asio::buffer(bytes.data(), bytes.size()), code);
+        const auto count = parser.put(boost::asio::buffer(bytes.data(), bytes.size()), code);
+        parser.deliver_body();
+        return count;
     });
     state_->incomplete_bytes_ = code == http::error::need_more ? bytes.size() - consumed : 0;
     if (code && code != http::error::need_more) {
--- a/libs/http1/http1_parser.h
+++ b/libs/http1/http1_parser.h
@@ -50,6 +50,7 @@
 /** Callbacks of a parser. */
 struct http1_parser_hooks {
     std::function<void(message_head head)> on_head_;
+    /** Body bytes: of chunks, all that one feed() has parsed, in one call. */
     std::function<void(std::string_view bytes)> on_body_;
     std::function<void()> on_end_;
 };
--- a/libs/http1/test/error/parser_errors.cpp
+++ b/libs/http1/test/error/parser_errors.cpp
@@ -106,3 +106,24 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(tiny_chunks_that_arrive_together_are_passed_on_together)
+{
+    constexpr std::size_t chunk_count = 5'000;
+    std::string message = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t index = 0; index < chunk_count; ++index) {
+        message += "1\r\nx\r\n";
+    }
+    std::size_t parts = 0;
+    std::string body;
+    auto parser = http1_parser::for_request({}, {[](const auto&) {},
+                                                 [&](auto bytes) {
+                                                     ++parts;
+                                                     body += bytes;
+                                                 },
+                                                 [] {
+                                                 }});
+    parser.feed(message);
+    BOOST_TEST(parts == 1);
+    BOOST_TEST((body == std::string(chunk_count, 'x')));
+}
