Give back what a refused upload holds at both ends of a link

Cause: when the node beside the target refused a request before the end of its body, the exchange ended but its HTTP/2 stream stayed open, with the unsent part of the body, the replay buffer and, at the other node, the call.

An exchange now gives back its stream, its pending body and its unconsumed share of the receive window wherever it ends: on a refusal, a cancellation and a complete response. The node beside the target gives back the share of the connection's window that a closed stream had not consumed.

--- a/libs/request_path/peer_exchange.cpp
+++ b/libs/request_path/peer_exchange.cpp
@@ -128,9 +128,7 @@
     void cancel()
     {
         ended_ = true;
-        if (const auto connection = connection_.lock()) {
-            connection->reset(stream_);
-        }
+        release();
     }
 
     /** Cancels the request if it was not passed to the socket; otherwise asks the other node to
@@ -206,6 +204,7 @@
             hooks_.on_load_report_(*load_report);
         }
         if (const auto refusal = from_peer_refusal(headers)) {
+            is_response_complete_ = ends_stream;
             refuse(*refusal);
             return;
         }
@@ -232,14 +231,12 @@
      * stream is reset. */
     void on_response_end()
     {
+        is_response_complete_ = true;
         if (ended_ || !responded_) {
             return;
         }
         ended_ = true;
-        const auto connection = connection_.lock();
-        if (connection && has_body_ && !body_finished_) {
-            connection->reset(stream_);
-        }
+        release();
         hooks_.on_end_();
     }
 
@@ -254,6 +251,7 @@
             return;
         }
         ended_ = true;
+        release();
         if (complete) {
             hooks_.on_end_();
         }
@@ -265,9 +263,24 @@
     void refuse(const refusal& refusal)
     {
         ended_ = true;
+        release();
         hooks_.on_refused_(refusal);
     }
 
+    /** Gives back what the ended exchange holds at both ends of the link: the receive window, the
+     * unsent part of the body and, unless both messages are complete, the stream. */
+    void release()
+    {
+        pending_body_ = {};
+        if (unconsumed_bytes_ > 0) {
+            consume(std::exchange(unconsumed_bytes_, 0));
+        }
+        const auto connection = connection_.lock();
+        if (connection && !(is_response_complete_ && (body_finished_ || !has_body_))) {
+            connection->reset(stream_);
+        }
+    }
+
     void consume(std::size_t count)
     {
         if (const auto connection = connection_.lock()) {
@@ -285,6 +298,7 @@
     bool pending_finish_ = false; ///< The body ended before the connection was ready.
     bool body_finished_ = false;  ///< The end of the request's body was written.
     bool responded_ = false;
+    bool is_response_complete_ = false;
     bool ended_ = false;
     bool paused_ = false;
     std::size_t unconsumed_bytes_ = 0; ///< Received while paused.
--- a/libs/request_path/peer_service.cpp
+++ b/libs/request_path/peer_service.cpp
@@ -159,6 +159,9 @@
         if (std::exchange(is_counted_, false)) {
             --node_.calls_in_flight();
         }
+        if (const auto connection = connection_.lock(); connection && unconsumed_bytes_ > 0) {
+            connection->consume(stream_, std::exchange(unconsumed_bytes_, 0)); // of the connection
+        }
         controls_ = {}; // breaks the reference cycle of call, exchange and hooks
         calls_.calls_.erase(key_);
     }
