Submit the reset of a stream only once

Under many uploads a link between two nodes ended, and every call on it failed: callers got 502 and 503 for requests that had nothing to do with the load.

Cause: a call that withdraws its request resets the stream, and then cancels its exchange, which resets it again.

Evidence: the new case of transport_test failed before (16,384 of 4,194,304 bytes arrived, the connection had ended) and passes now.

--- a/libs/transport/h2_connection.cpp
+++ b/libs/transport/h2_connection.cpp
@@ -144,7 +144,9 @@
 
 void h2_connection::reset(stream_id stream)
 {
-    if (!state_->ended_ && state_->find_stream(stream) != nullptr) {
+    auto* found = state_->find_stream(stream);
+    // A second frame for a stream that was never opened would be an error of the connection.
+    if (!state_->ended_ && found != nullptr && !std::exchange(found->is_reset_, true)) {
         nghttp2_submit_rst_stream(state_->session_, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
         state_->flush();
     }
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -38,6 +38,7 @@
     bool peer_ended_stream_ = false;    ///< The peer sent END_STREAM.
     bool all_body_submitted_ = false;   ///< All of our body was passed to nghttp2.
     bool was_above_low_water_ = false;  ///< The stream is listed in above_low_water_.
+    bool is_reset_ = false;             ///< RST_STREAM was submitted.
 };
 
 } // namespace internal
--- a/libs/transport/test/correctness/h2_streams.cpp
+++ b/libs/transport/test/correctness/h2_streams.cpp
@@ -228,3 +228,29 @@
     BOOST_TEST(wait_until([&] { return !server.ends().empty(); }));
     BOOST_TEST((server.ends()[0] == connection_end_reason::closed_by_us));
 }
+
+BOOST_AUTO_TEST_CASE(a_request_that_is_reset_twice_before_it_is_sent_leaves_its_connection_open)
+{
+    stream_log at_server;
+    stream_id received = 0;
+    std::size_t consumed = 0;
+    const h2_server server([&](h2_connection& connection, stream_id id, const header_list&) {
+        received = id;
+        auto hooks = at_server.hooks();
+        hooks.on_data_ = [&, id](std::string_view bytes) {
+            consumed += bytes.size();
+            connection.consume(id, bytes.size());
+        };
+        return hooks;
+    });
+    const auto client = dial_h2(server.port());
+    const auto upload = client->request(request_fields("/"), false, {});
+    BOOST_TEST(wait_until([&] { return received == *upload; }));
+    client->write(*upload, std::string(body_bytes, 'b'), true); // the socket takes no more
+    const auto queued = client->request(request_fields("/"), true, {});
+    BOOST_TEST(client->reset_if_unsent(*queued));
+    client->reset(*queued);
+    BOOST_TEST(wait_until([&] { return consumed == body_bytes || !client->is_open(); }));
+    BOOST_TEST(consumed == body_bytes);
+    BOOST_TEST(client->is_open());
+}
