Free the sent part of a stream's queue while more is written

A node that passed on large uploads grew by the size of each of them: ten bodies of 64 MB at once are more than the memory of a small machine.

Cause: a stream's queue was freed only when it was empty. The writer refills it when it is short, so with a body that arrives faster than the link takes it, the queue kept all of the body, sent or not, until the end.

The sent part is now freed when it is half of the queue, and the whole queue when it is empty. The new case of transport_test failed before (32 MB passed on, memory grew by 34 MB, 4 MB allowed) and passes now.

--- a/libs/transport/h2_callbacks.cpp
+++ b/libs/transport/h2_callbacks.cpp
@@ -144,21 +144,17 @@
                          std::uint32_t* flags, nghttp2_data_source* source, void*) -> ssize_t
 {
     auto& stream = *static_cast<stream_state*>(source->ptr);
-    const auto unsent = stream.outgoing_.size() - stream.outgoing_consumed_;
+    const auto unsent = stream.unsent_bytes();
     if (unsent == 0 && !stream.outgoing_is_end_) {
         stream.data_is_deferred_ = true;
         return NGHTTP2_ERR_DEFERRED;
     }
     const auto count = std::min(unsent, max_bytes);
     std::copy_n(stream.outgoing_.data() + stream.outgoing_consumed_, count, out);
-    stream.outgoing_consumed_ += count;
-    if (stream.outgoing_consumed_ == stream.outgoing_.size()) {
-        stream.outgoing_.clear();
-        stream.outgoing_consumed_ = 0;
-        if (stream.outgoing_is_end_) {
-            *flags |= NGHTTP2_DATA_FLAG_EOF;
-            stream.all_body_submitted_ = true;
-        }
+    stream.consume_outgoing(count);
+    if (stream.unsent_bytes() == 0 && stream.outgoing_is_end_) {
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+        stream.all_body_submitted_ = true;
     }
     return static_cast<ssize_t>(count);
 }
--- a/libs/transport/h2_connection.cpp
+++ b/libs/transport/h2_connection.cpp
@@ -117,7 +117,7 @@
               stream);
     found->outgoing_ += bytes;
     found->outgoing_is_end_ = last;
-    if (found->outgoing_.size() - found->outgoing_consumed_ > stream_low_water_bytes &&
+    if (found->unsent_bytes() > stream_low_water_bytes &&
         !std::exchange(found->was_above_low_water_, true)) {
         state_->above_low_water_.push_back(stream);
     }
@@ -131,7 +131,7 @@
 auto h2_connection::queued_bytes(stream_id stream) const -> std::size_t
 {
     const auto* found = state_->find_stream(stream);
-    return found == nullptr ? 0 : found->outgoing_.size() - found->outgoing_consumed_;
+    return found == nullptr ? 0 : found->unsent_bytes();
 }
 
 void h2_connection::consume(stream_id stream, std::size_t count)
--- a/libs/transport/h2_state.cpp
+++ b/libs/transport/h2_state.cpp
@@ -24,6 +24,19 @@
 
 using internal::stream_low_water_bytes;
 
+void internal::stream_state::consume_outgoing(std::size_t count)
+{
+    outgoing_consumed_ += count;
+    if (outgoing_consumed_ == outgoing_.size()) {
+        outgoing_ = {};
+        outgoing_consumed_ = 0;
+    }
+    else if (outgoing_consumed_ > outgoing_.size() / 2) {
+        outgoing_ = outgoing_.substr(outgoing_consumed_);
+        outgoing_consumed_ = 0;
+    }
+}
+
 void h2_connection::state::start()
 {
     make_session();
@@ -231,7 +244,7 @@
         if (stream == nullptr) {
             return true;
         }
-        if (stream->outgoing_.size() - stream->outgoing_consumed_ > stream_low_water_bytes) {
+        if (stream->unsent_bytes() > stream_low_water_bytes) {
             return false;
         }
         stream->was_above_low_water_ = false;
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -39,6 +39,14 @@
     bool all_body_submitted_ = false;   ///< All of our body was passed to nghttp2.
     bool was_above_low_water_ = false;  ///< The stream is listed in above_low_water_.
     bool is_reset_ = false;             ///< RST_STREAM was submitted.
+
+    [[nodiscard]] auto unsent_bytes() const -> std::size_t
+    {
+        return outgoing_.size() - outgoing_consumed_;
+    }
+    /** Drops \p count unsent bytes. Their memory is freed, at the latest when half of outgoing_ has
+     * been consumed: the writer of a long body may always be ahead of the connection. */
+    void consume_outgoing(std::size_t count);
 };
 
 } // namespace internal
--- a/libs/transport/test/correctness/h2_streams.cpp
+++ b/libs/transport/test/correctness/h2_streams.cpp
@@ -1,6 +1,8 @@
 // Streams of an HTTP/2 connection: flow control, resets and shutdown.
 #include <boost/test/unit_test.hpp>
 
+#include <malloc.h>
+
 #include "../h2_fixture.h"
 #include "standin/recorded_qt_messages.h"
 
@@ -254,3 +256,38 @@
     BOOST_TEST(consumed == body_bytes);
     BOOST_TEST(client->is_open());
 }
+
+BOOST_AUTO_TEST_CASE(a_long_body_whose_writer_is_always_ahead_holds_only_what_is_unsent)
+{
+    constexpr std::size_t part_bytes = 64U * 1024;
+    constexpr std::size_t long_body_bytes = 32U * 1024 * 1024;
+    constexpr std::size_t max_growth = 4U * 1024 * 1024; // far above what buffers need
+    const auto allocated = [] {
+        const auto info = ::mallinfo2();
+        return info.uordblks + info.hblkhd;
+    };
+    std::size_t received = 0;
+    const h2_server server([&](h2_connection& connection, stream_id id, const header_list&) {
+        stream_hooks hooks;
+        hooks.on_data_ = [&, id](std::string_view bytes) {
+            received += bytes.size();
+            connection.consume(id, bytes.size());
+        };
+        return hooks;
+    });
+    const auto client = dial_h2(server.port());
+    const auto upload = client->request(request_fields("/"), false, {});
+    const auto before = allocated();
+    std::size_t most = before;
+    std::size_t written = 0;
+    const std::string part(part_bytes, 'b');
+    BOOST_TEST(wait_until([&] {
+        while (written < long_body_bytes && client->queued_bytes(*upload) < 2 * part_bytes) {
+            client->write(*upload, part, false);
+            written += part_bytes;
+        }
+        most = std::max(most, allocated());
+        return received == long_body_bytes;
+    }));
+    BOOST_TEST(most - before < max_growth);
+}
