--- a/libs/daemon/admin_server.cpp
+++ b/libs/daemon/admin_server.cpp
@@ -1,11 +1,15 @@
 #include "daemon/admin_server.h"
 
+#include <sys/socket.h>
+
 #include <QCryptographicHash>
 #include <QHostAddress>
 #include <QHttpServer>
 #include <QJsonDocument>
 #include <fmt/core.h>
 
+#include "transport/reuse_port_listener.h"
+
 namespace sycamorewinch {
 
 namespace {
@@ -113,6 +117,8 @@
         return failure(error_kind::io, fmt::format("cannot listen on {}: {}", to_text(address),
                                                    listener_->errorString().toStdString()));
     }
+    ::setsockopt(static_cast<int>(listener_->socketDescriptor()), SOL_SOCKET, SO_RCVBUF,
+                 &client_receive_buffer_bytes, sizeof(client_receive_buffer_bytes));
     server_->bind(listener_.get());
     listener_->setParent(nullptr); // bind() made it a child of server_, but listener_ owns it
     return {};
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -8,6 +8,7 @@
 #include <QTimer>
 
 #include "control/control_replica.h"
+#include "daemon/client_limits.h"
 #include "daemon/control_group.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_listener.h"
@@ -38,7 +39,7 @@
 constexpr int reports_per_timeout = 3;
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
 /** Large, since operators upload whole tables. */
-constexpr admin_limits operator_limits{.max_request_bytes_ = 8 * 1024 * 1024};
+constexpr qint64 max_operator_request_bytes = 8 * 1024 * 1024;
 constexpr auto proof_timeout = std::chrono::milliseconds(500);
 constexpr auto proof_retry_after = std::chrono::milliseconds(100);
 
@@ -48,9 +49,11 @@
     control_role(const daemon_settings& settings, const daemon_secrets& secrets,
                  external_interfaces interfaces)
         : settings_(settings), interfaces_(std::move(interfaces)), random_(system_random()),
+          resources_(settings, metrics_),
           admin_(
               metrics_, secrets.operator_token_,
-              [this] { return !replica_->raft_state().leader().empty(); }, operator_limits),
+              [this] { return !replica_->raft_state().leader().empty(); },
+              resources_.limits_of_admin(max_operator_request_bytes)),
           listener_(secrets.key_, metrics_),
           publisher_(metrics_,
                      {[this] { start_proof(); }, [this](const auto& report) { broadcast(report); },
@@ -221,6 +224,7 @@
         for (const auto reason : {error_kind::invalid_input, error_kind::unsupported}) {
             rejected_configs(reason).add(0); // so that rate queries see the first increment
         }
+        api.make_guard_ = resources_.guards_of_interface();
         auto serving = interfaces_.serve_control_(api);
         if (!serving) {
             return tl::unexpected(serving.error());
@@ -457,6 +461,7 @@
     external_interfaces interfaces_;
     random_hook random_;
     metrics_registry metrics_;
+    client_resources resources_;
     admin_server admin_;
     peer_listener listener_;
     publisher_server publisher_;
--- a/libs/daemon/external_interface.h
+++ b/libs/daemon/external_interface.h
@@ -16,10 +16,15 @@
 #include "daemon/target_registry.h"
 #include "policy/path_index.h"
 #include "request_path/header_mapping.h"
+#include "resources/resource_guard.h"
 #include "settings/daemon_settings.h"
 
 namespace sycamorewinch {
 
+/** Returns a guard for the clients of one more address, named \p name in logs and metrics. Unset:
+ * what they hold is not limited. */
+using guard_factory = std::function<std::unique_ptr<resource_guard>(const std::string& name)>;
+
 /** What a control process offers to an external interface. The hooks are valid for the lifetime of
  * the role. */
 struct control_api {
@@ -35,6 +40,7 @@
     std::function<void(const std::string& service, rollout_read_callback callback)> read_rollout_;
     /** To be called for each configuration that the interface rejects as invalid or unsupported. */
     std::function<void(error_kind reason)> count_rejected_config_;
+    guard_factory make_guard_;
 };
 
 /** What a node offers to an external interface. The hooks are valid for the lifetime of the role.
@@ -45,6 +51,7 @@
     std::function<result<void>(const target_announcement& announcement)> announce_target_;
     /** Stops sending work to the target named \p target. */
     std::function<void(const std::string& target)> withdraw_target_;
+    guard_factory make_guard_;
 };
 
 /** An interface besides the built-in one; unset members are not provided. The role owns the objects
--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -5,6 +5,7 @@
 
 #include "daemon/admin_server.h"
 #include "daemon/announcement_json.h"
+#include "daemon/client_limits.h"
 #include "daemon/coalesced_call.h"
 #include "daemon/drain_api.h"
 #include "daemon/node_shutdown.h"
@@ -45,11 +46,13 @@
     node_role(const daemon_settings& settings, const daemon_secrets& secrets,
               external_interfaces interfaces)
         : settings_(settings), secrets_(secrets), interfaces_(std::move(interfaces)),
-          state_(to_text(settings.listen_peers_), metrics_),
+          resources_(settings, metrics_), state_(to_text(settings.listen_peers_), metrics_),
           registry_(settings.availability_zone_, to_text(settings.listen_peers_),
                     static_cast<std::uint64_t>(QDateTime::currentMSecsSinceEpoch()),
                     to_text(settings.listen_admin_)),
-          admin_(metrics_, secrets.operator_token_, [this] { return is_ready(); }),
+          admin_(
+              metrics_, secrets.operator_token_, [this] { return is_ready(); },
+              resources_.limits_of_admin(admin_limits().max_request_bytes_)),
           link_(settings.upstreams_, secrets.key_,
                 {settings.name_, settings.availability_zone_, false, system_random(),
                  settings.proof_period_, settings.proof_timeout_},
@@ -103,6 +106,8 @@
         }
         state_.set_prefix_match(interfaces_.prefix_match_);
         state_.set_max_refusal_proof_age(settings_.refusal_proof_age_);
+        state_.set_caller_limits({&resources_.account(), resources_.limits().caller_connections_,
+                                  settings_.body_timeout_});
         if (settings_.prefers_own_zone_) {
             state_.set_preferred_zone(settings_.availability_zone_);
         }
@@ -190,9 +195,8 @@
         auto serving = interfaces_.serve_node_(
             {[this] { return is_ready(); },
              [this](const target_announcement& announcement) { return announce(announcement); },
-             [this](const std::string& target) {
-                 withdraw_target(target);
-             }});
+             [this](const std::string& target) { withdraw_target(target); },
+             resources_.guards_of_interface()});
         if (!serving) {
             return tl::unexpected(serving.error());
         }
@@ -553,6 +557,7 @@
     daemon_secrets secrets_;
     external_interfaces interfaces_;
     metrics_registry metrics_;
+    client_resources resources_;
     node_state state_;
     target_registry registry_;
     target_directory directory_;
--- a/libs/daemon/relay_role.cpp
+++ b/libs/daemon/relay_role.cpp
@@ -3,6 +3,7 @@
 #include <QTimer>
 
 #include "daemon/admin_server.h"
+#include "daemon/client_limits.h"
 #include "daemon/coalesced_call.h"
 #include "daemon/peer_listener.h"
 #include "daemon/publisher_server.h"
@@ -24,7 +25,10 @@
 class relay_role {
   public:
     relay_role(const daemon_settings& settings, const daemon_secrets& secrets)
-        : admin_(metrics_, secrets.operator_token_, [this] { return link_.is_connected(); }),
+        : resources_(settings, metrics_),
+          admin_(
+              metrics_, secrets.operator_token_, [this] { return link_.is_connected(); },
+              resources_.limits_of_admin(admin_limits().max_request_bytes_)),
           listener_(secrets.key_, metrics_),
           publisher_(metrics_, {[this] { request_upstream_proof(); },
                                 [this](const auto& report) { report_targets(report); },
@@ -155,6 +159,7 @@
     }
 
     metrics_registry metrics_;
+    client_resources resources_;
     admin_server admin_;
     peer_listener listener_;
     publisher_server publisher_;
--- a/libs/http1/http1_client_connection.cpp
+++ b/libs/http1/http1_client_connection.cpp
@@ -17,6 +17,7 @@
 
 #include "base/invariant.h"
 #include "event_loop/deadline_timer.h"
+#include "transport/reuse_port_listener.h"
 
 namespace sycamorewinch {
 
@@ -26,6 +27,11 @@
 constexpr unsigned first_final_status = 200;
 constexpr unsigned switching_protocols_status = 101;
 constexpr std::size_t low_water_bytes = 64U * 1024;
+/** Held for each connection besides the bytes of its messages: objects, and blocks that the socket
+ * keeps for reuse. */
+constexpr std::uint64_t connection_bytes = 24U * 1024;
+/** What can arrive while reading is paused: in the read buffer and in that of the system. */
+constexpr std::uint64_t paused_bytes = read_buffer_bytes + client_receive_buffer_memory;
 /** Largest total size of the 1xx responses before a response. */
 constexpr std::size_t max_informational_bytes = 64U * 1024;
 
@@ -56,6 +62,7 @@
     std::size_t informational_bytes_ = 0;    ///< Size of the 1xx responses of the exchange.
     int tcp_info_descriptor_ = -1; ///< Duplicate socket descriptor, to tell a FIN from a reset.
     http1_client_limits limits_;
+    std::optional<memory_charge> charge_; ///< For what this connection holds.
     std::optional<std::chrono::seconds> keep_alive_time_;
     std::function<void()> silent_hook_;
     deadline_timer connect_timer_{[this] {
@@ -81,6 +88,7 @@
     void resume();
     void fail(exchange_failure failure);
     void complete();
+    void update_charge();
 };
 
 http1_client_connection::http1_client_connection() : state_(std::make_unique<state>()) {}
@@ -99,6 +107,7 @@
     std::shared_ptr<http1_client_connection> connection(new http1_client_connection());
     connection->state_->owner_ = connection.get();
     connection->state_->limits_ = limits;
+    connection->state_->charge_.emplace(limits.guard_);
     connection->state_->start_socket(host, port);
     return connection;
 }
@@ -113,6 +122,10 @@
         connect_timer_.stop();
         is_connected_ = true;
         socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+        if (limits_.guard_ != nullptr) {
+            socket->setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption,
+                                    client_receive_buffer_bytes);
+        }
         const auto bytes = std::move(unsent_);
         unsent_.clear();
         send(bytes);
@@ -121,6 +134,7 @@
     QObject::connect(socket, &QTcpSocket::disconnected, socket, [this] { on_disconnected(); });
     QObject::connect(socket, &QTcpSocket::errorOccurred, socket, [this] { on_disconnected(); });
     QObject::connect(socket, &QTcpSocket::bytesWritten, socket, [this] {
+        update_charge();
         const auto hooks = hooks_;
         if (is_active_ && owner_->queued_bytes() <= low_water_bytes && hooks->on_writable_) {
             const auto keep = owner_->shared_from_this();
@@ -134,12 +148,20 @@
 {
     if (!is_connected_) {
         unsent_ += bytes;
-        return;
     }
-    if (!bytes.empty()) {
+    else if (!bytes.empty()) {
         has_sent_bytes_ = true;
         socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
     }
+    update_charge();
+}
+
+void http1_client_connection::state::update_charge()
+{
+    const bool holds_bytes = !is_closed_ && limits_.guard_ != nullptr;
+    const auto unread_bytes = is_paused_ ? paused_bytes : 0;
+    charge_->set(
+        holds_bytes ? connection_bytes + unread_bytes + input_.size() + owner_->queued_bytes() : 0);
 }
 
 void http1_client_connection::start(message_head head, client_exchange_hooks hooks)
@@ -220,6 +242,13 @@
         return;
     }
     const auto keep = owner_->shared_from_this();
+    if (limits_.guard_ != nullptr) {
+        // May end this exchange. Without room, it goes on with the little that it may have queued.
+        limits_.guard_->make_room(static_cast<std::uint64_t>(socket_->bytesAvailable()), nullptr);
+    }
+    if (is_closed_) {
+        return;
+    }
     if (!is_active_) {
         can_reuse_ = false; // unsolicited bytes: no request is outstanding
         is_closed_ = true;
@@ -250,7 +279,11 @@
         }
     }
     input_.erase(0, start);
+    if (input_.empty()) {
+        input_ = {}; // frees its memory
+    }
     is_parsing_ = false;
+    update_charge();
     if (is_active_ && parser_->is_done()) {
         complete();
     }
@@ -364,6 +397,8 @@
     close_tcp_info_descriptor();
     connect_timer_.stop();
     stall_timer_.stop();
+    unsent_ = {};
+    update_charge();
     socket_->disconnect();
     socket_->abort();
     const auto hooks = std::exchange(hooks_, nullptr);
@@ -409,6 +444,8 @@
     self.connect_timer_.stop();
     self.can_reuse_ = false;
     self.is_closed_ = true;
+    self.unsent_ = {};
+    self.update_charge();
     self.socket_->disconnect();
     self.socket_->abort();
 }
@@ -419,6 +456,7 @@
         return;
     }
     state_->is_paused_ = paused;
+    state_->update_charge();
     if (!paused) {
         QTimer::singleShot(0, state_->socket_.get(), [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
--- a/libs/http1/http1_client_connection.h
+++ b/libs/http1/http1_client_connection.h
@@ -34,6 +34,7 @@
     /** An exchange that is cancelled after at least this long without any response byte counts as
      * silent; see set_silent_hook(). */
     std::chrono::milliseconds silent_after_{1'000};
+    resource_guard* guard_ = nullptr; ///< Of the event loop; null: what is held is not counted.
 };
 
 /** Callbacks of one exchange. on_end_ or on_failed_ is the last one called. */
--- a/libs/http1/http1_parser.h
+++ b/libs/http1/http1_parser.h
@@ -19,6 +19,7 @@
 #include <string_view>
 
 #include "base/result.h"
+#include "resources/resource_guard.h"
 #include "transport/header_list.h"
 
 namespace sycamorewinch {
@@ -45,6 +46,10 @@
     std::chrono::milliseconds header_timeout_{10'000}; ///< From first byte to the end.
     std::chrono::milliseconds idle_timeout_{60'000};   ///< Between two requests.
     std::chrono::milliseconds linger_timeout_{2'000};  ///< For the peer to read the last response.
+    /** Longest gap between two reads of a request's body. Does not count while reading is paused.
+     */
+    std::chrono::milliseconds body_timeout_{30'000};
+    resource_guard* guard_ = nullptr; ///< Of the event loop; null: no limits besides these.
 };
 
 /** Callbacks of a parser. */
--- a/libs/http1/http1_server_connection.cpp
+++ b/libs/http1/http1_server_connection.cpp
@@ -11,12 +11,18 @@
 #include <QTimer>
 
 #include "event_loop/deadline_timer.h"
+#include "transport/reuse_port_listener.h"
 
 namespace sycamorewinch {
 
 namespace {
 
 constexpr qint64 read_buffer_bytes = 64 * 1024;
+/** Held for each connection besides the bytes of its messages: objects, and blocks that the socket
+ * keeps for reuse. */
+constexpr std::uint64_t connection_bytes = 24U * 1024;
+/** What can arrive while reading is paused: in the read buffer and in that of the system. */
+constexpr std::uint64_t paused_bytes = read_buffer_bytes + client_receive_buffer_memory;
 constexpr std::size_t low_water_bytes = 64U * 1024;
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr unsigned no_content_status = 204;
@@ -30,8 +36,10 @@
     http1_limits limits_;
     server_connection_hooks hooks_;
     deadline_timer timer_{[this] {
-        close_connection();
+        on_timeout();
     }};
+    std::optional<memory_charge> charge_;  ///< For what the connection itself holds.
+    std::optional<guarded_client> client_; ///< Empty once the connection is closed.
     std::string input_;
     std::optional<http1_parser> parser_;
     std::shared_ptr<request_hooks> request_; ///< Shared: may be reset while a hook runs.
@@ -62,6 +70,15 @@
     void post(void (state::*function)());
     void next_request();
     void cancel_request();
+    void on_timeout();
+    void reclaim(reclaim_reason reason);
+    /** Updates what the guard knows of this connection. */
+    void update_guard(bool has_progressed);
+    [[nodiscard]] auto stage() const -> client_stage;
+    [[nodiscard]] auto is_receiving_body() const -> bool
+    {
+        return response_pending_ && !request_complete_;
+    }
 };
 
 http1_server_connection::http1_server_connection() : state_(std::make_unique<state>()) {}
@@ -94,11 +111,62 @@
     QObject::connect(socket, &QTcpSocket::disconnected, socket, [this] { close_connection(); });
     QObject::connect(socket, &QTcpSocket::errorOccurred, socket, [this] { close_connection(); });
     QObject::connect(socket, &QTcpSocket::bytesWritten, socket, [this] { on_written(); });
+    charge_.emplace(limits_.guard_);
+    client_.emplace(limits_.guard_, client_kind::connection, [this](auto reason) {
+        const auto keep = owner_->shared_from_this();
+        reclaim(reason);
+    });
     start_request_parser();
 }
 
+auto http1_server_connection::state::stage() const -> client_stage
+{
+    const bool has_unread_response = socket_->bytesToWrite() > 0;
+    if (is_lingering_ || (!response_pending_ && !has_unread_response && !parser_->has_started())) {
+        return client_stage::idle;
+    }
+    return has_unread_response || !request_complete_ || response_started_ ? client_stage::sending
+                                                                          : client_stage::waiting;
+}
+
+void http1_server_connection::state::update_guard(bool has_progressed)
+{
+    if (is_closed_ || limits_.guard_ == nullptr || !parser_) {
+        return;
+    }
+    const auto unread_bytes = is_paused_ ? paused_bytes : 0;
+    charge_->set(connection_bytes + unread_bytes + input_.size() +
+                 static_cast<std::uint64_t>(socket_->bytesToWrite()));
+    client_->set_stage(stage(), has_progressed);
+}
+
+void http1_server_connection::state::on_timeout()
+{
+    const auto keep = owner_->shared_from_this();
+    if (is_receiving_body() && !is_lingering_ && limits_.guard_ != nullptr) {
+        client_->reclaim(reclaim_reason::stalled);
+        return;
+    }
+    close_connection();
+}
+
+/** Ends the request in progress, if any, by a response of its owner. A connection that is needed
+ * for another client is closed without waiting until the response has been read. */
+void http1_server_connection::state::reclaim(reclaim_reason reason)
+{
+    const auto hooks = request_;
+    const bool was_lingering = is_lingering_;
+    if (response_pending_ && !was_lingering && hooks && hooks->on_reclaim_) {
+        hooks->on_reclaim_();
+    }
+    if (was_lingering || !is_lingering_ || reason == reclaim_reason::connections) {
+        close_connection();
+    }
+}
+
 void http1_server_connection::state::on_written()
 {
+    update_guard(true);
     if (is_lingering_) {
         linger();
         return;
@@ -156,18 +224,23 @@
     };
     parser_hooks.on_end_ = [this] {
         request_complete_ = true;
+        timer_.stop();
         if (const auto hooks = request_; hooks && hooks->on_body_end_) {
             hooks->on_body_end_();
         }
     };
     parser_.emplace(http1_parser::for_request(limits_, std::move(parser_hooks)));
     timer_.start(limits_.idle_timeout_);
+    update_guard(true);
 }
 
 void http1_server_connection::state::on_head(message_head head)
 {
     timer_.stop();
     response_pending_ = true;
+    if (head.has_body_) {
+        timer_.start(limits_.body_timeout_);
+    }
     keep_alive_ = head.keep_alive_;
     is_head_ = head.method_ == "HEAD";
     is_http_1_0_ = head.is_http_1_0_;
@@ -188,6 +261,18 @@
         return;
     }
     const auto keep = owner_->shared_from_this();
+    const auto arrived = static_cast<std::uint64_t>(socket_->bytesAvailable());
+    if (limits_.guard_ != nullptr && !is_lingering_ &&
+        !limits_.guard_->make_room(arrived, &*client_)) {
+        client_->reclaim(reclaim_reason::memory);
+        return;
+    }
+    if (is_closed_ || is_paused_) { // to make room, other requests were refused
+        return;
+    }
+    if (is_receiving_body() && arrived > 0) {
+        timer_.start(limits_.body_timeout_);
+    }
     is_parsing_ = true;
     read_input();
     std::size_t start = 0;
@@ -207,7 +292,11 @@
         }
     }
     input_.erase(0, is_lingering_ ? input_.size() : start);
+    if (input_.empty()) {
+        input_ = {}; // frees its memory
+    }
     is_parsing_ = false;
+    update_guard(arrived > 0);
 }
 
 void http1_server_connection::state::read_input()
@@ -250,6 +339,8 @@
     }
     const auto keep = owner_->shared_from_this();
     is_closed_ = true;
+    client_->leave();
+    charge_->set(0);
     timer_.stop();
     socket_->disconnect();
     if (response_started_) { // reset, so that a body without a length does not look complete
@@ -314,9 +405,11 @@
     if (self.is_chunked_) {
         const auto chunk = encode_chunk(bytes);
         self.socket_->write(chunk.data(), static_cast<qint64>(chunk.size()));
-        return;
     }
-    self.socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
+    else {
+        self.socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
+    }
+    self.update_guard(true);
 }
 
 void http1_server_connection::finish()
@@ -359,9 +452,13 @@
         return;
     }
     self.is_paused_ = paused;
+    if (self.is_receiving_body()) { // a pause is no stall of the caller
+        paused ? self.timer_.stop() : self.timer_.start(self.limits_.body_timeout_);
+    }
     if (!paused) {
         self.post(&state::parse);
     }
+    self.update_guard(false);
 }
 
 auto http1_server_connection::queued_bytes() const -> std::size_t
--- a/libs/http1/http1_server_connection.h
+++ b/libs/http1/http1_server_connection.h
@@ -31,6 +31,8 @@
     std::function<void()> on_cancelled_;
     /** The time for the request has ended; the owner must finish or abort the response. */
     std::function<void()> on_time_up_;
+    /** The request must give back what it holds; the owner must finish or abort the response. */
+    std::function<void()> on_reclaim_;
 };
 
 /** Callbacks of a connection. */
--- a/libs/http1/http1_service.cpp
+++ b/libs/http1/http1_service.cpp
@@ -9,6 +9,7 @@
 constexpr unsigned bad_request_status = 400;
 constexpr unsigned body_too_large_status = 413;
 constexpr unsigned header_too_large_status = 431;
+constexpr unsigned unavailable_status = 503;
 
 auto status_of(http1_parse_error parse_error) -> unsigned
 {
@@ -55,7 +56,8 @@
 {
     std::unique_ptr<http1_service> service(new http1_service(limits, std::move(handler)));
     auto listener = reuse_port_listener::listen(
-        address, [raw = service.get()](auto socket) { raw->accept(std::move(socket)); });
+        address, [raw = service.get()](auto socket) { raw->accept(std::move(socket)); },
+        client_receive_buffer_bytes);
     if (!listener) {
         return tl::unexpected(listener.error());
     }
@@ -65,6 +67,10 @@
 
 void http1_service::accept(std::unique_ptr<QTcpSocket> socket)
 {
+    if (limits_.guard_ != nullptr && !limits_.guard_->admit_connection()) {
+        socket->abort();
+        return;
+    }
     // The hooks are needed to create the connection, so the weak pointer that they share is set
     // after it.
     const auto weak_connection = std::make_shared<std::weak_ptr<http1_server_connection>>();
@@ -93,13 +99,22 @@
             send_response(*open_connection, response);
         }
     };
+    const auto charge = std::make_shared<memory_charge>(limits_.guard_);
     request_hooks hooks;
-    hooks.on_body_ = [request](std::string_view bytes) {
+    hooks.on_body_ = [request, charge](std::string_view bytes) {
         request->body_ += bytes;
+        charge->set(request->body_.size());
     };
     hooks.on_body_end_ = [this, request] {
         handler_(std::move(*request));
     };
+    hooks.on_reclaim_ = [request, charge] {
+        request->body_ = {};
+        charge->set(0);
+        if (request->reply_) { // not yet passed to the handler
+            request->reply_({unavailable_status, {{"retry-after", "1"}}, {}});
+        }
+    };
     return hooks;
 }
 
--- a/libs/http1/http1_service.h
+++ b/libs/http1/http1_service.h
@@ -41,7 +41,7 @@
     using handler = std::function<void(http1_request request)>;
 
     /** Listens on \p address. A request that exceeds \p limits gets status 413 or 431, a malformed
-     * one 400. */
+     * one 400, and one that must give back what it holds 503. */
     [[nodiscard]] static auto listen(const peer_address& address, const http1_limits& limits,
                                      handler handler) -> result<std::unique_ptr<http1_service>>;
     http1_service(const http1_service&) = delete;
--- a/libs/request_path/caller_call.cpp
+++ b/libs/request_path/caller_call.cpp
@@ -83,6 +83,7 @@
             [self] { self->on_caller_writable(); },
             [self] { self->on_cancelled(); },
             [self] { self->on_time_up(); },
+            [self] { self->on_reclaim(); },
         };
     }
 
@@ -421,10 +422,11 @@
         }
         if (response_buffer_.has_response()) {
             response_buffer_.append(bytes);
+            update_charge();
             return;
         }
         connection->write(bytes);
-        if (connection->queued_bytes() > high_water_bytes && controls_.pause_) {
+        if (connection->queued_bytes() > queue_limit() && controls_.pause_) {
             controls_.pause_(true);
         }
     }
@@ -487,6 +489,26 @@
                                         : outcome_of(withdraw_exchange()));
     }
 
+    /** The node needs the memory that the call holds. */
+    void on_reclaim()
+    {
+        if (ended_) {
+            return;
+        }
+        const auto keep = shared_from_this(); // the connection may drop its hooks
+        const auto result = is_withdrawing_ ? withdrawal::pending : withdraw_exchange();
+        cancel_exchange();
+        if (responded_) {
+            on_truncated();
+            return;
+        }
+        auto refusal = make_refusal(refusal_reason::overloaded);
+        if (result != withdrawal::withdrawn || may_have_run_) {
+            refusal.outcome_ = request_outcome::unknown;
+        }
+        refuse(refusal);
+    }
+
     /** Cancels the current attempt if its target has certainly not received the request. */
     auto withdraw_exchange() -> withdrawal
     {
@@ -528,11 +550,13 @@
         }
         else {
             replay_overflowed_ = true;
+            replay_buffer_ = {};
         }
+        update_charge();
         if (controls_.write_) {
             controls_.write_(bytes);
             const auto connection = connection_.lock();
-            if (connection && controls_.queued_bytes_() > high_water_bytes) {
+            if (connection && controls_.queued_bytes_() > queue_limit()) {
                 connection->pause_reading(true);
             }
         }
@@ -615,6 +639,17 @@
         deadline_timer_.stop();
         withdrawal_timer_.stop();
         controls_ = {}; // breaks the reference cycle of call, exchange and hooks
+        replay_buffer_ = {};
+        update_charge();
+    }
+
+    void update_charge() { charge_.set(replay_buffer_.size() + response_buffer_.size()); }
+
+    /** Returns the number of unsent bytes above which reading from the other side is paused. */
+    [[nodiscard]] auto queue_limit() const -> std::size_t
+    {
+        return environment_.guard_ != nullptr ? environment_.guard_->queue_limit(high_water_bytes)
+                                              : high_water_bytes;
     }
 
     call_environment environment_;
@@ -648,6 +683,7 @@
         end_at_deadline(request_outcome::unknown);
     }};
     response_buffer response_buffer_;
+    memory_charge charge_{environment_.guard_}; ///< For the two buffers.
     unsigned attempts_ = 0;
     unsigned reached_ = 0;           ///< Attempts that a target has or may have received.
     unsigned target_failures_ = 0;   ///< Attempts that failed at the target.
--- a/libs/request_path/caller_call.h
+++ b/libs/request_path/caller_call.h
@@ -22,6 +22,7 @@
     peer_connections& peers_;
     worker_quotas& quotas_;
     random_hook random_;
+    resource_guard* guard_ = nullptr; ///< Of the thread; null: what calls hold is not counted.
 };
 
 /** Starts a call whose header arrived on \p connection; returns the hooks that receive its body. */
--- a/libs/request_path/local_exchange.cpp
+++ b/libs/request_path/local_exchange.cpp
@@ -42,7 +42,7 @@
                    exchange_hooks hooks, std::chrono::milliseconds min_detached_time)
         : node_(node), connections_(connections), request_(std::move(request)),
           hooks_(std::move(hooks)), min_detached_time_(min_detached_time),
-          time_left_at_(monotonic_now())
+          time_left_at_(monotonic_now()), pending_charge_(connections.guard())
     {
     }
 
@@ -256,6 +256,7 @@
         }
         if (connection_ && !pending_body_.empty()) {
             connection_->write(std::exchange(pending_body_, {}));
+            pending_charge_.set(0);
         }
         if (connection_ && body_ended_ && request_.head_.has_body_) {
             connection_->finish();
@@ -272,6 +273,7 @@
         }
         else if (!ended_) {
             pending_body_ += bytes; // until the request has a slot, is identified and may run
+            pending_charge_.set(pending_body_.size());
         }
         if (is_held_ && crash_guard_->has_whole_fingerprint()) {
             resume_if_held();
@@ -547,9 +549,16 @@
         }
     }
 
+    void drop_pending_body()
+    {
+        pending_body_ = {};
+        pending_charge_.set(0);
+    }
+
     void refuse(const refusal& refusal)
     {
         ended_ = true;
+        drop_pending_body();
         report_load();
         hooks_.on_refused_(refusal);
     }
@@ -570,6 +579,7 @@
             return;
         }
         ended_ = true;
+        drop_pending_body();
         // A call that ended at its deadline shows that the target is slow; one whose caller left
         // earlier shows nothing.
         if (connection_ && !target_stated_not_run_ && is_slow()) {
@@ -599,6 +609,7 @@
             return false;
         }
         ended_ = true;
+        drop_pending_body();
         if (send_timer_) {
             send_timer_->stop();
         }
@@ -669,6 +680,7 @@
     std::optional<crash_guard> crash_guard_;
     std::unique_ptr<unrepeatable_run> run_; ///< For unrepeatable requests with an idempotency key.
     std::string pending_body_;              ///< Body that arrived before the request could be sent.
+    memory_charge pending_charge_;          ///< For pending_body_.
     bool is_held_ = false;                  ///< The request waits for body bytes that identify it.
     bool target_stated_not_run_ = false;    ///< Its response says that it did not run the request.
     std::size_t discarded_bytes_ = 0;       ///< Of that response's body.
--- a/libs/request_path/node_state.h
+++ b/libs/request_path/node_state.h
@@ -48,6 +48,13 @@
 using leave_hook = std::function<void(const std::string& service, const std::string& target,
                                       std::uint32_t start_number)>;
 
+/** Limits on the callers of each worker. */
+struct caller_limits {
+    memory_account* account_ = nullptr; ///< Null: what callers hold is not counted.
+    std::size_t max_connections_ = 0;
+    std::chrono::milliseconds body_timeout_ = http1_limits().body_timeout_;
+};
+
 /** The shared state of one node. */
 class node_state {
   public:
@@ -105,6 +112,11 @@
     void set_run_record_hooks(run_record_hooks port) { run_record_hooks_ = std::move(port); }
     [[nodiscard]] auto run_hooks() const -> const run_record_hooks& { return run_record_hooks_; }
 
+    /** Sets the account of what is held for callers, and the limits on each worker's callers.
+     * Without them, nothing is counted. Call before the workers start. */
+    void set_caller_limits(const caller_limits& limits) { caller_limits_ = limits; }
+    [[nodiscard]] auto limits_of_callers() const -> const caller_limits& { return caller_limits_; }
+
     /** Sets the hook that publishes crash records. Call before the workers start. */
     void set_crash_report_hook(crash_report_hook port) { crash_report_hook_ = std::move(port); }
     [[nodiscard]] auto crash_hook() const -> const crash_report_hook& { return crash_report_hook_; }
@@ -163,6 +175,7 @@
     header_mapping header_mapping_ = native_header_mapping();
     std::string preferred_zone_;
     prefix_match prefix_match_ = prefix_match::segment;
+    caller_limits caller_limits_;
     run_record_hooks run_record_hooks_;
     crash_report_hook crash_report_hook_;
     leave_hook leave_hook_;
--- a/libs/request_path/node_worker.cpp
+++ b/libs/request_path/node_worker.cpp
@@ -22,16 +22,32 @@
 
 /** A call that waits for a response must detect an unresponsive node while there is time to try
  * another one. */
-constexpr connection_limits outgoing_peer_limits{
-    .ping_interval_ = std::chrono::milliseconds(400),
-    .heartbeat_timeout_ = std::chrono::milliseconds(900),
-    .handshake_timeout_ = std::chrono::milliseconds(500),
-    .idle_timeout_ = std::chrono::milliseconds(30'000),
-    .window_bytes_ = call_window_bytes};
+auto outgoing_peer_limits(resource_guard* guard) -> connection_limits
+{
+    return {.ping_interval_ = std::chrono::milliseconds(400),
+            .heartbeat_timeout_ = std::chrono::milliseconds(900),
+            .handshake_timeout_ = std::chrono::milliseconds(500),
+            .idle_timeout_ = std::chrono::milliseconds(30'000),
+            .window_bytes_ = call_window_bytes,
+            .guard_ = guard};
+}
+
 /** The idle limit is longer than that of the connecting side, which knows whether it still needs
  * the connection. */
-constexpr connection_limits incoming_peer_limits{.idle_timeout_ = std::chrono::milliseconds(60'000),
-                                                 .window_bytes_ = call_window_bytes};
+auto incoming_peer_limits(resource_guard* guard) -> connection_limits
+{
+    return {.idle_timeout_ = std::chrono::milliseconds(60'000),
+            .window_bytes_ = call_window_bytes,
+            .guard_ = guard};
+}
+
+auto make_guard(const caller_limits& limits) -> std::unique_ptr<resource_guard>
+{
+    return limits.account_ == nullptr
+               ? nullptr
+               : std::make_unique<resource_guard>(*limits.account_, memory_use::calls,
+                                                  limits.max_connections_, "callers");
+}
 
 auto refusal_reason_for(http1_parse_error problem) -> refusal_reason
 {
@@ -50,9 +66,10 @@
 /** The state of the worker thread; created, used and destroyed in that thread. */
 struct node_worker::thread_state {
     thread_state(node_state& node, cluster_key key)
-        : node_(node), key_(key),
-          peers_(std::move(key), outgoing_peer_limits), environment_{node, targets_, peers_,
-                                                                     quotas_, system_random()}
+        : node_(node), key_(key), guard_(make_guard(node.limits_of_callers())),
+          targets_(http1_client_limits{.guard_ = guard_.get()}),
+          peers_(std::move(key), outgoing_peer_limits(guard_.get())),
+          environment_{node, targets_, peers_, quotas_, system_random(), guard_.get()}
     {
     }
 
@@ -76,7 +93,8 @@
     auto listen(const node_addresses& requested) -> result<node_addresses>
     {
         auto callers = reuse_port_listener::listen(
-            requested.callers_, [this](auto socket) { accept_caller(std::move(socket)); });
+            requested.callers_, [this](auto socket) { accept_caller(std::move(socket)); },
+            client_receive_buffer_bytes);
         if (!callers) {
             return tl::unexpected(callers.error());
         }
@@ -95,11 +113,15 @@
 
     void accept_caller(std::unique_ptr<QTcpSocket> socket)
     {
+        if (guard_ && !guard_->admit_connection()) {
+            socket->abort();
+            return;
+        }
         const auto self = std::make_shared<std::weak_ptr<http1_server_connection>>();
         server_connection_hooks hooks;
         hooks.on_request_ = [this, self](message_head head) {
             const auto connection = self->lock();
-            connection->set_limits(caller_limits());
+            connection->set_limits(connection_limits_of_callers());
             return start_caller_call(environment_, connection, std::move(head));
         };
         hooks.on_bad_request_ = [this, self](http1_parse_error problem) {
@@ -110,16 +132,17 @@
         hooks.on_closed_ = [this, self] {
             caller_connections_.erase(self->lock());
         };
-        auto connection =
-            http1_server_connection::create(std::move(socket), caller_limits(), std::move(hooks));
+        auto connection = http1_server_connection::create(
+            std::move(socket), connection_limits_of_callers(), std::move(hooks));
         *self = connection;
         caller_connections_.insert(std::move(connection));
     }
 
     /** Returns the limits on callers' connections: those of the table in force, or the defaults. */
-    [[nodiscard]] auto caller_limits() const -> http1_limits
+    [[nodiscard]] auto connection_limits_of_callers() const -> http1_limits
     {
-        http1_limits limits;
+        http1_limits limits{.body_timeout_ = node_.limits_of_callers().body_timeout_,
+                            .guard_ = guard_.get()};
         const auto table = node_.routes()->table_in_force();
         if (!table) {
             return limits;
@@ -145,7 +168,7 @@
                 return peer_calls_.serve(from, stream, headers, ends_stream);
             },
             [this, self](connection_end_reason) { peer_connections_.erase(self->lock()); },
-            incoming_peer_limits);
+            incoming_peer_limits(guard_.get()));
         *self = connection;
         peer_connections_.insert(std::move(connection));
     }
@@ -216,6 +239,7 @@
 
     node_state& node_;
     cluster_key key_;
+    std::unique_ptr<resource_guard> guard_; ///< Null: what callers hold is not counted.
     target_connections targets_;
     peer_connections peers_;
     worker_quotas quotas_{node_, peers_};
--- a/libs/request_path/peer_exchange.cpp
+++ b/libs/request_path/peer_exchange.cpp
@@ -83,9 +83,9 @@
  * and the controls. */
 class peer_exchange : public std::enable_shared_from_this<peer_exchange> {
   public:
-    peer_exchange(const exchange_request& request, exchange_hooks hooks)
+    peer_exchange(const exchange_request& request, exchange_hooks hooks, resource_guard* guard)
         : headers_(to_peer_request(request)), created_at_(monotonic_now()),
-          has_body_(request.head_.has_body_), hooks_(std::move(hooks))
+          has_body_(request.head_.has_body_), hooks_(std::move(hooks)), pending_charge_(guard)
     {
     }
 
@@ -108,8 +108,8 @@
         connection_ = connection->weak_from_this();
         stream_ = *stream;
         if (has_body_ && (!pending_body_.empty() || pending_finish_)) {
-            connection->write(stream_, pending_body_, pending_finish_);
-            pending_body_.clear();
+            connection->write(stream_, std::exchange(pending_body_, {}), pending_finish_);
+            pending_charge_.set(0);
         }
     }
 
@@ -122,6 +122,7 @@
             return;
         }
         pending_body_ += bytes;
+        pending_charge_.set(pending_body_.size());
         pending_finish_ = pending_finish_ || ends_stream;
     }
 
@@ -272,6 +273,7 @@
     void release()
     {
         pending_body_ = {};
+        pending_charge_.set(0);
         if (unconsumed_bytes_ > 0) {
             consume(std::exchange(unconsumed_bytes_, 0));
         }
@@ -294,9 +296,10 @@
     exchange_hooks hooks_;
     std::weak_ptr<h2_connection> connection_;
     stream_id stream_ = 0;
-    std::string pending_body_;    ///< Written before the connection was ready.
-    bool pending_finish_ = false; ///< The body ended before the connection was ready.
-    bool body_finished_ = false;  ///< The end of the request's body was written.
+    std::string pending_body_;     ///< Written before the connection was ready.
+    memory_charge pending_charge_; ///< For pending_body_.
+    bool pending_finish_ = false;  ///< The body ended before the connection was ready.
+    bool body_finished_ = false;   ///< The end of the request's body was written.
     bool responded_ = false;
     bool is_response_complete_ = false;
     bool ended_ = false;
@@ -309,7 +312,8 @@
 auto start_peer_exchange(peer_connections& connections, const peer_address& address,
                          const exchange_request& request, exchange_hooks hooks) -> exchange_controls
 {
-    const auto exchange = std::make_shared<peer_exchange>(request, std::move(hooks));
+    const auto exchange =
+        std::make_shared<peer_exchange>(request, std::move(hooks), connections.guard());
     connections.with_connection(
         address, [exchange](h2_connection* connection) { exchange->start(connection); });
     return {
--- a/libs/request_path/peer_exchange.h
+++ b/libs/request_path/peer_exchange.h
@@ -32,6 +32,9 @@
     /** Closes every connection. */
     ~peer_connections();
 
+    /** Returns the guard of this thread; null: what is held for calls is not counted. */
+    [[nodiscard]] auto guard() const -> resource_guard* { return limits_.guard_; }
+
     /** Calls \p callback with a ready connection to \p address, at once or when it has opened.
      * Calls it with nullptr if the connection fails to open or too many calls wait for it already.
      */
--- a/libs/request_path/peer_service.cpp
+++ b/libs/request_path/peer_service.cpp
@@ -19,7 +19,12 @@
   public:
     peer_call(peer_calls& calls, const std::shared_ptr<h2_connection>& connection, stream_id stream)
         : calls_(calls), node_(calls.node_), connection_(connection), stream_(stream),
-          key_(connection.get(), stream)
+          key_(connection.get(), stream),
+          client_(calls.targets_.guard(), client_kind::stream, [this](reclaim_reason) {
+              const auto keep = shared_from_this();
+              client_.leave();
+              reclaim();
+          })
     {
     }
 
@@ -28,6 +33,7 @@
         ++node_.calls_in_flight();
         is_counted_ = true;
         request_ended_ = !request.head_.has_body_;
+        client_.set_stage(request_ended_ ? client_stage::waiting : client_stage::sending, true);
         controls_ = start_local_exchange(node_, targets, request, make_exchange_hooks());
     }
 
@@ -36,11 +42,13 @@
         const auto self = shared_from_this();
         stream_hooks hooks;
         hooks.on_data_ = [self](std::string_view bytes) {
+            self->client_.set_stage(client_stage::sending, true);
             self->controls_.write_(bytes);
             self->release_window(bytes.size());
         };
         hooks.on_end_ = [self] {
             self->request_ended_ = true;
+            self->client_.set_stage(client_stage::waiting, true);
             self->controls_.finish_();
         };
         hooks.on_writable_ = [self] {
@@ -54,6 +62,23 @@
 
     /** Carries out a withdrawal by the node that sent the request, and answers it. */
     void withdraw()
+    {
+        end_early(make_refusal(refusal_reason::not_started_in_time),
+                  make_refusal(refusal_reason::deadline_passed));
+    }
+
+  private:
+    /** The node needs the memory that the call holds. */
+    void reclaim()
+    {
+        auto may_have_run = make_refusal(refusal_reason::overloaded);
+        may_have_run.outcome_ = request_outcome::unknown;
+        end_early(make_refusal(refusal_reason::target_full), may_have_run);
+    }
+
+    /** Ends the exchange and answers with \p if_not_run if no byte was sent to the target, else
+     * with \p otherwise. */
+    void end_early(const refusal& if_not_run, const refusal& otherwise)
     {
         if (exchange_ended_ || !controls_.withdraw_) {
             return; // the response or refusal is already on its way
@@ -69,12 +94,9 @@
             }
             return;
         }
-        respond(to_peer_refusal(make_refusal(has_not_run ? refusal_reason::not_started_in_time
-                                                         : refusal_reason::deadline_passed)),
-                true);
+        respond(to_peer_refusal(has_not_run ? if_not_run : otherwise), true);
     }
 
-  private:
     auto make_exchange_hooks() -> exchange_hooks
     {
         const auto self = shared_from_this();
@@ -126,6 +148,7 @@
         if (!connection || !body_open_) {
             return;
         }
+        client_.set_stage(client_stage::sending, true);
         connection->write(stream_, bytes, ends_stream);
         if (!ends_stream && connection->queued_bytes(stream_) > high_water_bytes) {
             controls_.pause_(true);
@@ -162,6 +185,7 @@
         if (const auto connection = connection_.lock(); connection && unconsumed_bytes_ > 0) {
             connection->consume(stream_, std::exchange(unconsumed_bytes_, 0)); // of the connection
         }
+        client_.leave();
         controls_ = {}; // breaks the reference cycle of call, exchange and hooks
         calls_.calls_.erase(key_);
     }
@@ -171,6 +195,7 @@
     std::weak_ptr<h2_connection> connection_;
     stream_id stream_;
     call_key key_;
+    guarded_client client_;
     std::string load_report_; ///< Value of target_status_header; empty until reported.
     exchange_controls controls_;
     bool request_ended_ = false;
@@ -198,6 +223,13 @@
             quotas_.answer(ask, std::move(reply));
         });
     }
+    if (!ends_stream && targets_.guard() != nullptr &&
+        !targets_.guard()->make_room(call_window_bytes, nullptr)) {
+        targets_.guard()->record(reclaim_reason::memory);
+        connection->respond(stream, to_peer_refusal(make_refusal(refusal_reason::target_full)),
+                            true);
+        return {};
+    }
     const auto call = std::make_shared<peer_call>(*this, connection, stream);
     calls_[{connection.get(), stream}] = call;
     call->start(targets_, from_peer_request(headers, ends_stream));
--- a/libs/request_path/response_buffer.h
+++ b/libs/request_path/response_buffer.h
@@ -26,6 +26,8 @@
     void append(std::string_view bytes) { body_ += bytes; }
     /** Discards the incomplete response of an attempt that broke off. */
     void discard();
+    /** Returns the number of body bytes buffered. */
+    [[nodiscard]] auto size() const -> std::size_t { return body_.size(); }
     /** Writes the response, if any, to \p caller; does not finish it. */
     void send(http1_server_connection& caller);
 
--- a/libs/request_path/target_connections.h
+++ b/libs/request_path/target_connections.h
@@ -54,6 +54,9 @@
     [[nodiscard]] auto reservation_of(const peer_address& address)
         -> const std::shared_ptr<slot_reservation>&;
 
+    /** Returns the guard of this thread; null: what is held for calls is not counted. */
+    [[nodiscard]] auto guard() const -> resource_guard* { return limits_.guard_; }
+
     /** Returns this thread's access to the record of unrepeatable requests. */
     [[nodiscard]] auto run_client() -> worker_run_client& { return run_client_; }
 
--- a/libs/settings/daemon_settings.cpp
+++ b/libs/settings/daemon_settings.cpp
@@ -42,6 +42,21 @@
         "age that the table is current; 0: with any proof since the start");
 }
 
+/** Adds what the process may use for clients outside the system. */
+void add_resource_options(po::options_description& options)
+{
+    auto add = options.add_options();
+    const auto with_default = [](const char* value) {
+        return po::value<std::string>()->default_value(value);
+    };
+    add("memory-limit-mb", with_default("512"),
+        "memory that this process may use; it holds a quarter of it for clients at most");
+    add("descriptor-limit", with_default("4096"),
+        "descriptors that this process may use; its addresses for clients share them");
+    add("body-timeout-ms", with_default("30000"),
+        "longest gap between two parts of a request's body");
+}
+
 auto make_options() -> po::options_description
 {
     po::options_description options(
@@ -106,6 +121,7 @@
         "file with the bearer token of the operator API; without it, loopback addresses only");
     add("workers", po::value<std::string>()->default_value("1"),
         "node: threads that handle calls, 1 to 256");
+    add_resource_options(options);
     add("log-level", po::value<std::string>()->default_value("info"),
         "lowest level that is logged: debug, info, warning or error");
     add("check-settings", "check the settings and exit");
@@ -189,6 +205,11 @@
 constexpr unsigned max_requests_ahead = 100;
 constexpr unsigned max_duration_ms = 60'000;
 constexpr double max_shutdown_grace_s = 3'600;
+constexpr unsigned min_memory_limit_mb = 16;
+constexpr unsigned max_memory_limit_mb = 1'024 * 1'024;
+constexpr unsigned min_descriptor_limit = 64;
+constexpr unsigned max_descriptor_limit = 1'024 * 1'024;
+constexpr unsigned max_body_timeout_ms = 3'600'000;
 
 void read_control_settings(settings_reader& reader, daemon_settings& settings)
 {
@@ -232,6 +253,21 @@
     }
 }
 
+void read_resource_settings(settings_reader& reader, daemon_settings& settings)
+{
+    constexpr std::uint64_t bytes_in_mb = 1024ULL * 1024;
+    if (!reader.optional_text("memory-limit-mb").empty()) {
+        settings.memory_limit_bytes_ =
+            bytes_in_mb *
+            reader.number("memory-limit-mb", max_memory_limit_mb, min_memory_limit_mb);
+    }
+    if (!reader.optional_text("descriptor-limit").empty()) {
+        settings.descriptor_limit_ =
+            reader.number("descriptor-limit", max_descriptor_limit, min_descriptor_limit);
+    }
+    settings.body_timeout_ = reader.milliseconds("body-timeout-ms", max_body_timeout_ms);
+}
+
 void read_interface_settings(settings_reader& reader, daemon_settings& settings)
 {
     const auto text = reader.text("interface");
@@ -280,6 +316,7 @@
     settings.is_network_trusted_ = reader.boolean("trusted-network");
     settings.settings_file_ = reader.optional_text("settings-file");
     read_interface_settings(reader, settings);
+    read_resource_settings(reader, settings);
     if (settings.role_ == daemon_role::control) {
         read_control_settings(reader, settings);
     }
--- a/libs/settings/daemon_settings.h
+++ b/libs/settings/daemon_settings.h
@@ -85,6 +85,11 @@
     std::string cluster_key_file_;
     std::string operator_token_file_;
     unsigned workers_ = 1; ///< Node: threads that handle calls.
+    /** Memory that the process may use. A part of it is what it holds for clients at most. */
+    std::uint64_t memory_limit_bytes_ = 512ULL * 1024 * 1024;
+    unsigned descriptor_limit_ = 4'096; ///< Descriptors that the process may use.
+    /** Longest gap between two reads of the body of a request from outside the system. */
+    std::chrono::milliseconds body_timeout_{30'000};
     log_level log_level_ = log_level::info;
 };
 
--- a/libs/settings/test/error/invalid_settings.cpp
+++ b/libs/settings/test/error/invalid_settings.cpp
@@ -92,6 +92,30 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(limits_of_resources_are_checked)
+{
+    BOOST_TEST(message_with("--memory-limit-mb=15") ==
+               "setting memory-limit-mb: '15' is not allowed: must be an integer from 16 to "
+               "1048576");
+    BOOST_TEST(message_with("--descriptor-limit=none") ==
+               "setting descriptor-limit: 'none' is not allowed: must be an integer from 64 to "
+               "1048576");
+    BOOST_TEST(message_with("--body-timeout-ms=0").find("setting body-timeout-ms: '0'") == 0);
+    auto arguments = valid_arguments;
+    arguments.insert(arguments.end(), {"--memory-limit-mb=160", "--descriptor-limit=4100"});
+    const auto parsed = parse_daemon_settings(arguments, no_environment);
+    BOOST_REQUIRE(parsed.has_value());
+    BOOST_TEST(parsed->settings_.memory_limit_bytes_ == 160U * 1024 * 1024);
+    BOOST_TEST(parsed->settings_.descriptor_limit_ == 4'100U);
+    const environment_lookup empty_variable = [](const std::string& name) {
+        return name == "SYCAMOREWINCH_MEMORY_LIMIT_MB" ? std::optional<std::string>("")
+                                                       : std::nullopt;
+    };
+    const auto with_default = parse_daemon_settings(valid_arguments, empty_variable);
+    BOOST_REQUIRE(with_default.has_value());
+    BOOST_TEST(with_default->settings_.memory_limit_bytes_ == 512U * 1024 * 1024);
+}
+
 BOOST_AUTO_TEST_CASE(a_flag_overrides_the_environment)
 {
     const environment_lookup environment = [](const std::string& name) {
--- a/libs/transport/h2_callbacks.cpp
+++ b/libs/transport/h2_callbacks.cpp
@@ -20,7 +20,8 @@
             return NGHTTP2_ERR_CALLBACK_FAILURE;
         }
         if (frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-            self.streams_[frame->hd.stream_id] = std::make_unique<stream_state>();
+            self.streams_[frame->hd.stream_id] =
+                std::make_unique<stream_state>(self.limits_.guard_);
         }
         return 0;
     }
--- a/libs/transport/h2_connection.cpp
+++ b/libs/transport/h2_connection.cpp
@@ -66,7 +66,7 @@
         return failure(error_kind::unavailable, "the connection is closed");
     }
     const auto fields = make_nghttp2_fields(headers);
-    auto stream = std::make_unique<stream_state>();
+    auto stream = std::make_unique<stream_state>(state_->limits_.guard_);
     stream->hooks_ = std::move(hooks);
     nghttp2_data_provider provider{};
     provider.source.ptr = stream.get();
@@ -110,12 +110,12 @@
 void h2_connection::write(stream_id stream, std::string_view bytes, bool last)
 {
     auto* found = state_->find_stream(stream);
-    if (found == nullptr || state_->ended_ || found->outgoing_is_end_) {
+    if (found == nullptr || state_->ended_ || found->outgoing_is_end_ || found->is_reset_) {
         return;
     }
     invariant(found->has_data_provider_, "body bytes written to stream {} before its header fields",
               stream);
-    found->outgoing_ += bytes;
+    found->add_outgoing(bytes);
     found->outgoing_is_end_ = last;
     if (found->unsent_bytes() > stream_low_water_bytes &&
         !std::exchange(found->was_above_low_water_, true)) {
@@ -147,6 +147,7 @@
     auto* found = state_->find_stream(stream);
     // A second frame for a stream that was never opened would be an error of the connection.
     if (!state_->ended_ && found != nullptr && !std::exchange(found->is_reset_, true)) {
+        found->drop_outgoing();
         nghttp2_submit_rst_stream(state_->session_, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
         state_->flush();
     }
--- a/libs/transport/h2_connection.h
+++ b/libs/transport/h2_connection.h
@@ -17,6 +17,7 @@
 
 #include "base/enum_names.h"
 #include "base/result.h"
+#include "resources/resource_guard.h"
 #include "transport/header_list.h"
 
 class QTcpSocket;
@@ -88,6 +89,7 @@
     std::uint32_t max_concurrent_streams_ = 1'000; ///< Accepted from the peer.
     std::uint32_t window_bytes_ = 256U * 1024;     ///< Receive window of one stream.
     std::size_t max_header_bytes_ = 32U * 1024;    ///< Header names and values on one stream.
+    resource_guard* guard_ = nullptr; ///< Of the event loop; null: what is held is not counted.
 };
 
 /** The client or server end of one HTTP/2 connection. */
--- a/libs/transport/h2_state.cpp
+++ b/libs/transport/h2_state.cpp
@@ -35,6 +35,13 @@
         outgoing_ = outgoing_.substr(outgoing_consumed_);
         outgoing_consumed_ = 0;
     }
+    charge_.set(outgoing_.size());
+}
+
+void internal::stream_state::add_outgoing(std::string_view bytes)
+{
+    outgoing_ += bytes;
+    charge_.set(outgoing_.size());
 }
 
 void h2_connection::state::start()
@@ -108,6 +115,13 @@
 void h2_connection::state::on_readable()
 {
     const auto keep = owner_->shared_from_this();
+    if (limits_.guard_ != nullptr) {
+        // Without room, each stream goes on with what its receive window allows.
+        limits_.guard_->make_room(static_cast<std::uint64_t>(socket_->bytesAvailable()), nullptr);
+        if (ended_) {
+            return;
+        }
+    }
     const auto bytes = socket_->readAll();
     bytes_received_ += static_cast<std::uint64_t>(bytes.size());
     since_last_receive_.restart();
--- a/libs/transport/h2_state.h
+++ b/libs/transport/h2_state.h
@@ -25,6 +25,8 @@
 
 /** One stream: its hooks, the header fields being received and the body bytes to be sent. */
 struct stream_state {
+    explicit stream_state(resource_guard* guard) : charge_(guard) {}
+
     stream_hooks hooks_;
     header_list headers_;               ///< Fields received so far of an incomplete header block.
     std::size_t header_bytes_ = 0;      ///< Total length of the names and values received.
@@ -47,6 +49,17 @@
     /** Drops \p count unsent bytes. Their memory is freed, at the latest when half of outgoing_ has
      * been consumed: the writer of a long body may always be ahead of the connection. */
     void consume_outgoing(std::size_t count);
+    /** Queues \p bytes to be sent. */
+    void add_outgoing(std::string_view bytes);
+    /** Drops all unsent bytes, without ending the body. */
+    void drop_outgoing()
+    {
+        outgoing_is_end_ = false;
+        consume_outgoing(unsent_bytes());
+    }
+
+  private:
+    memory_charge charge_; ///< For outgoing_.
 };
 
 } // namespace internal
--- a/libs/transport/reuse_port_listener.cpp
+++ b/libs/transport/reuse_port_listener.cpp
@@ -42,7 +42,7 @@
     return native;
 }
 
-auto open_listening_socket(const peer_address& address) -> int
+auto open_listening_socket(const peer_address& address, int receive_buffer_bytes) -> int
 {
     const auto native = to_native(address);
     const int enabled = 1;
@@ -52,6 +52,10 @@
     if (socket_descriptor < 0) {
         return -1;
     }
+    if (receive_buffer_bytes > 0) { // accepted connections inherit it; if refused, they lack it
+        ::setsockopt(socket_descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                     sizeof(receive_buffer_bytes));
+    }
     if (::setsockopt(socket_descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled)) != 0 ||
         ::setsockopt(socket_descriptor, SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof(enabled)) != 0 ||
         ::bind(socket_descriptor, base, native.length_) != 0 ||
@@ -71,10 +75,11 @@
 
 reuse_port_listener::~reuse_port_listener() = default;
 
-auto reuse_port_listener::listen(const peer_address& address, accept_hook on_accept)
+auto reuse_port_listener::listen(const peer_address& address, accept_hook on_accept,
+                                 int receive_buffer_bytes)
     -> result<std::unique_ptr<reuse_port_listener>>
 {
-    const auto socket_descriptor = open_listening_socket(address);
+    const auto socket_descriptor = open_listening_socket(address, receive_buffer_bytes);
     auto server = std::make_unique<QTcpServer>();
     if (socket_descriptor < 0 || !server->setSocketDescriptor(socket_descriptor)) {
         return failure(error_kind::io, fmt::format("cannot listen on {}: {}", to_text(address),
