Take a response with a status outside 100 to 599 for malformed

Operators of other systems saw a server in trouble send an answer whose status was 000, and the client got it as an answer. Here, callers got 600 to 999 as they came; 000 to 099 were skipped as interim responses, so that the caller got whatever the target sent next, or waited for it; 101 ended the use of HTTP on a connection that had asked for no upgrade. A node that is sent such a status by another node passed it on, also 0 for one that cannot be read.

Cause: the parser takes any three digits, and the connection to a target takes every status below 200 for interim.

The parser now rejects a response whose status is neither interim (100 to 199 without 101) nor final (200 to 599): the target failed, the caller gets 502, and the connection is not used again. A node checks what another node sends the same way, and the status of a stored response when it reads it.

All valid statuses were passed on before and are.

--- a/libs/http1/http1_client_connection.cpp
+++ b/libs/http1/http1_client_connection.cpp
@@ -24,8 +24,6 @@
 namespace {
 
 constexpr qint64 read_buffer_bytes = 64 * 1024;
-constexpr unsigned first_final_status = 200;
-constexpr unsigned switching_protocols_status = 101;
 constexpr std::size_t low_water_bytes = 64U * 1024;
 /** Held for each connection besides the bytes of its messages: objects, and blocks that the socket
  * keeps for reuse. */
@@ -213,7 +211,7 @@
 
 void http1_client_connection::state::on_head(message_head head)
 {
-    if (head.status_ < first_final_status && head.status_ != switching_protocols_status) {
+    if (is_interim_status(head.status_)) {
         is_informational_ = true;
         return;
     }
--- a/libs/http1/http1_parser.cpp
+++ b/libs/http1/http1_parser.cpp
@@ -106,9 +106,12 @@
         }
     }
 
-    void on_response_impl(int code, beast::string_view, int, boost_error&) override
+    void on_response_impl(int status, beast::string_view, int, boost_error& code) override
     {
-        head_.status_ = static_cast<unsigned>(code);
+        head_.status_ = static_cast<unsigned>(status);
+        if (!is_interim_status(head_.status_) && !is_final_status(head_.status_)) {
+            code = http::error::bad_status;
+        }
     }
 
     void on_field_impl(http::field, beast::string_view name, beast::string_view value,
@@ -222,6 +225,17 @@
     }
 };
 
+auto is_interim_status(unsigned status) -> bool
+{
+    constexpr unsigned switching_protocols = 101;
+    return status >= 100 && status < 200 && status != switching_protocols;
+}
+
+auto is_final_status(unsigned status) -> bool
+{
+    return status >= 200 && status < 600;
+}
+
 http1_parser::http1_parser(std::unique_ptr<state> state) : state_(std::move(state)) {}
 http1_parser::http1_parser(http1_parser&&) noexcept = default;
 auto http1_parser::operator=(http1_parser&&) noexcept -> http1_parser& = default;
--- a/libs/http1/http1_parser.h
+++ b/libs/http1/http1_parser.h
@@ -6,7 +6,8 @@
  * Hop-by-hop header fields are removed from the head. Rejected as malformed: more than one length,
  * a transfer coding other than chunked, an HTTP/1.1 request without exactly one Host field,
  * CONNECT, a request target that is neither a path nor an http:// URL (OPTIONS may have
- * `*`), and an expectation other than 100-continue.
+ * `*`), an expectation other than 100-continue, and a response whose status is neither interim nor
+ * final.
  */
 #pragma once
 
@@ -60,6 +61,12 @@
     std::function<void()> on_end_;
 };
 
+/** Returns whether \p status is that of an interim response, which another one follows. No request
+ * asks for an upgrade, so 101 is none. */
+[[nodiscard]] auto is_interim_status(unsigned status) -> bool;
+/** Returns whether \p status is that of a final response. */
+[[nodiscard]] auto is_final_status(unsigned status) -> bool;
+
 /** Why a message was rejected. */
 enum class http1_parse_error : std::uint8_t {
     none,
--- a/libs/request_path/peer_exchange.cpp
+++ b/libs/request_path/peer_exchange.cpp
@@ -209,8 +209,13 @@
             refuse(*refusal);
             return;
         }
+        auto head = from_peer_response(headers, ends_stream);
+        if (!is_final_status(head.status_)) {
+            refuse(make_refusal(refusal_reason::target_failed));
+            return;
+        }
         responded_ = true;
-        hooks_.on_response_(from_peer_response(headers, ends_stream));
+        hooks_.on_response_(std::move(head));
     }
 
     void on_data(std::string_view bytes)
--- a/libs/request_path/unrepeatable_run.cpp
+++ b/libs/request_path/unrepeatable_run.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <fmt/core.h>
+
 #include "codec/cbor_reader.h"
 #include "codec/cbor_writer.h"
 
@@ -35,6 +37,10 @@
     if (auto done = reader.finish(); !done) {
         return tl::unexpected(done.error());
     }
+    if (!is_final_status(response.head_.status_)) {
+        return failure(error_kind::corrupt,
+                       fmt::format("a stored response has the status {}", response.head_.status_));
+    }
     response.head_.has_body_ = !response.body_.empty();
     response.head_.content_length_ = response.body_.size();
     return response;
