--- a/libs/http1/http1_server_connection.cpp
+++ b/libs/http1/http1_server_connection.cpp
@@ -38,8 +38,8 @@
     deadline_timer timer_{[this] {
         on_timeout();
     }};
-    std::optional<memory_charge> charge_;  ///< For what the connection itself holds.
-    std::optional<guarded_client> client_; ///< Empty once the connection is closed.
+    std::optional<memory_charge> charge_; ///< For what the connection itself holds. Set by start().
+    std::optional<guarded_client> client_; ///< Set by start().
     std::string input_;
     std::optional<http1_parser> parser_;
     std::shared_ptr<request_hooks> request_; ///< Shared: may be reset while a hook runs.
