Test that a call which gives back what it holds is told the truth

A call that the node refuses to get its memory back gets 503, which promises that it has not run, only if no byte of it has reached its target.

--- a/libs/request_path/test/node_fixture.cpp
+++ b/libs/request_path/test/node_fixture.cpp
@@ -28,10 +28,15 @@
             }};
 }
 
-auto start_node(const std::string& own_address, const header_mapping& mapping)
-    -> std::unique_ptr<test_node>
+auto start_node(const std::string& own_address, const header_mapping& mapping,
+                std::optional<std::uint64_t> memory_limit) -> std::unique_ptr<test_node>
 {
+    constexpr std::size_t max_connections = 1'000;
     auto node = std::make_unique<test_node>(own_address);
+    if (memory_limit) {
+        node->account_.emplace(memory_limits{*memory_limit, *memory_limit}, node->metrics_);
+        node->state_.set_caller_limits({&*node->account_, max_connections});
+    }
     node->state_.set_header_mapping(mapping);
     node->state_.set_run_record_hooks(granting_hooks(*node));
     node->state_.set_crash_report_hook([raw = node.get()](const crash_record& record) {
@@ -81,12 +86,13 @@
 }
 
 node_fixture::node_fixture(call_path path, std::uint16_t target_port, const row& row,
-                           std::uint32_t slots, const header_mapping& mapping)
+                           std::uint32_t slots, const header_mapping& mapping,
+                           std::optional<std::uint64_t> memory_limit)
 {
     (void)wait_until([] { return true; }); // creates the Qt application object before any thread
-    entry_node_ = start_node(entry_node_address, mapping);
+    entry_node_ = start_node(entry_node_address, mapping, memory_limit);
     if (path == call_path::through_peer) {
-        target_node_ = start_node(target_node_address, mapping);
+        target_node_ = start_node(target_node_address, mapping, memory_limit);
     }
     for_each_node([&row](test_node& node, const std::string& target_address) {
         node.state_.publish_routes(
--- a/libs/request_path/test/node_fixture.h
+++ b/libs/request_path/test/node_fixture.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
     std::mutex mutex_;
     std::vector<crash_record> crash_records_;  ///< Reported by this node; guarded by mutex_.
     std::vector<run_operation_kind> run_ends_; ///< How its runs ended; guarded by mutex_.
+    std::optional<memory_account> account_;    ///< Set if what its callers hold is limited.
     std::unique_ptr<node_worker> worker_;
 
     /** Returns how many crash records of \p event this node has reported. */
@@ -44,9 +46,11 @@
 /** One node or two that serve the service `dialer`, which has one target, `d1`. */
 class node_fixture {
   public:
+    /** With \p memory_limit, callers of each node may hold so many bytes together. */
     node_fixture(call_path path, std::uint16_t target_port, const row& row = unrepeatable_row(),
                  std::uint32_t slots = 1'000,
-                 const header_mapping& mapping = native_header_mapping());
+                 const header_mapping& mapping = native_header_mapping(),
+                 std::optional<std::uint64_t> memory_limit = std::nullopt);
 
     /** Returns the port that callers connect to. */
     [[nodiscard]] auto caller_port() const -> std::uint16_t;
