--- a/libs/consensus/peer_progress.h
+++ b/libs/consensus/peer_progress.h
@@ -37,6 +37,10 @@
     std::shared_ptr<const log_snapshot> snapshot_; ///< Snapshot being sent; null for none.
     std::uint64_t snapshot_offset_ = 0;            ///< Bytes of it known to be received.
 
+    /** Returns whether the peer has replied to a heartbeat of this leader. Until then,
+     * last_reply_at_ is the time at which the leader began to wait for one. */
+    [[nodiscard]] auto has_replied() const -> bool { return round_ > 0; }
+
     /** Returns whether the peer currently counts toward a quorum. */
     [[nodiscard]] auto counts_toward_quorum() const -> bool { return is_recovered_ && is_voter_; }
 
--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -157,6 +157,8 @@
         return on_recovery_request(message);
     case raft_message_kind::recovery_reply:
         return on_recovery_reply(message);
+    case raft_message_kind::timeout_now:
+        return on_timeout_now(message, now);
     }
 }
 
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -13,6 +13,7 @@
  *    limit of bytes in flight.
  *  - Snapshots: a replica that is behind the compacted log is sent a snapshot in chunks.
  *  - Membership changes: voters change one at a time, through entries of the log itself.
+ *  - Leadership transfer: a leader that ends or is removed steps down in favour of another voter.
  *  - Recovery: a replica that lost its disk rejoins safely; see raft_recovery.cpp.
  *
  * The owner must make the vote and the entries of an output durable before it sends the messages:
@@ -119,6 +120,12 @@
     [[nodiscard]] auto propose_membership(const group_membership& next, instant now)
         -> result<std::uint64_t>;
 
+    /** Steps down in favour of a voter that stores the whole log, which stands for election at
+     * once. Returns false, and goes on leading, if there is none or an entry is not committed yet.
+     * After stepping down this replica claims neither leadership nor currency, as its successor
+     * does not wait for the lease to end. */
+    auto transfer_leadership(instant now) -> bool;
+
     /** Returns the membership in force. */
     [[nodiscard]] auto membership() const -> const group_membership&
     {
@@ -225,6 +232,9 @@
     void on_vote_request(const raft_message& message, instant now);
     void on_vote_reply(const raft_message& message, instant now);
     void check_lease(instant now);
+    [[nodiscard]] auto find_successor() const -> std::string;
+    void step_down_for_successor(instant now);
+    void on_timeout_now(const raft_message& message, instant now);
 
     // raft_replication.cpp
     void append_entry(entry_kind kind, std::string payload);
--- a/libs/consensus/raft_election.cpp
+++ b/libs/consensus/raft_election.cpp
@@ -172,4 +172,50 @@
     }
 }
 
+/** Returns a voter that stores the whole log, or an empty name. */
+auto raft::find_successor() const -> std::string
+{
+    std::string successor;
+    instant replied_at{};
+    for (const auto& [name, peer] : peers_) {
+        const bool is_up_to_date =
+            peer.counts_toward_quorum() && peer.match_index_ == log_.last_index();
+        if (is_up_to_date && (successor.empty() || peer.last_reply_at_ > replied_at)) {
+            successor = name;
+            replied_at = peer.last_reply_at_;
+        }
+    }
+    return successor;
+}
+
+auto raft::transfer_leadership(instant now) -> bool
+{
+    now_ = now;
+    if (role_ != raft_role::leader || commit_index_ < log_.last_index() ||
+        find_successor().empty()) {
+        return false;
+    }
+    step_down_for_successor(now);
+    return true;
+}
+
+void raft::step_down_for_successor(instant now)
+{
+    if (const auto successor = find_successor(); !successor.empty()) {
+        raft_message request;
+        request.kind_ = raft_message_kind::timeout_now;
+        request.to_ = successor;
+        send(std::move(request));
+    }
+    become_follower(vote_.term_, {}, now);
+}
+
+void raft::on_timeout_now(const raft_message& message, instant now)
+{
+    const bool may_stand = vote_.is_recovered_ && is_self_voter() && role_ != raft_role::leader;
+    if (message.term_ == vote_.term_ && may_stand) {
+        become_candidate(now);
+    }
+}
+
 } // namespace sycamorewinch
--- a/libs/consensus/raft_membership.cpp
+++ b/libs/consensus/raft_membership.cpp
@@ -103,11 +103,12 @@
     }
 }
 
-// A leader that removes itself steps down only once the change is committed.
+// A leader that removes itself steps down only once the change is committed. Its successor need not
+// wait for an election timeout.
 void raft::step_down_if_removed(instant now)
 {
     if (role_ == raft_role::leader && !is_self_voter() && membership_index() <= commit_index_) {
-        become_follower(vote_.term_, {}, now);
+        step_down_for_successor(now);
     }
 }
 
--- a/libs/consensus/raft_message.cpp
+++ b/libs/consensus/raft_message.cpp
@@ -11,9 +11,10 @@
 
 namespace {
 
-constexpr enum_names<raft_message_kind, 10> kind_names{
+constexpr enum_names<raft_message_kind, 11> kind_names{
     {"vote_request", "vote_reply", "append_request", "append_reply", "pre_vote_request",
-     "pre_vote_reply", "snapshot_request", "snapshot_reply", "recovery_request", "recovery_reply"}};
+     "pre_vote_reply", "snapshot_request", "snapshot_reply", "recovery_request", "recovery_reply",
+     "timeout_now"}};
 
 constexpr std::size_t message_fields = 15;
 constexpr std::uint64_t max_quorum_age_ms = 60'000; ///< A greater age has the same effect.
--- a/libs/consensus/raft_message.h
+++ b/libs/consensus/raft_message.h
@@ -25,6 +25,7 @@
     snapshot_reply,
     recovery_request, ///< From a replica with an empty disk; see raft_recovery.cpp.
     recovery_reply,   ///< accepted_: replica is empty; log_index_: leader's last entry.
+    timeout_now,      ///< From a leader that steps down: the receiver stands for election at once.
 };
 
 /** Returns the name of \p kind for logs. */
--- a/libs/consensus/test/correctness/membership.cpp
+++ b/libs/consensus/test/correctness/membership.cpp
@@ -160,6 +160,49 @@
     BOOST_TEST((replicas_.at(old).role() != raft_role::leader));
 }
 
+// Guards against a planned end of the leader that leaves the group without one for a lease or more.
+BOOST_FIXTURE_TEST_CASE(a_leader_hands_over_well_within_a_lease, founded_group)
+{
+    auto& old = leader();
+    const auto term = old.term();
+    const auto short_time = old.options().heartbeat_ * 2;
+    BOOST_REQUIRE(short_time < old.options().lease_);
+    BOOST_TEST(old.transfer_leadership(now_));
+    BOOST_TEST((old.role() == raft_role::follower));
+    BOOST_TEST(!old.currency_age(now_).has_value()); // its successor does not wait for the lease
+    run(std::chrono::duration_cast<std::chrono::milliseconds>(short_time));
+    BOOST_TEST(leader().options().self_ != old.options().self_);
+    BOOST_TEST(leader().term() == term + 1);
+    BOOST_TEST(leader().commit_index() == leader().last_index());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_leader_does_not_hand_over_before_its_entries_are_committed, founded_group)
+{
+    auto& old = leader();
+    BOOST_REQUIRE(old.propose("entry", now_).has_value());
+    BOOST_TEST(!old.transfer_leadership(now_));
+    BOOST_TEST((old.role() == raft_role::leader));
+    run(std::chrono::milliseconds(20));
+    BOOST_TEST(old.transfer_leadership(now_));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_request_to_stand_for_election_is_ignored, founded_group)
+{
+    raft_message request;
+    request.kind_ = raft_message_kind::timeout_now;
+    request.from_ = leader().options().self_;
+    request.term_ = leader().term();
+    BOOST_REQUIRE(leader().transfer_leadership(now_));
+    run(std::chrono::milliseconds(200));
+    const auto term = leader().term();
+    for (auto& [name, replica] : replicas_) {
+        request.to_ = name;
+        replica.receive(request, now_);
+    }
+    run(std::chrono::milliseconds(200));
+    BOOST_TEST(leader().term() == term);
+}
+
 BOOST_FIXTURE_TEST_CASE(two_lost_disks_are_replaced_one_after_the_other, founded_group)
 {
     start("d");
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -132,6 +132,16 @@
     return index;
 }
 
+auto control_replica::transfer_leadership(instant now) -> bool
+{
+    now_ = now;
+    if (disk_failed_ || !raft_.transfer_leadership(now)) {
+        return false;
+    }
+    schedule_flush();
+    return true;
+}
+
 void control_replica::apply_runs(const run_batch& batch, runs_callback callback, instant now)
 {
     const auto index = propose({command_kind::run_batch, encode_run_batch(batch)}, now);
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -89,6 +89,9 @@
     [[nodiscard]] auto propose_membership(const group_membership& next, instant now)
         -> result<std::uint64_t>;
 
+    /** Steps down in favour of another voter; see raft::transfer_leadership(). */
+    auto transfer_leadership(instant now) -> bool;
+
     /** Proposes a batch of operations on the record of non-idempotent requests. On a replica that
      * is not the leader, fails immediately. */
     void apply_runs(const run_batch& batch, runs_callback callback, instant now);
--- a/libs/control/test/correctness/membership_planner.cpp
+++ b/libs/control/test/correctness/membership_planner.cpp
@@ -23,6 +23,7 @@
     void record_reply(const std::string& name, std::uint64_t match_index)
     {
         peers_[name].last_reply_at_ = now_;
+        peers_[name].round_ = 1;
         peers_[name].match_index_ = match_index;
     }
 
@@ -87,6 +88,82 @@
     BOOST_TEST((membership_ == group_membership{{"a:1", "c:1", "d:1/7"}, {}}));
 }
 
+// Guards against voters that leave within a few seconds of one another while their successors only
+// wait as learners: they are a majority before the first one is replaced.
+BOOST_FIXTURE_TEST_CASE(a_caught_up_learner_becomes_a_voter_although_no_voter_is_lost,
+                        planner_fixture)
+{
+    membership_.learners_ = {"d:1/7", "e:1/7"};
+    record_reply("d:1/7", 50);
+    record_reply("e:1/7", 10);
+    apply_planned_changes();
+    BOOST_TEST((membership_ == group_membership{{"a:1", "b:1", "c:1", "d:1/7"}, {"e:1/7"}}));
+    now_ += std::chrono::seconds(1);
+    record_reply("c:1", 50);
+    record_reply("d:1/7", 50);
+    record_reply("e:1/7", 10);
+    apply_planned_changes();
+    BOOST_TEST((membership_ == group_membership{{"a:1", "c:1", "d:1/7"}, {"e:1/7"}}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_voter_that_leaves_is_removed_only_once_replaced, planner_fixture)
+{
+    planner_.add_leave_request("b:1", now_);
+    BOOST_TEST(planner_.may_end("b:1", membership_, now_)); // nobody can take its place
+    planner_.add_join_request("d:1/7", now_);
+    BOOST_TEST(!planner_.may_end("b:1", membership_, now_));
+    apply_planned_changes();
+    BOOST_TEST(membership_.is_voter("b:1"));
+    BOOST_TEST(!planner_.may_end("b:1", membership_, now_));
+    record_reply("d:1/7", 50);
+    apply_planned_changes();
+    BOOST_TEST((membership_ == group_membership{{"a:1", "c:1", "d:1/7"}, {}}));
+    BOOST_TEST(planner_.may_end("b:1", membership_, now_));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_leader_that_leaves_is_removed_last, planner_fixture)
+{
+    membership_ = {{"a:1", "b:1", "c:1", "d:1/7", "e:1/7"}, {}};
+    record_reply("d:1/7", 50);
+    record_reply("e:1/7", 50);
+    planner_.add_leave_request("a:1", now_);
+    planner_.add_leave_request("b:1", now_);
+    const leader_view view{"a:1", 50, &peers_};
+    const auto next = planner_.next(membership_, view, now_);
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST((next->voters_ == std::vector<std::string>{"a:1", "c:1", "d:1/7", "e:1/7"}));
+    apply_planned_changes();
+    BOOST_TEST((membership_.voters_ == std::vector<std::string>{"c:1", "d:1/7", "e:1/7"}));
+}
+
+// Guards against a removal that can't be committed: with it the voters that are gone without notice
+// were half of the next membership, and the group had no leader any more.
+BOOST_FIXTURE_TEST_CASE(a_voter_that_leaves_is_kept_while_it_is_needed_for_a_quorum,
+                        planner_fixture)
+{
+    membership_ = {{"a:1", "b:1", "c:1", "d:1", "e:1"}, {}};
+    peers_["d:1"].last_reply_at_ = now_; // has not replied to this leader yet
+    peers_["e:1"].last_reply_at_ = now_;
+    planner_.add_leave_request("b:1", now_);
+    apply_planned_changes();
+    BOOST_TEST(membership_.is_voter("b:1"));
+    now_ += std::chrono::milliseconds(900);
+    record_reply("b:1", 50);
+    record_reply("c:1", 50);
+    apply_planned_changes();
+    BOOST_TEST((membership_.voters_ == std::vector<std::string>{"a:1", "b:1", "c:1"}));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_replica_that_has_started_again_is_not_leaving, planner_fixture)
+{
+    planner_.add_leave_request("b:1", now_);
+    planner_.add_join_request("b:1", now_);
+    membership_.voters_.push_back("d:1");
+    record_reply("d:1", 50);
+    apply_planned_changes();
+    BOOST_TEST(membership_.is_voter("b:1"));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_unresponsive_learner_is_removed, planner_fixture)
 {
     membership_.learners_ = {"d:1/7"};
--- a/libs/daemon/control_group.cpp
+++ b/libs/daemon/control_group.cpp
@@ -6,8 +6,8 @@
 #include <fmt/format.h>
 
 #include "codec/text_check.h"
+#include "daemon/replica_name.h"
 #include "observability/log.h"
-#include "storage/replica_identity.h"
 
 namespace sycamorewinch {
 
@@ -15,37 +15,6 @@
 
 /** Replicas that start together send their join requests within this time. */
 constexpr duration initial_join_window = std::chrono::milliseconds(1'500);
-/** The Raft term of the entry that founders store before any election. */
-constexpr std::uint64_t first_term = 1;
-
-auto replica_names(const std::vector<peer_address>& seeds) -> std::vector<std::string>
-{
-    std::vector<std::string> names;
-    names.reserve(seeds.size());
-    for (const auto& seed : seeds) {
-        names.push_back(to_text(seed));
-    }
-    std::ranges::sort(names);
-    return names;
-}
-
-auto store_first_entry(const group_membership& founders, const file_system& files,
-                       replica_store& store) -> result<void>
-{
-    const log_entry first{1, first_term, entry_kind::membership, encode_membership(founders)};
-    auto stored = store.append({first}).and_then([&store] {
-        return store.save_vote({first_term, {}, true});
-    });
-    if (!stored) {
-        return stored;
-    }
-    auto opened = replica_store::open(files);
-    if (!opened) {
-        return tl::unexpected(opened.error());
-    }
-    store = std::move(*opened);
-    return {};
-}
 
 void log_membership(std::string_view event, const group_membership& membership)
 {
@@ -56,48 +25,40 @@
 
 } // namespace
 
-auto establish_replica_name(const daemon_settings& settings, const file_system& files,
-                            replica_store& store, const random_hook& random) -> result<std::string>
-{
-    const auto address = to_text(settings.listen_peers_);
-    const group_membership founders{replica_names(settings.control_seeds_), {}};
-    const bool is_founder = settings.founds_group_ && founders.is_voter(address);
-    const auto identity = load_or_create_identity(files, address, is_founder, random);
-    if (!identity) {
-        return tl::unexpected(identity.error());
-    }
-    if (identity->is_new_ && is_founder) {
-        if (auto stored = store_first_entry(founders, files, store); !stored) {
-            return tl::unexpected(stored.error());
-        }
-    }
-    log_event(log_level::info, "replica_named",
-              {{"name", identity->name_},
-               {"disk", identity->is_new_ ? "empty" : "kept"},
-               {"founder", is_founder}});
-    return identity->name_;
-}
-
-control_group::control_group(const daemon_settings& settings, replica_links& links,
-                             std::function<control_replica&()> replica)
-    : links_(links), replica_(std::move(replica)), seeds_(settings.control_seeds_),
-      planner_({.desired_voters_ = voters_to_tolerate(settings.tolerated_losses_)})
+control_group::control_group(const daemon_settings& settings, control_group_hooks hooks,
+                             instant now)
+    : hooks_(std::move(hooks)), seeds_(settings.control_seeds_),
+      planner_({.desired_voters_ = voters_to_tolerate(settings.tolerated_losses_)}),
+      started_at_(now)
 {
 }
 
 void control_group::maintain(instant now)
 {
-    const auto& raft = replica_().raft_state();
+    const auto& raft = hooks_.replica_().raft_state();
     update_links();
     if (raft.role() == raft_role::leader) {
-        const leader_view view{raft.options().self_, raft.last_index(), &raft.peers()};
-        if (const auto next = planner_.next(raft.membership(), view, now)) {
-            propose(*next, now);
-        }
+        lead(now);
     }
-    else if (raft.leader().empty() || !raft.membership().is_voter(raft.options().self_)) {
+    else if (!on_left_ &&
+             (raft.leader().empty() || !raft.membership().is_voter(raft.options().self_))) {
         request_to_join();
     }
+    if (on_left_) {
+        step_leave(now);
+    }
+}
+
+void control_group::lead(instant now)
+{
+    const auto& raft = hooks_.replica_().raft_state();
+    if (on_left_) {
+        planner_.add_leave_request(raft.options().self_, now);
+    }
+    const leader_view view{raft.options().self_, raft.last_index(), &raft.peers()};
+    if (const auto next = planner_.next(raft.membership(), view, now)) {
+        propose(*next, now);
+    }
 }
 
 void control_group::on_join(const std::string& candidate, instant now)
@@ -106,18 +67,89 @@
         log_event(log_level::warning, "bad_join_request", {{"candidate", candidate}});
         return;
     }
-    const auto& raft = replica_().raft_state();
+    const auto& raft = hooks_.replica_().raft_state();
     if (raft.role() == raft_role::leader) {
         planner_.add_join_request(candidate, now);
     }
     else if (!raft.leader().empty() && raft.leader() != candidate) {
-        links_.send_join(raft.leader(), candidate);
+        hooks_.send_join_(raft.leader(), candidate);
+    }
+}
+
+void control_group::leave(std::function<void()> done, instant now)
+{
+    on_left_ = std::move(done);
+    leave_by_ = now + max_leave_time;
+    log_event(log_level::info, "leaving_group");
+    maintain(now);
+}
+
+// A leader is asked again after it has committed its own removal, or hands over to a voter if
+// nobody can take its place.
+void control_group::step_leave(instant now)
+{
+    const auto& raft = hooks_.replica_().raft_state();
+    const auto& self = raft.options().self_;
+    if (now >= leave_by_) {
+        finish_leave("timeout");
+        return;
+    }
+    if (raft.role() == raft_role::leader) {
+        const bool is_alone = raft.membership().voters_.size() == 1;
+        if (may_end(self, now) && (is_alone || hooks_.replica_().transfer_leadership(now))) {
+            finish_leave("handed_over");
+        }
+        return;
+    }
+    if (!raft.leader().empty()) {
+        hooks_.send_leave_(raft.leader(), self);
+        return;
+    }
+    for (const auto& name : known_replicas()) {
+        hooks_.send_leave_(name, self);
+    }
+}
+
+void control_group::finish_leave(std::string_view reason)
+{
+    log_event(log_level::info, "left_group", {{"reason", reason}});
+    const auto done = std::exchange(on_left_, nullptr);
+    done();
+}
+
+/** Returns whether the leader, which this replica is, lets the process of \p member end. */
+auto control_group::may_end(const std::string& member, instant now) const -> bool
+{
+    const auto& raft = hooks_.replica_().raft_state();
+    const bool is_committed = raft.membership_index() <= raft.commit_index();
+    return is_committed && planner_.may_end(member, raft.membership(), now);
+}
+
+void control_group::on_leave(const std::string& member, instant now)
+{
+    const auto& raft = hooks_.replica_().raft_state();
+    if (raft.role() != raft_role::leader) {
+        if (!raft.leader().empty() && raft.leader() != member) {
+            hooks_.send_leave_(raft.leader(), member);
+        }
+        return;
+    }
+    planner_.add_leave_request(member, now);
+    if (may_end(member, now)) {
+        hooks_.send_leave_granted_(member);
+    }
+}
+
+void control_group::on_leave_granted()
+{
+    if (on_left_) {
+        finish_leave("granted");
     }
 }
 
 auto control_group::not_ready_reason(instant now) const -> std::optional<error>
 {
-    if (planner_.is_complete(replica_().raft_state().membership(), now) &&
+    if (planner_.is_complete(hooks_.replica_().raft_state().membership(), now) &&
         now - started_at_ >= initial_join_window) {
         return std::nullopt;
     }
@@ -128,35 +160,40 @@
 // it again.
 void control_group::propose(const group_membership& next, instant now)
 {
-    if (replica_().propose_membership(next, now)) {
+    if (hooks_.replica_().propose_membership(next, now)) {
         log_membership("membership_proposed", next);
     }
 }
 
 void control_group::update_links()
 {
-    const auto& membership = replica_().raft_state().membership();
+    const auto& membership = hooks_.replica_().raft_state().membership();
     auto members = membership.all();
     if (members.empty()) {
-        members = replica_names(seeds_);
+        members = founder_names(seeds_);
     }
     if (std::exchange(linked_members_, members) != members) {
-        links_.connect_to(members);
+        hooks_.connect_to_(members);
         log_membership("membership_in_force", membership);
     }
 }
 
-void control_group::request_to_join()
+auto control_group::known_replicas() const -> std::vector<std::string>
 {
-    const auto& self = replica_().raft_state().options().self_;
-    auto recipients = linked_members_;
-    for (const auto& name : replica_names(seeds_)) {
-        if (std::ranges::find(recipients, name) == recipients.end()) {
-            recipients.push_back(name);
+    auto names = linked_members_;
+    for (const auto& name : founder_names(seeds_)) {
+        if (std::ranges::find(names, name) == names.end()) {
+            names.push_back(name);
         }
     }
-    for (const auto& name : recipients) {
-        links_.send_join(name, self);
+    return names;
+}
+
+void control_group::request_to_join()
+{
+    const auto& self = hooks_.replica_().raft_state().options().self_;
+    for (const auto& name : known_replicas()) {
+        hooks_.send_join_(name, self);
     }
 }
 
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -15,6 +15,7 @@
 #include "daemon/progress_tracker.h"
 #include "daemon/publisher_server.h"
 #include "daemon/replica_links.h"
+#include "daemon/replica_name.h"
 #include "daemon/rollout_api.h"
 #include "daemon/rollout_service.h"
 #include "daemon/run_record_service.h"
@@ -37,6 +38,9 @@
 constexpr auto group_maintenance_period = std::chrono::milliseconds(200);
 /** Progress reports within one replica_report_timeout; one in three may be lost. */
 constexpr int reports_per_timeout = 3;
+/** From the end of a process's part in the group to its own: its last messages are sent, and the
+ * accepted edits that it still acknowledges. */
+constexpr auto last_messages_time = std::chrono::milliseconds(100);
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
 /** Large, since operators upload whole tables. */
 constexpr qint64 max_operator_request_bytes = 8 * 1024 * 1024;
@@ -70,10 +74,21 @@
                   [this](const auto& to) { on_peer_connected(to); },
                   [this](const auto& to) { on_peer_disconnected(to); },
                   [this](const auto& candidate) { group_.on_join(candidate, monotonic_now()); },
+                  [this](const auto& member) { group_.on_leave(member, monotonic_now()); },
+                  [this] { group_.on_leave_granted(); },
                   [this](const auto& from, auto bytes) {
                       run_records_.receive(from, bytes);
                   }}),
-          group_(settings, links_, [this]() -> control_replica& { return *replica_; }),
+          group_(
+              settings,
+              {[this]() -> control_replica& { return *replica_; },
+               [this](const auto& members) { links_.connect_to(members); },
+               [this](const auto& to, const auto& candidate) { links_.send_join(to, candidate); },
+               [this](const auto& to, const auto& member) { links_.send_leave(to, member); },
+               [this](const auto& to) {
+                   links_.send_leave_granted(to);
+               }},
+              monotonic_now()),
           run_records_(metrics_, {[this]() -> control_replica& { return *replica_; },
                                   [this](const auto& to, auto bytes) {
                                       links_.send_run_message(to, bytes);
@@ -163,6 +178,21 @@
     /** Applies new seeds, which a replica that has lost contact with its group asks to join. */
     void reload(const daemon_settings& settings) { group_.set_seeds(settings.control_seeds_); }
 
+    /** Leaves the group, if its membership is dynamic, and calls \p done in a later turn of the
+     * event loop, in which the last messages have been sent. */
+    void shut_down(const std::function<void()>& done)
+    {
+        const auto end = [this, done] {
+            call_after(last_messages_time, shutdown_context_, done);
+        };
+        if (has_dynamic_membership()) {
+            group_.leave(end, monotonic_now());
+        }
+        else {
+            done();
+        }
+    }
+
   private:
     [[nodiscard]] auto has_dynamic_membership() const -> bool
     {
@@ -486,6 +516,7 @@
         schedule_proof_failure();
     }};
     QObject proof_context_;
+    QObject shutdown_context_;
     std::uint64_t proof_number_ = 0;
     std::shared_ptr<void> external_interface_; ///< Empty without an external interface.
 };
@@ -504,7 +535,12 @@
                                 alive->reload(next);
                             }
                         },
-                        [](const std::function<void()>& done) { done(); }, role};
+                        [role = std::weak_ptr(role)](const std::function<void()>& done) {
+                            if (const auto alive = role.lock()) {
+                                alive->shut_down(done);
+                            }
+                        },
+                        role};
 }
 
 } // namespace sycamorewinch
--- a/libs/daemon/replica_links.cpp
+++ b/libs/daemon/replica_links.cpp
@@ -25,7 +25,14 @@
 constexpr std::size_t max_queued_bytes = 16U * 1024 * 1024;
 
 /** The payload type of a message between replicas. */
-enum class replica_payload : std::uint8_t { raft, distribution, runs, join };
+enum class replica_payload : std::uint8_t {
+    raft,
+    distribution,
+    runs,
+    join,
+    leave,
+    leave_granted,
+};
 
 auto wrap(replica_payload kind, const std::string& from, std::string_view body) -> std::string
 {
@@ -199,6 +206,16 @@
         hooks_.on_join_(body);
         return;
     }
+    if (kind == replica_payload::leave) {
+        hooks_.on_leave_(body);
+        return;
+    }
+    if (kind == replica_payload::leave_granted) {
+        if (body == self_) { // not an earlier replica at this address
+            hooks_.on_leave_granted_();
+        }
+        return;
+    }
     const auto log_problem = [&from](const error& problem) {
         log_event(log_level::warning, "bad_replica_message",
                   {{"from", from}, {"reason", problem.message_}});
@@ -239,6 +256,16 @@
     send_bytes(to, wrap(replica_payload::join, self_, candidate));
 }
 
+void replica_links::send_leave(const std::string& to, const std::string& member)
+{
+    send_bytes(to, wrap(replica_payload::leave, self_, member));
+}
+
+void replica_links::send_leave_granted(const std::string& to)
+{
+    send_bytes(to, wrap(replica_payload::leave_granted, self_, to));
+}
+
 void replica_links::send_run_message(const std::string& to, std::string_view bytes)
 {
     send_bytes(to, wrap(replica_payload::runs, self_, bytes));
--- a/libs/daemon/replica_links.h
+++ b/libs/daemon/replica_links.h
@@ -29,6 +29,10 @@
     std::function<void(const std::string& to)> on_disconnected_;
     /** The replica named \p candidate requests to join a group with dynamic membership. */
     std::function<void(const std::string& candidate)> on_join_;
+    /** The process of the replica named \p member is about to end. */
+    std::function<void(const std::string& member)> on_leave_;
+    /** The process of this replica may end. */
+    std::function<void()> on_leave_granted_;
     /** Operations on the record of unrepeatable requests (run_record_service), or their results. */
     std::function<void(const std::string& from, std::string_view bytes)> on_run_message_;
 };
@@ -53,6 +57,12 @@
     /** Asks the replica named \p to to admit \p candidate to the group. */
     void send_join(const std::string& to, const std::string& candidate);
 
+    /** Tells the replica named \p to that the process of \p member is about to end. */
+    void send_leave(const std::string& to, const std::string& member);
+
+    /** Tells the process of the replica named \p to that it may end. */
+    void send_leave_granted(const std::string& to);
+
     /** Accepts a channel dialled by another replica; returns the hooks of its stream. */
     auto accept(const std::shared_ptr<h2_connection>& connection, stream_id stream) -> stream_hooks;
 
--- a/libs/daemon/test/correctness/replica_links.cpp
+++ b/libs/daemon/test/correctness/replica_links.cpp
@@ -38,6 +38,10 @@
     };
     hooks.on_join_ = [](const auto&) {
     };
+    hooks.on_leave_ = [](const auto&) {
+    };
+    hooks.on_leave_granted_ = [] {
+    };
     hooks.on_run_message_ = [](const auto&, auto) {
     };
     return hooks;
