--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -223,9 +223,13 @@
                       {{"service", announcement.service_},
                        {"target", announcement.target_},
                        {"draining", announcement.draining_}});
+            const auto known = directory_.records();
+            auto changed = registry_.learn_leaving(known);
+            const auto own = registry_.records();
+            changed.insert(changed.end(), own.begin(), own.end());
             publish_local_targets();
-            propagate_changes(registry_.records());
-            disown(directory_.records());
+            propagate_changes(changed);
+            disown(known);
         }
         return {};
     }
@@ -251,8 +255,10 @@
 
     void withdraw_target(const std::string& target)
     {
-        if (const auto changed = registry_.withdraw(target); !changed.empty()) {
-            log_event(log_level::info, "target_left", {{"target", target}});
+        const auto changed = registry_.withdraw(target, directory_.records(), monotonic_now());
+        log_event(log_level::info, "target_left",
+                  {{"target", target}, {"changed_records", changed.size()}});
+        if (!changed.empty()) {
             publish_local_targets();
             propagate_changes(changed);
         }
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -46,7 +46,7 @@
 
 auto target_registry::announce(const target_announcement& announcement, instant now) -> bool
 {
-    if (is_superseded(announcement)) {
+    if (is_superseded(announcement) || is_withdrawn(announcement, now)) {
         return false;
     }
     const bool has_retired_others = retire_others_at_address(announcement);
@@ -168,21 +168,70 @@
     return true;
 }
 
-auto target_registry::withdraw(const std::string& target) -> std::vector<target_record>
+auto target_registry::withdraw(const std::string& target, const std::vector<target_record>& known,
+                               instant now) -> std::vector<target_record>
 {
     std::vector<target_record> changed;
-    for (auto& [name, known] : targets_) {
+    bool is_registered = false;
+    for (auto& [name, own] : targets_) {
         if (name.second == target) {
-            known.has_left_ = true;
-            known.record_.left_start_ = known.announcement_.started_;
-            if (set_state(known, target_state::gone)) {
-                changed.push_back(known.record_);
+            is_registered = true;
+            own.has_left_ = true;
+            own.record_.left_start_ = own.announcement_.started_;
+            if (set_state(own, target_state::gone)) {
+                changed.push_back(own.record_);
             }
         }
     }
+    if (!is_registered) {
+        std::erase_if(withdrawals_, [&](const auto& earlier) {
+            return earlier.target_ == target || now - earlier.at_ >= withdrawal_retention;
+        });
+        withdrawals_.push_back({target, now});
+        if (withdrawals_.size() > max_withdrawals) {
+            withdrawals_.pop_front();
+        }
+        resolve_withdrawals(known, changed);
+    }
     return changed;
 }
 
+auto target_registry::is_of_earlier_process(const target_record& record) const -> bool
+{
+    return record.node_address_ == node_address_ &&
+           !targets_.contains({record.service_, record.target_});
+}
+
+void target_registry::resolve_withdrawals(const std::vector<target_record>& received,
+                                          std::vector<target_record>& changed)
+{
+    for (const auto& record : received) {
+        const auto found = std::ranges::find(withdrawals_, record.target_, &withdrawal::target_);
+        if (found == withdrawals_.end() || !is_of_earlier_process(record)) {
+            continue;
+        }
+        found->left_start_ = std::max(found->left_start_, record.started_);
+        const bool is_left_unknown = record.started_ != 0 && !has_left(record);
+        if (record.state_ != target_state::gone || is_left_unknown) {
+            changed.push_back(record);
+            changed.back().state_ = target_state::gone;
+            changed.back().left_start_ = record.started_;
+            ++changed.back().sequence_;
+        }
+    }
+}
+
+auto target_registry::is_withdrawn(const target_announcement& announcement, instant now) const
+    -> bool
+{
+    const auto found = std::ranges::find(withdrawals_, announcement.target_, &withdrawal::target_);
+    if (found == withdrawals_.end()) {
+        return false;
+    }
+    return found->left_start_ != 0 ? announcement.started_ <= found->left_start_
+                                   : now - found->at_ < withdrawal_retention;
+}
+
 auto target_registry::mark_leaving(const std::string& service, const std::string& target)
     -> std::vector<target_record>
 {
@@ -211,6 +260,7 @@
             update_state(found->second, changed);
         }
     }
+    resolve_withdrawals(received, changed);
     return changed;
 }
 
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -38,6 +39,13 @@
  * not read, or an address without a port. Empty if it may be. */
 [[nodiscard]] auto announcement_problem(const target_announcement& announcement) -> std::string;
 
+/** How long the withdrawal of a target that is not registered is remembered, if no other process
+ * tells which start of it has left. Announcements may be late by seconds. */
+constexpr duration withdrawal_retention = std::chrono::seconds(60);
+/** The number of such withdrawals that are remembered. Few targets run beside one node, but anyone
+ * on its VM can send a withdrawal. */
+constexpr std::size_t max_withdrawals = 32;
+
 /** One announced target. */
 struct registered_target {
     target_announcement announcement_;
@@ -70,8 +78,12 @@
                            const std::function<bool(const std::string& service)>& is_named) const
         -> bool;
 
-    /** Marks the target named \p target as gone in every service. Returns the changed records. */
-    auto withdraw(const std::string& target) -> std::vector<target_record>;
+    /** Marks the target named \p target as gone in every service. If it has not announced itself
+     * here, which it may have done to an earlier process of this node, the start that has left is
+     * that in \p known, the records of all processes, or in those that learn_leaving() gets later.
+     * Returns the changed records. */
+    auto withdraw(const std::string& target, const std::vector<target_record>& known, instant now)
+        -> std::vector<target_record>;
 
     /** Marks a target that has said it is leaving as draining until it restarts. Returns the
      * changed records. */
@@ -79,7 +91,8 @@
         -> std::vector<target_record>;
 
     /** Adopts from \p received records of this node's own targets that they are leaving, which the
-     * node may have been told before it restarted. Returns the changed records. */
+     * node may have been told before it restarted, and which starts of them have been withdrawn.
+     * Returns the changed records. */
     auto learn_leaving(const std::vector<target_record>& received) -> std::vector<target_record>;
 
     /** Marks targets with expired leases as gone; returns the changed records. */
@@ -116,6 +129,19 @@
     [[nodiscard]] auto targets() const -> std::vector<registered_target>;
 
   private:
+    /** The withdrawal of a target that had not announced itself here. */
+    struct withdrawal {
+        std::string target_;
+        instant at_{};
+        std::uint64_t left_start_ = 0; ///< The latest start known to have left; 0: none.
+    };
+
+    /** Returns whether \p record is of a target beside this node that is not registered. */
+    [[nodiscard]] auto is_of_earlier_process(const target_record& record) const -> bool;
+    [[nodiscard]] auto is_withdrawn(const target_announcement& announcement, instant now) const
+        -> bool;
+    void resolve_withdrawals(const std::vector<target_record>& received,
+                             std::vector<target_record>& changed);
     /** Returns whether \p announcement is the first one of a start of \p target. */
     [[nodiscard]] static auto is_start(const registered_target& target,
                                        const target_announcement& announcement) -> bool;
@@ -133,6 +159,7 @@
     bool node_drained_ = false;
     std::uint64_t sequence_ = 0;
     std::map<std::pair<std::string, std::string>, registered_target> targets_;
+    std::deque<withdrawal> withdrawals_; ///< The oldest first.
 };
 
 } // namespace sycamorewinch
--- a/libs/daemon/test/correctness/target_registry.cpp
+++ b/libs/daemon/test/correctness/target_registry.cpp
@@ -119,13 +119,109 @@
 {
     target_registry registry("zone-a", "127.0.0.1:1", 5);
     registry.announce(announcement_of("d1", 100, 1), instant{});
-    BOOST_TEST(registry.withdraw("d1").size() == 1U);
+    BOOST_TEST(registry.withdraw("d1", {}, instant{}).size() == 1U);
     BOOST_TEST(!registry.announce(announcement_of("d1", 100, 2), instant{}));
     BOOST_TEST((state_of(registry, "d1") == target_state::gone));
     BOOST_TEST(registry.announce(announcement_of("d1", 200, 1), instant{}));
     BOOST_TEST((state_of(registry, "d1") == target_state::up));
 }
 
+// Guards against a target that leaves just after its node has started again and is taken back into
+// use by an announcement that it had sent before.
+BOOST_AUTO_TEST_CASE(a_late_announcement_does_not_bring_back_a_target_that_left_a_new_process)
+{
+    target_registry before_restart("zone-a", "127.0.0.1:1", 5);
+    before_restart.announce(announcement_of("d1", 100, 8), instant{});
+    const auto known_elsewhere = before_restart.records();
+
+    // The other processes' records of the target are known when it leaves.
+    target_registry synced("zone-a", "127.0.0.1:1", 6);
+    const auto left = synced.withdraw("d1", known_elsewhere, instant{});
+    BOOST_REQUIRE(left.size() == 1U);
+    BOOST_TEST((left.front().state_ == target_state::gone));
+    BOOST_TEST(has_left(left.front()));
+    BOOST_TEST(is_newer(left.front(), known_elsewhere.front()));
+    BOOST_TEST(!synced.announce(announcement_of("d1", 100, 7), instant{}));
+    BOOST_TEST(synced.records().empty());
+
+    // They become known afterwards.
+    target_registry unsynced("zone-a", "127.0.0.1:1", 6);
+    BOOST_TEST(unsynced.withdraw("d1", {}, instant{}).empty());
+    BOOST_TEST(!unsynced.announce(announcement_of("d1", 100, 7), instant{}));
+    const auto learnt = unsynced.learn_leaving(known_elsewhere);
+    BOOST_REQUIRE(learnt.size() == 1U);
+    BOOST_TEST(has_left(learnt.front()));
+    BOOST_TEST(!unsynced.announce(announcement_of("d1", 100, 8), instant{}));
+
+    for (auto* registry : {&synced, &unsynced}) { // a later start under the same name
+        BOOST_TEST(registry->announce(announcement_of("d1", 200, 1), instant{}));
+        BOOST_TEST((state_of(*registry, "d1") == target_state::up));
+    }
+}
+
+// A record that has been marked gone must not be marked again when it comes back from the others.
+BOOST_AUTO_TEST_CASE(a_withdrawal_changes_a_record_once)
+{
+    for (const std::uint64_t started : {0U, 100U}) {
+        target_registry before_restart("zone-a", "127.0.0.1:1", 5);
+        before_restart.announce(announcement_of("d1", started, 8), instant{});
+        target_registry registry("zone-a", "127.0.0.1:1", 6);
+        const auto left = registry.withdraw("d1", before_restart.records(), instant{});
+        BOOST_REQUIRE(left.size() == 1U);
+        BOOST_TEST(registry.learn_leaving(left).empty());
+        BOOST_TEST(registry.withdraw("d1", left, instant{}).empty());
+    }
+}
+
+// No other process may know which start of the target has left. Then the withdrawal holds for as
+// long as an announcement can be late, and not for good.
+BOOST_AUTO_TEST_CASE(a_withdrawal_of_an_unknown_start_ends)
+{
+    target_registry registry("zone-a", "127.0.0.1:1", 6);
+    instant now{};
+    BOOST_TEST(registry.withdraw("d1", {}, now).empty());
+    now += withdrawal_retention - std::chrono::milliseconds(1);
+    BOOST_TEST(!registry.announce(announcement_of("d1", 100, 7), now));
+    now += std::chrono::milliseconds(1);
+    BOOST_TEST(registry.announce(announcement_of("d1", 100, 90), now));
+}
+
+BOOST_AUTO_TEST_CASE(the_withdrawals_that_a_registry_remembers_are_bounded)
+{
+    target_registry registry("zone-a", "127.0.0.1:1", 6);
+    for (std::size_t number = 0; number <= max_withdrawals; ++number) {
+        BOOST_TEST(registry.withdraw("d" + std::to_string(number), {}, instant{}).empty());
+    }
+    BOOST_TEST(registry.announce(announcement_of("d0", 100, 1), instant{})); // the oldest
+    BOOST_TEST(!registry.announce(announcement_of("d1", 100, 1), instant{}));
+}
+
+// A withdrawal says nothing about targets of the same name beside other nodes.
+BOOST_AUTO_TEST_CASE(a_withdrawal_does_not_concern_records_of_other_nodes)
+{
+    target_registry elsewhere("zone-a", "127.0.0.1:2", 5);
+    elsewhere.announce(announcement_of("d1", 100, 8), instant{});
+    target_registry registry("zone-a", "127.0.0.1:1", 6);
+    BOOST_TEST(registry.withdraw("d1", elsewhere.records(), instant{}).empty());
+    BOOST_TEST(registry.learn_leaving(elsewhere.records()).empty());
+}
+
+// Guards against a target that had announced its end to the previous process of its node, and whose
+// earlier announcement the new process gets after it has heard from the others.
+BOOST_AUTO_TEST_CASE(a_late_announcement_does_not_undo_what_the_other_processes_know)
+{
+    target_registry before_restart("zone-a", "127.0.0.1:1", 5);
+    auto draining = announcement_of("d1", 100, 8);
+    draining.draining_ = true;
+    before_restart.announce(draining, instant{});
+    const auto known_elsewhere = before_restart.records();
+    target_registry registry("zone-a", "127.0.0.1:1", 6);
+    BOOST_TEST(registry.learn_leaving(known_elsewhere).empty()); // not announced here yet
+    registry.announce(announcement_of("d1", 100, 7), instant{});
+    BOOST_TEST(registry.learn_leaving(known_elsewhere).size() == 1U);
+    BOOST_TEST((state_of(registry, "d1") == target_state::draining));
+}
+
 BOOST_AUTO_TEST_CASE(a_target_that_says_it_is_leaving_drains_until_it_restarts)
 {
     target_registry registry("zone-a", "127.0.0.1:1", 5);
@@ -142,7 +238,7 @@
 {
     target_registry before_restart("zone-a", "127.0.0.1:1", 5);
     before_restart.announce(announcement_of("d1", 100, 8), instant{});
-    const auto left = before_restart.withdraw("d1");
+    const auto left = before_restart.withdraw("d1", {}, instant{});
     target_registry registry("zone-a", "127.0.0.1:1", 6);
     registry.announce(announcement_of("d1", 100, 7), instant{}); // delayed
     BOOST_TEST((state_of(registry, "d1") == target_state::up));
@@ -207,6 +303,6 @@
     other.address_.port_ = 8081;
     BOOST_TEST(!registry.displaces_named_target(other, is_named));
     other.address_ = dialer.address_;
-    static_cast<void>(registry.withdraw("d1")); // the address is free
+    static_cast<void>(registry.withdraw("d1", {}, instant{})); // the address is free
     BOOST_TEST(!registry.displaces_named_target(other, is_named));
 }
