--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -106,6 +106,7 @@
         }
         state_.set_prefix_match(interfaces_.prefix_match_);
         state_.set_max_refusal_proof_age(settings_.refusal_proof_age_);
+        state_.quotas().set_max_proof_age(settings_.proof_period_ * 3 / 2);
         state_.set_caller_limits({&resources_.account(), resources_.limits().caller_connections_,
                                   settings_.body_timeout_});
         if (settings_.prefers_own_zone_) {
@@ -495,6 +496,7 @@
     void on_output(const subscriber_output& output)
     {
         if (output.proof_) {
+            state_.quotas().on_proof(monotonic_now());
             last_proof_.set(static_cast<std::uint64_t>(QDateTime::currentSecsSinceEpoch()));
         }
         if (const auto& proved_at = link_.logic().proved_current_at()) {
--- a/libs/quota/holder_choice.h
+++ b/libs/quota/holder_choice.h
@@ -12,7 +12,7 @@
 namespace sycamorewinch {
 
 /** The holder, and the nodes that stand in for it in turn. */
-constexpr std::size_t holder_candidates = 3;
+constexpr std::size_t holder_candidates = 5;
 
 /** The nodes that may hold quotas. */
 struct quota_nodes {
--- a/libs/quota/holder_reachability.cpp
+++ b/libs/quota/holder_reachability.cpp
@@ -12,6 +12,7 @@
 
 auto holder_reachability::on_failure(const std::string& address, instant now) -> bool
 {
+    failed_at_ = now;
     if (next_probes_.size() >= max_entries) {
         next_probes_.clear();
     }
@@ -20,10 +21,9 @@
     return is_new;
 }
 
-void holder_reachability::on_answer(const std::string& address, instant now)
+void holder_reachability::on_answer(const std::string& address)
 {
     next_probes_.erase(address);
-    heard_at_ = now;
 }
 
 auto holder_reachability::begin_probe(const std::string& address, instant now) -> bool
--- a/libs/quota/holder_reachability.h
+++ b/libs/quota/holder_reachability.h
@@ -1,8 +1,9 @@
 /** \file
- * Which nodes did not answer, and when this node last heard from another one.
+ * Which nodes did not answer, and when one last did not.
  */
 #pragma once
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -17,10 +18,7 @@
     /** Takes note that \p address did not answer; returns whether it was reachable before. */
     auto on_failure(const std::string& address, instant now) -> bool;
     /** Takes note that \p address answered. */
-    void on_answer(const std::string& address, instant now);
-    /** Takes note that another node asked. */
-    void on_heard(instant now) { heard_at_ = now; }
-
+    void on_answer(const std::string& address);
     [[nodiscard]] auto is_unreachable(const std::string& address) const -> bool
     {
         return next_probes_.contains(address);
@@ -29,12 +27,12 @@
      * counts that as done. */
     auto begin_probe(const std::string& address, instant now) -> bool;
 
-    /** Returns when another node last asked or answered. */
-    [[nodiscard]] auto heard_at() const -> instant { return heard_at_; }
+    /** Returns when a node last did not answer. */
+    [[nodiscard]] auto failed_at() const -> std::optional<instant> { return failed_at_; }
 
   private:
     std::unordered_map<std::string, instant> next_probes_; ///< Of the unreachable nodes.
-    instant heard_at_{};
+    std::optional<instant> failed_at_;
 };
 
 } // namespace sycamorewinch
--- a/libs/quota/quota_client.cpp
+++ b/libs/quota/quota_client.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-constexpr double thousandths = 1'000;
 /** The state of an organisation without requests is dropped after this time. It has no tokens
  * then. */
 constexpr duration max_idle = std::chrono::seconds(30);
 constexpr duration removal_interval = std::chrono::seconds(10);
-/** The longest time after which a caller is told to retry when no holder answers. */
-constexpr std::chrono::milliseconds max_unavailable_retry{1'000};
+/** After this time a caller is told to retry when no holder answers. Unreachable nodes are asked
+ * again about once a second. */
+constexpr std::chrono::milliseconds unavailable_retry{500};
 
 } // namespace
 
@@ -127,7 +127,7 @@
             return;
         }
     }
-    use_own_bucket(state, now);
+    refuse_waiting(state);
 }
 
 void quota_client::probe(const organisation_state& state, const std::string& address, instant now)
@@ -136,9 +136,9 @@
         return;
     }
     hooks_.send_(address, {state.name_, 0, 0, 0, state.limit_, false}, ask_timeout,
-                 [this, address](const std::optional<quota_grant>& grant, instant answered_at) {
+                 [this, address](const std::optional<quota_grant>& grant, instant) {
                      if (grant) {
-                         reachability_.on_answer(address, answered_at);
+                         reachability_.on_answer(address);
                      }
                  });
 }
@@ -148,7 +148,7 @@
                              instant now)
 {
     if (grant) {
-        reachability_.on_answer(address, now);
+        reachability_.on_answer(address);
     }
     else if (reachability_.on_failure(address, now) && hooks_.on_unreachable_) {
         hooks_.on_unreachable_(organisation, address);
@@ -172,7 +172,6 @@
 {
     const auto needed = state.needed_;
     state.is_asking_ = false;
-    state.own_bucket_.reset();
     state.leases_.add(grant, address, needed, state.asked_at_, now);
     count_expired(state);
     std::vector<quota_reply_hook> granted;
@@ -199,29 +198,14 @@
     }
 }
 
-void quota_client::use_own_bucket(organisation_state& state, instant now)
+void quota_client::refuse_waiting(organisation_state& state)
 {
-    const auto nodes = state.nodes_ ? state.nodes_->addresses_.size() : 0;
-    const auto rate = static_cast<double>(state.limit_.rate_thousandths_) / thousandths /
-                      static_cast<double>(std::max<std::size_t>(nodes, 1));
     state.is_asking_ = false;
-    if (!state.own_bucket_) {
-        state.own_bucket_.emplace(rate, 1, now);
-    }
-    auto& bucket = *state.own_bucket_;
-    bucket.set_limit(rate, 1, now);
-    auto waiting = std::exchange(state.waiting_, {});
-    const auto granted = bucket.take(waiting.size(), now);
-    const auto retry_after = std::min(
-        std::chrono::ceil<std::chrono::milliseconds>(bucket.delay(now)), max_unavailable_retry);
-    for (std::size_t position = 0; position < waiting.size(); ++position) {
-        const bool is_granted = position < granted;
+    for (const auto& request : std::exchange(state.waiting_, {})) {
         if (hooks_.on_fallback_) {
-            hooks_.on_fallback_(is_granted ? quota_fallback::own_bucket
-                                           : quota_fallback::unavailable);
+            hooks_.on_fallback_(quota_fallback::unavailable);
         }
-        waiting[position].reply_({is_granted ? quota_verdict::granted : quota_verdict::unavailable,
-                                  is_granted ? std::chrono::milliseconds(0) : retry_after});
+        request.reply_({quota_verdict::unavailable, unavailable_retry});
     }
 }
 
--- a/libs/quota/quota_client.h
+++ b/libs/quota/quota_client.h
@@ -2,8 +2,9 @@
  * Decides whether a request of an organisation is within its quota, by tokens that the holder of
  * the quota grants.
  *
- * If the holder does not answer, the next nodes in rendezvous order are asked, then a bucket with
- * this node's part of the quota.
+ * If the holder does not answer, the next nodes in rendezvous order are asked. A node that none of
+ * them answers uses the tokens that it still has and grants no others: the holder grants the whole
+ * quota to the nodes that reach it, since it cannot know in time which ones do not.
  */
 #pragma once
 
@@ -19,9 +20,9 @@
 #include "quota/holder_choice.h"
 #include "quota/holder_reachability.h"
 #include "quota/quota_holder.h"
+#include "quota/quota_hooks.h"
 #include "quota/quota_leases.h"
 #include "quota/quota_message.h"
-#include "quota/token_bucket.h"
 
 namespace sycamorewinch {
 
@@ -32,7 +33,7 @@
 enum class quota_verdict : std::uint8_t {
     granted,
     exceeded,    ///< The holder has no token.
-    unavailable, ///< No holder answered, and this node's own bucket is empty.
+    unavailable, ///< No holder answered.
 };
 
 struct quota_reply {
@@ -42,23 +43,13 @@
 
 using quota_reply_hook = std::function<void(const quota_reply& reply)>;
 
-/** Receives the answer of another node at \p now; nothing if it did not answer. */
-using grant_hook = std::function<void(const std::optional<quota_grant>& grant, instant now)>;
-
-/** Sends \p ask to the node at \p address and calls \p answer once, at the latest after
- * \p timeout; it may be called at once. */
-using send_ask_hook = std::function<void(const std::string& address, const quota_ask& ask,
-                                         std::chrono::milliseconds timeout, grant_hook answer)>;
-
 /** How a request was decided without an answer of the first holder. */
 enum class quota_fallback : std::uint8_t {
     next_holder, ///< The next node in rendezvous order was asked.
-    own_bucket,  ///< No node answered; this node's own bucket was used.
-    unavailable, ///< The own bucket was empty.
+    unavailable, ///< No node answered.
 };
 
-constexpr enum_names<quota_fallback, 3> quota_fallback_names{
-    {"next_holder", "own_bucket", "unavailable"}};
+constexpr enum_names<quota_fallback, 2> quota_fallback_names{{"next_holder", "unavailable"}};
 
 /** Connects a quota_client with other nodes and with what this node holds. Unset observers are
  * skipped. */
@@ -114,7 +105,6 @@
         std::vector<std::string> holders_; ///< In rendezvous order.
         quota_leases leases_;
         std::deque<waiting_request> waiting_;
-        std::optional<token_bucket> own_bucket_; ///< While no node answers.
         bool is_asking_ = false;
         std::uint64_t ask_number_ = 0;
         std::size_t candidate_ = 0; ///< Position in holders_ of the node that is asked.
@@ -136,7 +126,7 @@
                    std::uint64_t ask_number, const std::optional<quota_grant>& grant, instant now);
     void on_grant(organisation_state& state, const std::string& address, const quota_grant& grant,
                   instant now);
-    void use_own_bucket(organisation_state& state, instant now);
+    void refuse_waiting(organisation_state& state);
     void count_expired(organisation_state& state);
     void remove_idle(instant now);
 
--- a/libs/quota/quota_holder.cpp
+++ b/libs/quota/quota_holder.cpp
@@ -17,9 +17,10 @@
 /** Tokens ahead of need are granted while the bucket is fuller than this. Otherwise a node could
  * hold tokens unused while another refuses requests. */
 constexpr double fill_for_ahead = 0.5;
-/** A substitute that was not asked for this time may have filled its bucket while the holder
- * granted, and begins again. */
-constexpr duration max_substitute_idle = std::chrono::seconds(5);
+/** A substitute that was not asked for this time, and for that in which a few tokens fall due, may
+ * have filled its bucket while another node granted, and begins again. */
+constexpr duration max_substitute_idle = std::chrono::seconds(1);
+constexpr double max_substitute_idle_tokens = 2;
 /** Refusals name successive times for retries up to this far ahead. */
 constexpr duration max_spread = std::chrono::milliseconds(250);
 
@@ -28,6 +29,12 @@
     return static_cast<double>(limit.rate_thousandths_) / thousandths;
 }
 
+auto max_idle_of_substitute(const quota_limit& limit) -> duration
+{
+    const auto micros = max_substitute_idle_tokens / rate_of(limit) * std::micro::den;
+    return max_substitute_idle + duration(static_cast<std::int64_t>(micros));
+}
+
 auto round_up(duration span) -> std::chrono::milliseconds
 {
     return std::chrono::ceil<std::chrono::milliseconds>(span);
@@ -92,8 +99,8 @@
         const auto& known = found->second;
         const bool was_demoted =
             known.role_ == holder_role::holder && role == holder_role::substitute;
-        const bool is_stale =
-            known.role_ == holder_role::substitute && now - known.used_at_ > max_substitute_idle;
+        const bool is_stale = known.role_ == holder_role::substitute &&
+                              now - known.used_at_ > max_idle_of_substitute(limit);
         if (was_demoted || is_stale) {
             buckets_.erase(found);
         }
--- a/libs/request_path/node_quotas.h
+++ b/libs/request_path/node_quotas.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -34,6 +36,15 @@
     void end_substitution(const std::string& organisation);
     void clear_buckets();
 
+    /** Sets how old a proof of currency may be for it to show that this node is in contact with the
+     * control group. Call before the workers start. */
+    void set_max_proof_age(duration age) { max_proof_age_ = age; }
+    [[nodiscard]] auto max_proof_age() const -> duration { return max_proof_age_; }
+    /** Takes note that a proof of currency has arrived. */
+    void on_proof(instant now) { proved_at_us_ = now.time_since_epoch().count(); }
+    /** Returns when the latest one arrived. */
+    [[nodiscard]] auto proved_at() const -> instant { return instant(duration(proved_at_us_)); }
+
     // Observers for the clients of all threads.
     void on_answer(std::uint64_t asked, std::uint64_t granted, std::uint64_t refused,
                    duration elapsed);
@@ -42,6 +53,8 @@
 
   private:
     rcu_cell<quota_nodes> nodes_;
+    duration max_proof_age_{};
+    std::atomic<std::int64_t> proved_at_us_{0};
     metrics_registry& registry_;
     /** Held for the arithmetic of one bucket only; nearly all requests of other nodes for tokens
      * are of different organisations, and a node has few threads. */
--- a/libs/request_path/quota_exchange.cpp
+++ b/libs/request_path/quota_exchange.cpp
@@ -147,11 +147,14 @@
             }
             return;
         }
-        handle(*ask, [served, weak, stream](const quota_grant& grant) {
+        handle(*ask, [served, weak, stream](const std::optional<quota_grant>& grant) {
             const auto open = weak.lock();
-            if (open && !served->is_closed_) {
-                open->respond(stream, {{":status", "200"}}, false);
-                open->write(stream, encode(grant), true);
+            if (!open || served->is_closed_) {
+                return;
+            }
+            open->respond(stream, {{":status", grant ? "200" : "503"}}, !grant);
+            if (grant) {
+                open->write(stream, encode(*grant), true);
             }
         });
     };
--- a/libs/request_path/quota_exchange.h
+++ b/libs/request_path/quota_exchange.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "quota/quota_client.h"
 #include "request_path/peer_exchange.h"
@@ -13,15 +14,15 @@
 namespace sycamorewinch {
 
 /** Sends \p ask to the node at \p address. Calls \p answer once: with the grant, or with nothing if
- * the node did not answer within \p timeout. */
+ * the node did not answer within \p timeout, or grants no tokens now. */
 void send_quota_ask(peer_connections& peers, const peer_address& address, const quota_ask& ask,
                     std::chrono::milliseconds timeout, grant_hook answer);
 
 /** Returns whether \p headers, received from another node, are those of a quota_ask. */
 [[nodiscard]] auto is_quota_ask(const header_list& headers) -> bool;
 
-/** Sends the answer to a quota_ask. */
-using quota_answer_hook = std::function<void(const quota_grant& grant)>;
+/** Sends the answer to a quota_ask; nothing if this node grants no tokens now. */
+using quota_answer_hook = std::function<void(const std::optional<quota_grant>& grant)>;
 
 /** Serves the quota_ask of another node on \p stream: calls \p handle with it once it is read, and
  * sends the answer that \p handle gives, at once or later. Returns the hooks of the stream. */
--- a/libs/request_path/worker_quotas.cpp
+++ b/libs/request_path/worker_quotas.cpp
@@ -26,6 +26,8 @@
     return {[this](const auto& address, const auto& ask, auto timeout, auto answer) {
                 send(address, ask, timeout, std::move(answer));
             },
+            [this] { return node_.quotas().proved_at(); },
+            node_.quotas().max_proof_age(),
             [this](const auto& ask, auto role, auto now) { return grant(ask, role, now); },
             [this](const auto& organisation) { node_.quotas().end_substitution(organisation); },
             [this] {
@@ -78,9 +80,7 @@
 {
     service_.answer(ask, *node_.quotas().nodes(), monotonic_now(),
                     [reply = std::move(reply)](const std::optional<quota_grant>& grant, instant) {
-                        if (grant) {
-                            reply(*grant);
-                        }
+                        reply(grant);
                     });
 }
 
