--- a/libs/http1/http1_parser.cpp
+++ b/libs/http1/http1_parser.cpp
@@ -263,9 +263,12 @@
 
 auto http1_parser::feed(std::string_view bytes) -> std::size_t
 {
-    // Beast must not be given an incomplete element again without further bytes.
+    // Beast must not be given an incomplete element again without further bytes, and a last chunk
+    // that was incomplete only as a whole.
+    const bool was_incomplete = state_->incomplete_bytes_ > 0;
     if (parse_error() != http1_parse_error::none || is_done() ||
-        bytes.size() <= state_->incomplete_bytes_) {
+        bytes.size() <= state_->incomplete_bytes_ ||
+        (was_incomplete && bytes.size() < last_chunk.size())) {
         return 0;
     }
     boost_error code;
