--- a/libs/daemon/control_group.cpp
+++ b/libs/daemon/control_group.cpp
@@ -84,8 +84,8 @@
     maintain(now);
 }
 
-// A leader is asked again after it has committed its own removal, or hands over to a voter if
-// nobody can take its place.
+// A leader proposes its own removal in lead(), and hands over if nobody can take its place as a
+// voter. Any other replica asks the leader, or all that may know one.
 void control_group::step_leave(instant now)
 {
     const auto& raft = hooks_.replica_().raft_state();
--- a/libs/quota/contact_monitor.cpp
+++ b/libs/quota/contact_monitor.cpp
@@ -25,11 +25,14 @@
     return now - hooks_.proved_at_() <= hooks_.max_proof_age_;
 }
 
-auto contact_monitor::is_confirmed(instant now) const -> bool
+auto contact_monitor::is_proved_in_doubt(instant now) const -> bool
 {
-    const bool is_proved_in_doubt =
-        doubted_since_ && is_proof_recent(now) && hooks_.proved_at_() > *doubted_since_;
-    return is_proved_in_doubt || (confirmed_at_ && now - *confirmed_at_ < confirmation_lifetime);
+    return doubted_since_ && is_proof_recent(now) && hooks_.proved_at_() > *doubted_since_;
+}
+
+auto contact_monitor::is_confirmed_by_round(instant now) const -> bool
+{
+    return confirmed_at_ && now - *confirmed_at_ < confirmation_lifetime;
 }
 
 auto contact_monitor::state(const quota_nodes& nodes, instant now) -> contact_state
@@ -43,10 +46,14 @@
         return contact_state::confirmed;
     }
     doubted_since_ = doubted_since_.value_or(now);
+    if (is_proved_in_doubt(now)) {
+        is_lost_ = false;
+        return contact_state::confirmed;
+    }
     if (!round_.is_running_ && (!round_started_at_ || now - *round_started_at_ >= round_interval)) {
         start_round(nodes, now);
     }
-    if (is_confirmed(now)) {
+    if (is_confirmed_by_round(now)) {
         is_lost_ = false;
         return contact_state::confirmed;
     }
--- a/libs/quota/contact_monitor.h
+++ b/libs/quota/contact_monitor.h
@@ -67,7 +67,9 @@
     };
 
     [[nodiscard]] auto is_proof_recent(instant now) const -> bool;
-    [[nodiscard]] auto is_confirmed(instant now) const -> bool;
+    /** Returns whether a recent proof has arrived since the doubt began. */
+    [[nodiscard]] auto is_proved_in_doubt(instant now) const -> bool;
+    [[nodiscard]] auto is_confirmed_by_round(instant now) const -> bool;
     void start_round(const quota_nodes& nodes, instant now);
     void on_answer(std::uint64_t round_number, const std::string& address, bool is_answered,
                    instant now);
--- a/libs/quota/test/correctness/quota_load.cpp
+++ b/libs/quota/test/correctness/quota_load.cpp
@@ -11,7 +11,6 @@
 
 constexpr std::size_t node_count = 65;
 constexpr std::array<std::uint64_t, 2> seeds{1, 2};
-constexpr std::uint64_t thousandths = 1'000;
 constexpr double allowed_loss = 1.0 / 200;
 /** The time that a bucket takes to fill, and the measured demand to settle. */
 constexpr auto settling = std::chrono::seconds(20);
@@ -21,21 +20,6 @@
 constexpr auto detection = std::chrono::milliseconds(1'500);
 constexpr auto view_skew = std::chrono::milliseconds(100);
 
-struct quota_case {
-    double per_second_;
-    std::uint64_t burst_;
-
-    [[nodiscard]] auto limit() const -> quota_limit
-    {
-        return {static_cast<std::uint64_t>(per_second_ * thousandths), burst_};
-    }
-    [[nodiscard]] auto most_in_window() const -> std::size_t
-    {
-        const auto most = (per_second_ * 5 + static_cast<double>(burst_)) * 1.1 + 20;
-        return static_cast<std::size_t>(most);
-    }
-};
-
 const std::vector<quota_case> cases{{10, 0}, {40, 0}, {100, 0}, {100, 100}, {650, 0}, {650, 1'300}};
 
 auto at_second(const quota_simulation& run, double second) -> instant
--- a/libs/quota/test/correctness/random_faults.cpp
+++ b/libs/quota/test/correctness/random_faults.cpp
@@ -13,7 +13,6 @@
 
 constexpr std::size_t node_count = 40;
 constexpr double run_seconds = 60;
-constexpr std::uint64_t thousandths = 1'000;
 /** From the loss of a node until the other nodes are told. */
 constexpr auto detection = std::chrono::milliseconds(1'500);
 constexpr auto view_skew = std::chrono::milliseconds(200);
@@ -24,21 +23,6 @@
 /** Below the quota at least this part of the requests is granted. */
 constexpr double min_granted_part = 0.9;
 
-struct random_quota {
-    double per_second_;
-    std::uint64_t burst_;
-
-    [[nodiscard]] auto limit() const -> quota_limit
-    {
-        return {static_cast<std::uint64_t>(per_second_ * thousandths), burst_};
-    }
-    [[nodiscard]] auto most_in_window() const -> std::size_t
-    {
-        const auto most = (per_second_ * 5 + static_cast<double>(burst_)) * 1.1 + 20;
-        return static_cast<std::size_t>(most);
-    }
-};
-
 auto seconds(double count) -> duration
 {
     return duration(static_cast<std::int64_t>(count * std::micro::den));
@@ -77,10 +61,10 @@
     {
         return 1 - run_.outcome().lost_part(at(settling_seconds));
     }
-    [[nodiscard]] auto quota() const -> const random_quota& { return quota_; }
+    [[nodiscard]] auto quota() const -> const quota_case& { return quota_; }
 
   private:
-    auto draw_quota() -> random_quota
+    auto draw_quota() -> quota_case
     {
         const auto rate = 10 + uniform_unit(random_) * uniform_unit(random_) * 600;
         const auto burst = uniform_below(random_, 2) == 0 ? 0 : uniform_below(random_, 200);
@@ -167,7 +151,7 @@
     }
 
     random_hook random_;
-    random_quota quota_;
+    quota_case quota_;
     quota_simulation run_;
 };
 
--- a/libs/quota/test/support/quota_simulation.h
+++ b/libs/quota/test/support/quota_simulation.h
@@ -19,6 +19,24 @@
 
 namespace sycamorewinch {
 
+/** The quota of an organisation. */
+struct quota_case {
+    double per_second_ = 0;
+    std::uint64_t burst_ = 0;
+
+    [[nodiscard]] auto limit() const -> quota_limit
+    {
+        constexpr double thousandths = 1'000;
+        return {static_cast<std::uint64_t>(per_second_ * thousandths), burst_};
+    }
+    /** Returns how many requests may run in any 5 s. */
+    [[nodiscard]] auto most_in_window() const -> std::size_t
+    {
+        const auto most = (per_second_ * 5 + static_cast<double>(burst_)) * 1.1 + 20;
+        return static_cast<std::size_t>(most);
+    }
+};
+
 /** What became of the requests of one organisation. */
 struct quota_outcome {
     std::vector<instant> runs_;     ///< When requests were granted, in order.
