--- a/libs/control/test/correctness/membership_planner.cpp
+++ b/libs/control/test/correctness/membership_planner.cpp
@@ -158,7 +158,7 @@
 {
     planner_.add_leave_request("b:1", now_);
     planner_.add_join_request("b:1", now_);
-    membership_.voters_.push_back("d:1");
+    membership_.voters_.emplace_back("d:1");
     record_reply("d:1", 50);
     apply_planned_changes();
     BOOST_TEST(membership_.is_voter("b:1"));
--- a/libs/http1/test/error/random_framing.cpp
+++ b/libs/http1/test/error/random_framing.cpp
@@ -153,10 +153,10 @@
 BOOST_AUTO_TEST_CASE(an_empty_chunked_body_may_arrive_in_any_pieces)
 {
     for (const bool is_request : {true, false}) {
-        const std::string head =
-            is_request ? "POST / HTTP/1.1\r\nhost: a\r\n" : "HTTP/1.1 200 OK\r\n";
+        std::string head = is_request ? "POST / HTTP/1.1\r\nhost: a\r\n" : "HTTP/1.1 200 OK\r\n";
+        head += "transfer-encoding: chunked\r\n\r\n";
         for (const std::string end : {"0\r\n\r\n", "0;a=b\r\n\r\n", "0\r\na: b\r\n\r\n"}) {
-            const auto message = head + "transfer-encoding: chunked\r\n\r\n" + end;
+            const auto message = head + end;
             for (std::size_t first = 1; first < message.size(); ++first) {
                 const auto cut_short = read_in_pieces(message, is_request, {first}, true);
                 BOOST_TEST(!cut_short.is_done_);
