--- a/libs/daemon/test/correctness/changing_membership.cpp
+++ b/libs/daemon/test/correctness/changing_membership.cpp
@@ -116,6 +116,30 @@
     }
 }
 
+// A surplus voter makes their number even. The leader's half removes a silent voter before its
+// lease ends and goes on; the other half must not.
+BOOST_AUTO_TEST_CASE(a_leader_with_half_of_the_voters_goes_on)
+{
+    changing_group group({});
+    group.add_machine();
+    group.run(5 * second);
+    BOOST_REQUIRE(group.voter_count() == 6U);
+    const auto leader = group.leader().value();
+    for (machine_id id = 0, cut = 0; cut < 3; ++id) {
+        if (id != leader) {
+            group.cut_off(id, 20 * second);
+            ++cut;
+        }
+    }
+    const auto accepted = group.accepted_count();
+    group.run(10 * second);
+    BOOST_TEST((group.leader() == leader));
+    BOOST_TEST(group.accepted_count() > accepted + 50);
+    group.run(10 * second);
+    group.check_recovered();
+    BOOST_TEST(group.violation() == "");
+}
+
 // For long runs: SYCAMOREWINCH_SEEDS=500 SYCAMOREWINCH_FROM_SEED=1000 daemon_test
 // --run_test=changing_membership/random_changes
 BOOST_AUTO_TEST_CASE(random_changes)
