--- a/libs/daemon/control_group.cpp
+++ b/libs/daemon/control_group.cpp
@@ -40,7 +40,7 @@
     if (raft.role() == raft_role::leader) {
         lead(now);
     }
-    else if (!on_left_ &&
+    else if (!is_leaving_ &&
              (raft.leader().empty() || !raft.membership().is_voter(raft.options().self_))) {
         request_to_join();
     }
@@ -52,7 +52,7 @@
 void control_group::lead(instant now)
 {
     const auto& raft = hooks_.replica_().raft_state();
-    if (on_left_) {
+    if (is_leaving_) {
         planner_.add_leave_request(raft.options().self_, now);
     }
     const leader_view view{raft.options().self_, raft.last_index(), &raft.peers()};
@@ -78,6 +78,7 @@
 
 void control_group::leave(std::function<void()> done, instant now)
 {
+    is_leaving_ = true;
     on_left_ = std::move(done);
     leave_by_ = now + max_leave_time;
     log_event(log_level::info, "leaving_group");
--- a/libs/daemon/control_group.h
+++ b/libs/daemon/control_group.h
@@ -84,7 +84,8 @@
     membership_planner planner_;
     std::vector<std::string> linked_members_; ///< Names of the members that have links.
     instant started_at_{};
-    std::function<void()> on_left_; ///< Set while this process is leaving.
+    bool is_leaving_ = false;       ///< Until the process ends.
+    std::function<void()> on_left_; ///< Set until this process may end.
     instant leave_by_{};            ///< When it ends in any case.
 };
 
--- a/libs/daemon/test/support/changing_group.cpp
+++ b/libs/daemon/test/support/changing_group.cpp
@@ -18,6 +18,8 @@
 constexpr int heartbeats_per_lease = 5;
 constexpr duration maintenance_period = std::chrono::milliseconds(200);
 constexpr duration edit_period = std::chrono::milliseconds(100);
+/** From the end of a process's part in the group to its own, on a slow machine. */
+constexpr duration last_messages_time = std::chrono::milliseconds(300);
 
 // The bounds of the platform.
 constexpr duration grace_period = std::chrono::seconds(6);
@@ -172,6 +174,9 @@
     hooks.connect_to_ = [](const auto&) {
     };
     hooks.send_join_ = [this, &machine](const auto& to, const auto& candidate) {
+        if (machine.has_left_ && candidate == machine.name_) {
+            fail(machine.name_ + " asks to join after it has left");
+        }
         send(machine, to, join_message{candidate});
     };
     hooks.send_leave_ = [this, &machine](const auto& to, const auto& member) {
@@ -212,7 +217,12 @@
 {
     machine.is_leaving_ = true;
     machine.killed_at_ = now_ + grace_period;
-    machine.group_->leave([&machine] { machine.has_left_ = true; }, now_);
+    machine.group_->leave(
+        [this, &machine] {
+            machine.has_left_ = true;
+            machine.ends_at_ = now_ + last_messages_time;
+        },
+        now_);
 }
 
 void changing_group::finish_leaving(machine& machine)
@@ -424,7 +434,8 @@
         }
         return;
     }
-    if (machine.is_leaving_ && (machine.has_left_ || now_ >= machine.killed_at_)) {
+    const bool has_ended = machine.has_left_ && now_ >= machine.ends_at_;
+    if (machine.is_leaving_ && (has_ended || now_ >= machine.killed_at_)) {
         finish_leaving(machine);
         return;
     }
--- a/libs/daemon/test/support/changing_group.h
+++ b/libs/daemon/test/support/changing_group.h
@@ -105,7 +105,8 @@
         bool is_leaving_ = false;
         bool is_removed_ = false;
         bool restarts_ = false; ///< Starts again after its graceful end.
-        bool has_left_ = false; ///< Its graceful end is complete.
+        bool has_left_ = false; ///< Its graceful end is complete; the process ends soon.
+        instant ends_at_{};     ///< Then: when.
     };
     struct join_message {
         std::string candidate_;
