--- a/apps/sycamorewinchd/main.cpp
+++ b/apps/sycamorewinchd/main.cpp
@@ -75,7 +75,8 @@
     log_event(log_level::info, "started",
               {{"role", name_of(settings.role_)},
                {"name", settings.name_},
-               {"zone", settings.availability_zone_}});
+               {"zone", settings.availability_zone_},
+               {"sources", SYCAMOREWINCH_SOURCE_DIGEST}});
     settings_watcher watcher(arguments, process_environment(),
                              [&role](const auto& changed) { role->reload_(changed); });
     bool shutdown_requested = false;
@@ -130,7 +131,7 @@
                   << parsed->help_;
         return 0;
     case settings_action::show_version:
-        std::cout << "sycamorewinchd 0.1.0\n";
+        std::cout << "sycamorewinchd 0.1.0, sources " SYCAMOREWINCH_SOURCE_DIGEST "\n";
         return 0;
     case settings_action::check_only:
         std::cout << "the settings are valid\n";
