Remove a leader that was lost as soon as its successor is elected

Cause: a new leader counted the silence of all its peers from its own election, so the old leader was a voter for another 0.8 s. Two candidates that split the votes both waited for their election timeouts, though neither could win any more. Elections were not logged, so the two could not be told apart; they are now, with the reasons of refused votes, which are counted too.

Why this works: the old leader's silence counts from its last append (unless it has voted for the new leader), so it is removed with the first change that the new leader may propose, and due changes are proposed every 40 ms. A candidate that too many have refused tries again within a heartbeat.

--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -40,6 +40,7 @@
 #include "base/random.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "consensus/election_event.h"
 #include "consensus/group_membership.h"
 #include "consensus/log_entry.h"
 #include "consensus/peer_progress.h"
@@ -86,6 +87,7 @@
     std::vector<log_entry> committed_;            ///< Apply, in order.
     std::vector<confirmed_read> reads_;           ///< Answer once committed_ is applied.
     std::vector<std::uint64_t> failed_reads_;     ///< Fail with "not the leader".
+    std::vector<election_event> elections_;       ///< Log.
 };
 
 /** One replica. Not thread-safe. */
@@ -223,6 +225,12 @@
     void reset_election_timer(instant now);
     void become_follower(std::uint64_t term, const std::string& leader, instant now);
     void become_pre_candidate(instant now);
+    void report(election_event_kind kind, std::uint64_t term, const std::string& peer = {},
+                vote_refusal reason = vote_refusal::none);
+    [[nodiscard]] auto pre_vote_problem(const raft_message& message, instant now) const
+        -> vote_refusal;
+    [[nodiscard]] auto vote_problem(const raft_message& message) const -> vote_refusal;
+    void follow(const raft_message& message, instant now);
     void become_candidate(instant now);
     void become_leader(instant now);
     void request_votes(raft_message_kind kind, std::uint64_t term);
@@ -231,6 +239,7 @@
     void on_pre_vote_reply(const raft_message& message, instant now);
     void on_vote_request(const raft_message& message, instant now);
     void on_vote_reply(const raft_message& message, instant now);
+    void on_vote_refused(const raft_message& message, instant now);
     void check_lease(instant now);
     [[nodiscard]] auto find_successor() const -> std::string;
     void step_down_for_successor(instant now);
@@ -288,12 +297,14 @@
     raft_role role_ = raft_role::follower;
     std::string leader_;
     std::uint64_t commit_index_ = 0;
-    instant leader_contact_at_{};
+    instant leader_contact_at_{}; ///< When the latest append or snapshot arrived.
+    std::string last_leader_;     ///< Its sender; empty for none since this process started.
     instant quorum_contact_at_{}; ///< When a quorum last answered the leader that sends appends.
     std::uint64_t leader_commit_index_ = 0; ///< Of the leader that sends appends, as last heard.
     instant election_due_{};
     instant heartbeat_due_{};
-    std::set<std::string> votes_;
+    std::set<std::string> votes_;    ///< Names of those who would vote, or voted, for this replica.
+    std::set<std::string> refusals_; ///< Of those who refused their vote in this term.
     std::map<std::string, peer_progress> peers_;
     std::uint64_t round_ = 0;
     std::vector<pending_read> reads_;
--- a/libs/consensus/raft_election.cpp
+++ b/libs/consensus/raft_election.cpp
@@ -17,6 +17,7 @@
 void raft::check_lease(instant now)
 {
     if (now - quorum_contact_time(now) >= options_.lease_) {
+        report(election_event_kind::lease_expired, vote_.term_);
         become_follower(vote_.term_, {}, now);
     }
 }
@@ -51,10 +52,30 @@
     reset_election_timer(now);
 }
 
+void raft::report(election_event_kind kind, std::uint64_t term, const std::string& peer,
+                  vote_refusal reason)
+{
+    output_.elections_.push_back({kind, term, peer, reason});
+}
+
+// A message that only the leader of its term sends.
+void raft::follow(const raft_message& message, instant now)
+{
+    if (leader_ != message.from_ || message.term_ > vote_.term_) {
+        report(election_event_kind::following, message.term_, message.from_);
+    }
+    become_follower(message.term_, message.from_, now);
+    leader_contact_at_ = now;
+    last_leader_ = message.from_;
+}
+
 // Pre-vote: a replica that could not win must not raise the term, because that would depose a
 // working leader.
 void raft::become_pre_candidate(instant now)
 {
+    if (!leader_.empty()) {
+        report(election_event_kind::leader_silent, vote_.term_, leader_);
+    }
     role_ = raft_role::pre_candidate;
     leader_.clear();
     votes_ = {options_.self_};
@@ -75,6 +96,8 @@
     vote_ = {vote_.term_ + 1, options_.self_, true};
     output_.vote_ = vote_;
     votes_ = {options_.self_};
+    refusals_.clear();
+    report(election_event_kind::standing, vote_.term_);
     reset_election_timer(now);
     if (votes_.size() >= quorum()) {
         become_leader(now);
@@ -105,7 +128,13 @@
     leader_ = options_.self_;
     peers_.clear();
     now_ = now;
+    report(election_event_kind::elected, vote_.term_);
     sync_peers();
+    // The silence that led to this election began with the last append of the previous leader.
+    const auto previous_leader = peers_.find(last_leader_);
+    if (previous_leader != peers_.end() && !votes_.contains(last_leader_)) {
+        previous_leader->second.last_reply_at_ = leader_contact_at_;
+    }
     append_entry(entry_kind::no_op, {});
     send_heartbeats(now);
     advance_commit();
@@ -117,15 +146,30 @@
            (message.log_term_ == log_.last_term() && message.log_index_ >= log_.last_index());
 }
 
+auto raft::pre_vote_problem(const raft_message& message, instant now) const -> vote_refusal
+{
+    if (!vote_.is_recovered_) {
+        return vote_refusal::recovering;
+    }
+    if (message.term_ <= vote_.term_) {
+        return vote_refusal::old_term;
+    }
+    if (role_ == raft_role::leader || now - leader_contact_at_ < options_.lease_) {
+        return vote_refusal::leader_alive;
+    }
+    return is_log_up_to_date(message) ? vote_refusal::none : vote_refusal::log_behind;
+}
+
 void raft::on_pre_vote_request(const raft_message& message, instant now)
 {
-    const bool has_live_leader =
-        role_ == raft_role::leader || now - leader_contact_at_ < options_.lease_;
+    const auto problem = pre_vote_problem(message, now);
+    if (problem != vote_refusal::none) {
+        report(election_event_kind::pre_vote_refused, message.term_, message.from_, problem);
+    }
     raft_message reply;
     reply.kind_ = raft_message_kind::pre_vote_reply;
     reply.to_ = message.from_;
-    reply.accepted_ = vote_.is_recovered_ && message.term_ > vote_.term_ && !has_live_leader &&
-                      is_log_up_to_date(message);
+    reply.accepted_ = problem == vote_refusal::none;
     reply.term_ = reply.accepted_ ? message.term_ : vote_.term_;
     send(std::move(reply));
 }
@@ -143,11 +187,27 @@
     }
 }
 
+auto raft::vote_problem(const raft_message& message) const -> vote_refusal
+{
+    if (!vote_.is_recovered_) {
+        return vote_refusal::recovering;
+    }
+    if (message.term_ < vote_.term_) {
+        return vote_refusal::old_term;
+    }
+    if (!vote_.voted_for_.empty() && vote_.voted_for_ != message.from_) {
+        return vote_refusal::voted;
+    }
+    return is_log_up_to_date(message) ? vote_refusal::none : vote_refusal::log_behind;
+}
+
+// A newer term has been adopted before this is called.
 void raft::on_vote_request(const raft_message& message, instant now)
 {
-    const bool vote_is_free = vote_.voted_for_.empty() || vote_.voted_for_ == message.from_;
-    const bool granted = vote_.is_recovered_ && message.term_ == vote_.term_ && vote_is_free &&
-                         is_log_up_to_date(message);
+    const auto problem = vote_problem(message);
+    const bool granted = problem == vote_refusal::none;
+    report(granted ? election_event_kind::vote_granted : election_event_kind::vote_refused,
+           message.term_, message.from_, problem);
     if (granted) {
         vote_.voted_for_ = message.from_;
         output_.vote_ = vote_;
@@ -162,16 +222,33 @@
 
 void raft::on_vote_reply(const raft_message& message, instant now)
 {
-    if (role_ != raft_role::candidate || message.term_ != vote_.term_ || !message.accepted_ ||
+    if (role_ != raft_role::candidate || message.term_ != vote_.term_ ||
         !membership().is_voter(message.from_)) {
         return;
     }
+    if (!message.accepted_) {
+        on_vote_refused(message, now);
+        return;
+    }
     votes_.insert(message.from_);
     if (votes_.size() >= quorum()) {
         become_leader(now);
     }
 }
 
+// Candidates that stand at the same time split the votes. One that cannot win any more does not
+// wait for its timeout.
+void raft::on_vote_refused(const raft_message& message, instant now)
+{
+    const bool could_win = membership().voters_.size() - refusals_.size() >= quorum();
+    refusals_.insert(message.from_);
+    const bool can_win = membership().voters_.size() - refusals_.size() >= quorum();
+    if (could_win && !can_win) {
+        election_due_ =
+            now + uniform_between(options_.random_, options_.heartbeat_ / 4, options_.heartbeat_);
+    }
+}
+
 /** Returns a voter that stores the whole log, or an empty name. */
 auto raft::find_successor() const -> std::string
 {
@@ -206,6 +283,7 @@
         request.kind_ = raft_message_kind::timeout_now;
         request.to_ = successor;
         send(std::move(request));
+        report(election_event_kind::handed_over, vote_.term_, successor);
     }
     become_follower(vote_.term_, {}, now);
 }
--- a/libs/consensus/raft_replication.cpp
+++ b/libs/consensus/raft_replication.cpp
@@ -100,8 +100,7 @@
     }
     invariant(role_ != raft_role::leader, "two leaders in term {}: {} and {}", message.term_,
               options_.self_, message.from_);
-    become_follower(message.term_, message.from_, now);
-    leader_contact_at_ = now;
+    follow(message, now);
     quorum_contact_at_ = now - std::chrono::milliseconds(message.quorum_age_ms_);
     leader_commit_index_ = message.commit_index_;
     const bool is_compacted = message.log_index_ < log_.base_index();
--- a/libs/consensus/raft_snapshot.cpp
+++ b/libs/consensus/raft_snapshot.cpp
@@ -54,8 +54,7 @@
     }
     invariant(role_ != raft_role::leader, "two leaders in term {}: {} and {}", message.term_,
               options_.self_, message.from_);
-    become_follower(message.term_, message.from_, now);
-    leader_contact_at_ = now;
+    follow(message, now);
     if (message.log_index_ > commit_index_) {
         if (incoming_snapshot_.index_ != message.log_index_ ||
             incoming_snapshot_.term_ != message.log_term_) {
--- a/libs/consensus/test/correctness/membership.cpp
+++ b/libs/consensus/test/correctness/membership.cpp
@@ -107,6 +107,34 @@
     BOOST_TEST(propose({founders, {"d"}}));
 }
 
+// Guards against a dead leader that its successor keeps as a voter for a second silence.
+BOOST_FIXTURE_TEST_CASE(the_silence_of_the_previous_leader_counts_from_its_last_append,
+                        founded_group)
+{
+    const auto previous = leader().options().self_;
+    down_.insert(previous);
+    const auto silent_from = now_;
+    run(std::chrono::seconds(1));
+    BOOST_REQUIRE(leader().options().self_ != previous);
+    BOOST_TEST((leader().peers().at(previous).last_reply_at_ <= silent_from));
+    BOOST_TEST(!leader().peers().at(previous).has_replied());
+}
+
+// A previous leader that has voted for its successor is not silent.
+BOOST_FIXTURE_TEST_CASE(a_leader_goes_on_with_the_vote_of_the_previous_one, founded_group)
+{
+    const auto previous = leader().options().self_;
+    std::vector<std::string> others{"a", "b", "c"};
+    std::erase(others, previous);
+    down_.insert(others.back());
+    auto& successor = replicas_.at(others.front());
+    run(std::chrono::milliseconds(100));
+    BOOST_REQUIRE(leader().transfer_leadership(now_));
+    run(std::chrono::seconds(2));
+    BOOST_TEST((successor.role() == raft_role::leader));
+    BOOST_TEST(successor.term() == 3U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_new_replica_joins_as_learner_and_becomes_a_voter, founded_group)
 {
     start("d");
--- a/libs/consensus/test/correctness/raft_messages.cpp
+++ b/libs/consensus/test/correctness/raft_messages.cpp
@@ -88,6 +88,25 @@
     BOOST_TEST(replica.term() == 1);
 }
 
+// Guards against a group without a leader for a whole election timeout after its votes were split.
+BOOST_AUTO_TEST_CASE(a_candidate_that_cannot_win_stands_again_within_a_heartbeat)
+{
+    const raft_options defaults;
+    auto now = instant() + second;
+    auto replica = make_replica({{4, "", true}, {}, {}}, instant());
+    replica.tick(now);
+    const auto asked = replica.take_output().messages_.at(0);
+    replica.receive(reply(raft_message_kind::pre_vote_reply, asked, 0), now);
+    for (const auto& request : replica.take_output().messages_) {
+        BOOST_REQUIRE((replica.role() == raft_role::candidate));
+        auto refusal = reply(raft_message_kind::vote_reply, request, 0);
+        refusal.accepted_ = false;
+        replica.receive(refusal, now);
+    }
+    replica.tick(now + defaults.heartbeat_);
+    BOOST_TEST((replica.role() == raft_role::pre_candidate));
+}
+
 BOOST_AUTO_TEST_CASE(each_entry_is_sent_once_and_bytes_in_flight_are_bounded)
 {
     constexpr std::size_t command_bytes = 100'000;
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -182,6 +182,9 @@
 {
     flush_scheduled_ = false;
     const auto output = raft_.take_output();
+    if (hooks_.on_election_) {
+        std::ranges::for_each(output.elections_, hooks_.on_election_);
+    }
     if (const auto stored = persist(output); !stored) {
         on_disk_failure(stored.error());
         return;
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -47,6 +47,8 @@
     /** Requests a call of flush() soon, so that inputs that arrive until then share one fsync.
      * Empty: each input is flushed at once. */
     std::function<void()> request_flush_;
+    /** Called for what this replica decides about elections; may be empty. */
+    std::function<void(const election_event& event)> on_election_;
     /** Called before a committed entry is applied; may be empty. */
     std::function<void(const log_entry& entry)> on_committed_;
     /** Limits of the replicated state; must be the same on every replica. */
--- a/libs/daemon/control_group.cpp
+++ b/libs/daemon/control_group.cpp
@@ -37,11 +37,10 @@
 {
     const auto& raft = hooks_.replica_().raft_state();
     update_links();
-    if (raft.role() == raft_role::leader) {
-        lead(now);
-    }
-    else if (!is_leaving_ &&
-             (raft.leader().empty() || !raft.membership().is_voter(raft.options().self_))) {
+    tick(now);
+    const bool is_leader = raft.role() == raft_role::leader;
+    if (!is_leader && !is_leaving_ &&
+        (raft.leader().empty() || !raft.membership().is_voter(raft.options().self_))) {
         request_to_join();
     }
     if (on_left_) {
@@ -49,6 +48,13 @@
     }
 }
 
+void control_group::tick(instant now)
+{
+    if (hooks_.replica_().raft_state().role() == raft_role::leader) {
+        lead(now);
+    }
+}
+
 void control_group::lead(instant now)
 {
     const auto& raft = hooks_.replica_().raft_state();
--- a/libs/daemon/control_group.h
+++ b/libs/daemon/control_group.h
@@ -42,10 +42,13 @@
   public:
     control_group(const daemon_settings& settings, control_group_hooks hooks, instant now);
 
-    /** Call a few times a second. Maintains the links to the members. The leader also proposes
-     * membership changes; a replica that is not a voter or knows no leader requests to join. */
+    /** Call a few times a second. Maintains the links to the members. A replica that is not a voter
+     * or knows no leader requests to join. Includes tick(). */
     void maintain(instant now);
 
+    /** Call many times a second: a leader proposes the membership changes that are due. */
+    void tick(instant now);
+
     /** Handles the request of the replica named \p candidate to join. A follower forwards it to the
      * leader. */
     void on_join(const std::string& candidate, instant now);
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -122,8 +122,7 @@
         add_rollout_api(admin_, rollouts_, [this]() -> control_replica& { return *replica_; });
         QObject::connect(&progress_timer_, &QTimer::timeout, &progress_timer_,
                          [this] { report_progress(); });
-        QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_,
-                         [this] { replica_->tick(monotonic_now()); });
+        QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_, [this] { tick(); });
         QObject::connect(&group_timer_, &QTimer::timeout, &group_timer_,
                          [this] { group_.maintain(monotonic_now()); });
         QObject::connect(&lease_timer_, &QTimer::timeout, &lease_timer_, [this] {
@@ -199,6 +198,15 @@
         return settings_.control_peers_.empty();
     }
 
+    void tick()
+    {
+        const auto now = monotonic_now();
+        replica_->tick(now);
+        if (has_dynamic_membership()) {
+            group_.tick(now);
+        }
+    }
+
     auto make_options() -> result<raft_options>
     {
         raft_options options{.self_ = settings_.name_};
@@ -331,12 +339,35 @@
         hooks.on_rollouts_ = [this](const rollout_records& rollouts) {
             rollouts_.on_rollouts(rollouts);
         };
+        hooks.on_election_ = [this](const election_event& event) {
+            log_election(event);
+        };
         hooks.on_disk_failure_ = [](const error& problem) {
             log_event(log_level::error, "disk_failure", {{"message", problem.message_}});
         };
         return hooks;
     }
 
+    void log_election(const election_event& event)
+    {
+        if (event.reason_ != vote_refusal::none) {
+            metrics_
+                .count("sycamorewinch_refused_votes_total",
+                       "Votes and pre-votes refused to other control replicas, by reason.",
+                       {{"kind", name_of(event.kind_)}, {"reason", name_of(event.reason_)}})
+                .add();
+        }
+        // Pre-votes are repeated several times a second while there is no leader.
+        const auto level = event.kind_ == election_event_kind::pre_vote_refused ? log_level::debug
+                                                                                : log_level::info;
+        log_event(level, name_of(event.kind_),
+                  {{"term", event.term_},
+                   {"peer", event.peer_},
+                   {"reason", name_of(event.reason_)},
+                   {"last_index", replica_->raft_state().last_index()},
+                   {"commit_index", replica_->raft_state().commit_index()}});
+    }
+
     // The leader has its quorum confirm that its version is current; a follower asks the leader.
     void start_proof()
     {
--- a/libs/daemon/test/correctness/changing_membership.cpp
+++ b/libs/daemon/test/correctness/changing_membership.cpp
@@ -116,6 +116,29 @@
     }
 }
 
+// Guards against a new leader that waits once more before it removes the old one, whose silence
+// made the election: until then two further losses leave no quorum, for good.
+BOOST_AUTO_TEST_CASE(two_disks_are_lost_shortly_after_the_leader_is_removed)
+{
+    for (std::uint64_t seed = 1; seed <= number_from("SYCAMOREWINCH_SEEDS", 40); ++seed) {
+        changing_group group({.seed_ = seed});
+        group.add_machine();
+        group.run(5 * second);
+        const auto leader = group.leader().value();
+        group.remove_silently(leader);
+        group.run(std::chrono::milliseconds(1'500));
+        // Each pair of the founders that are left, by turns.
+        const auto first = seed % 4;
+        const auto other = (first + 1 + seed / 4 % 3) % 4;
+        for (const auto position : {first, other}) {
+            group.lose_disk(position < leader ? position : position + 1,
+                            std::chrono::milliseconds(100));
+        }
+        group.check_recovered();
+        BOOST_TEST(group.violation() == "");
+    }
+}
+
 // A surplus voter makes their number even. The leader's half removes a silent voter before its
 // lease ends and goes on; the other half must not.
 BOOST_AUTO_TEST_CASE(a_leader_with_half_of_the_voters_goes_on)
--- a/libs/daemon/test/support/changing_group.cpp
+++ b/libs/daemon/test/support/changing_group.cpp
@@ -17,6 +17,7 @@
 constexpr duration heartbeat = std::chrono::milliseconds(200);
 constexpr int heartbeats_per_lease = 5;
 constexpr duration maintenance_period = std::chrono::milliseconds(200);
+constexpr duration group_tick_period = std::chrono::milliseconds(40);
 constexpr duration edit_period = std::chrono::milliseconds(100);
 /** From the end of a process's part in the group to its own, on a slow machine. */
 constexpr duration last_messages_time = std::chrono::milliseconds(300);
@@ -144,6 +145,10 @@
     };
     hooks.on_disk_failure_ = [](const error&) {
     };
+    hooks.on_election_ = [this, &machine](const election_event& event) {
+        trace(fmt::format("{} {} in term {} {} {}", machine.name_, name_of(event.kind_),
+                          event.term_, event.peer_, name_of(event.reason_)));
+    };
     hooks.on_committed_ = [this, &machine](const log_entry& entry) {
         on_committed(machine, entry);
     };
@@ -443,6 +448,10 @@
         return;
     }
     machine.replica_->tick(now_);
+    if (now_ >= machine.next_tick_) {
+        machine.next_tick_ = now_ + group_tick_period;
+        machine.group_->tick(now_);
+    }
     if (now_ >= machine.next_maintenance_) {
         machine.next_maintenance_ = now_ + maintenance_period;
         machine.group_->maintain(now_);
--- a/libs/daemon/test/support/changing_group.h
+++ b/libs/daemon/test/support/changing_group.h
@@ -96,6 +96,7 @@
         std::unique_ptr<control_replica> replica_;
         std::unique_ptr<control_group> group_;
         instant next_maintenance_{};
+        instant next_tick_{};
         instant running_since_{}; ///< End of the latest outage, or the first start.
         instant starts_at_{};     ///< While down: when the process starts.
         instant paused_until_{};
