Write votes and log entries of control replicas in the background

Cause: the event loop of a control process waited for each sync. It sent and answered no heartbeats, votes or proofs meanwhile; leases ran out and elections followed, which need syncs themselves.

Why this works: writes run in a thread of their own, in their order. Only what says that something is stored waits for it; a follower answers heartbeats with what is durable, a leader sends entries while it stores them and counts its own copy afterwards. Timeouts of candidates and voters begin when their vote is durable, and nobody is deposed by a pre-vote while it stores a vote or may still win. Writes are timed, in a metric and in a log line from 250 ms on.

--- a/libs/consensus/election_event.cpp
+++ b/libs/consensus/election_event.cpp
@@ -10,8 +10,9 @@
     {"leader_silent", "standing", "elected", "following", "lease_expired", "handed_over",
      "vote_granted", "vote_refused", "pre_vote_refused"}};
 
-constexpr enum_names<vote_refusal, 6> refusal_names{
-    {"none", "recovering", "old_term", "leader_alive", "voted", "log_behind"}};
+constexpr enum_names<vote_refusal, 8> refusal_names{{"none", "recovering", "storing_vote",
+                                                     "standing", "old_term", "leader_alive",
+                                                     "voted", "log_behind"}};
 
 } // namespace
 
--- a/libs/consensus/election_event.h
+++ b/libs/consensus/election_event.h
@@ -29,6 +29,8 @@
 enum class vote_refusal : std::uint8_t {
     none,
     recovering,   ///< It has lost its disk and has not caught up.
+    storing_vote, ///< Its vote in an election that is under way is not durable yet.
+    standing,     ///< It stands for election itself, and may still win.
     old_term,     ///< The candidate's term is not newer than this replica's.
     leader_alive, ///< A leader was heard from within one lease.
     voted,        ///< It has voted for another candidate in this term.
--- a/libs/consensus/raft.cpp
+++ b/libs/consensus/raft.cpp
@@ -59,6 +59,39 @@
     // keep it from deposing a leader that the others still hear from.
     election_due_ =
         now + uniform_between(options_.random_, options_.heartbeat_ / 2, 2 * options_.heartbeat_);
+    stored_index_ = log_.last_index();
+}
+
+void raft::set_vote(vote_state vote)
+{
+    const bool has_just_recovered = is_recovering() && vote.is_recovered_;
+    vote_ = std::move(vote);
+    output_.vote_ = vote_;
+    is_vote_pending_ = options_.reports_storage_;
+    is_recovery_pending_ = is_vote_pending_ && has_just_recovered;
+}
+
+void raft::on_stored(std::uint64_t index, std::uint64_t term, instant now)
+{
+    now_ = now;
+    // The entry may have been replaced by one of a later leader. A compacted one is committed.
+    if (index >= log_.base_index() && log_.term_at(index) != term) {
+        return;
+    }
+    stored_index_ = std::max(stored_index_, index);
+    if (role_ == raft_role::leader) {
+        advance_commit();
+    }
+}
+
+void raft::on_vote_stored(instant now)
+{
+    now_ = now;
+    is_vote_pending_ = false;
+    is_recovery_pending_ = false;
+    if (role_ == raft_role::candidate || role_ == raft_role::follower) {
+        reset_election_timer(now);
+    }
 }
 
 void raft::send(raft_message message)
@@ -83,7 +116,7 @@
     if (!vote_.is_recovered_) {
         tick_recovery(now);
     }
-    if (vote_.is_recovered_ && is_self_voter() && role_ != raft_role::leader &&
+    if (vote_.is_recovered_ && is_self_voter() && role_ != raft_role::leader && !is_vote_pending_ &&
         now >= election_due_) {
         become_pre_candidate(now);
     }
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -26,6 +26,9 @@
  * for (auto& message : output.messages_) send(message);
  * for (auto& entry : output.committed_) apply(entry);
  * \endcode
+ *
+ * An owner that stores in the background, with raft_options::reports_storage_, holds back only the
+ * messages that say that something is stored, and reports with on_stored() and on_vote_stored().
  */
 #pragma once
 
@@ -61,6 +64,9 @@
     /** Entries before the snapshot that are kept in memory, so that slightly lagging replicas are
      * sent entries instead of the snapshot. */
     std::uint64_t retained_entries_ = 1024;
+    /** The owner reports when entries and votes have become durable. Otherwise they count as
+     * durable as soon as they are in an output. */
+    bool reports_storage_ = false;
 };
 
 /** The role of a replica in its current term. */
@@ -108,6 +114,20 @@
      * fails with unavailable and names the leader if it is known. */
     [[nodiscard]] auto propose(std::string command, instant now) -> result<std::uint64_t>;
 
+    /** Processes that the entries up to \p index, the last of which has \p term, are durable. Only
+     * from then on does a leader count its own copies toward a quorum. */
+    void on_stored(std::uint64_t index, std::uint64_t term, instant now);
+
+    /** Processes that the latest vote is durable. The time in which a candidate waits for votes,
+     * and a voter for its leader, begins now. */
+    void on_vote_stored(instant now);
+
+    /** Returns the last entry that is known to be durable here and part of the current log. */
+    [[nodiscard]] auto stored_index() const -> std::uint64_t
+    {
+        return options_.reports_storage_ ? stored_index_ : log_.last_index();
+    }
+
     /** Requests confirmation by a quorum that this replica is the leader (the ReadIndex protocol).
      * The answer comes in raft_output::reads_ or raft_output::failed_reads_ under \p token. */
     void request_read(std::uint64_t token, instant now);
@@ -184,6 +204,11 @@
     [[nodiscard]] auto currency_age(instant now) const -> std::optional<duration>;
     [[nodiscard]] auto commit_index() const -> std::uint64_t { return commit_index_; }
     [[nodiscard]] auto last_index() const -> std::uint64_t { return log_.last_index(); }
+    /** Returns the last entry that the latest snapshot covers, 0 for none. */
+    [[nodiscard]] auto snapshot_index() const -> std::uint64_t
+    {
+        return snapshot_ ? snapshot_->index_ : 0;
+    }
     [[nodiscard]] auto options() const -> const raft_options& { return options_; }
 
   private:
@@ -220,6 +245,13 @@
         return membership().is_voter(options_.self_);
     }
     void send(raft_message message);
+    void set_vote(vote_state vote);
+    /** Returns whether this replica must not count toward a quorum: it recovers, or has not yet
+     * stored that it has. */
+    [[nodiscard]] auto is_recovering() const -> bool
+    {
+        return !vote_.is_recovered_ || is_recovery_pending_;
+    }
 
     // raft_election.cpp
     void reset_election_timer(instant now);
@@ -240,6 +272,11 @@
     void on_vote_request(const raft_message& message, instant now);
     void on_vote_reply(const raft_message& message, instant now);
     void on_vote_refused(const raft_message& message, instant now);
+    /** Returns whether enough voters have not refused this candidate their vote. */
+    [[nodiscard]] auto can_win() const -> bool
+    {
+        return membership().voters_.size() - refusals_.size() >= quorum();
+    }
     void check_lease(instant now);
     [[nodiscard]] auto find_successor() const -> std::string;
     void step_down_for_successor(instant now);
@@ -297,14 +334,19 @@
     raft_role role_ = raft_role::follower;
     std::string leader_;
     std::uint64_t commit_index_ = 0;
-    instant leader_contact_at_{}; ///< When the latest append or snapshot arrived.
-    std::string last_leader_;     ///< Its sender; empty for none since this process started.
+    std::uint64_t stored_index_ = 0;   ///< With raft_options::reports_storage_.
+    bool is_vote_pending_ = false;     ///< Likewise: the latest vote is not known to be durable.
+    bool is_recovery_pending_ = false; ///< Likewise: nor is that this replica has recovered.
+    instant leader_contact_at_{};      ///< When the latest append or snapshot arrived.
+    std::string last_leader_;          ///< Its sender; empty for none since this process started.
     instant quorum_contact_at_{}; ///< When a quorum last answered the leader that sends appends.
     std::uint64_t leader_commit_index_ = 0; ///< Of the leader that sends appends, as last heard.
     instant election_due_{};
     instant heartbeat_due_{};
-    std::set<std::string> votes_;    ///< Names of those who would vote, or voted, for this replica.
-    std::set<std::string> refusals_; ///< Of those who refused their vote in this term.
+    std::set<std::string> pre_votes_; ///< Names of those who would vote for this replica.
+    /** Of those who have voted for it in this term. Empty unless this process has stood. */
+    std::set<std::string> votes_;
+    std::set<std::string> refusals_; ///< Of those who have refused their vote in this term.
     std::map<std::string, peer_progress> peers_;
     std::uint64_t round_ = 0;
     std::vector<pending_read> reads_;
--- a/libs/consensus/raft_election.cpp
+++ b/libs/consensus/raft_election.cpp
@@ -43,11 +43,11 @@
 void raft::become_follower(std::uint64_t term, const std::string& leader, instant now)
 {
     if (term > vote_.term_) {
-        vote_ = {term, {}, vote_.is_recovered_};
-        output_.vote_ = vote_;
+        set_vote({term, {}, vote_.is_recovered_});
     }
     role_ = raft_role::follower;
     leader_ = leader;
+    votes_.clear();
     fail_pending_reads();
     reset_election_timer(now);
 }
@@ -78,11 +78,11 @@
     }
     role_ = raft_role::pre_candidate;
     leader_.clear();
-    votes_ = {options_.self_};
+    pre_votes_ = {options_.self_};
     // Pre-votes are cheap and change no state on the other replicas, so they are retried soon.
     election_due_ =
         now + uniform_between(options_.random_, options_.heartbeat_ / 2, 2 * options_.heartbeat_);
-    if (votes_.size() >= quorum()) {
+    if (pre_votes_.size() >= quorum()) {
         become_candidate(now);
         return;
     }
@@ -93,8 +93,7 @@
 {
     role_ = raft_role::candidate;
     leader_.clear();
-    vote_ = {vote_.term_ + 1, options_.self_, true};
-    output_.vote_ = vote_;
+    set_vote({vote_.term_ + 1, options_.self_, true});
     votes_ = {options_.self_};
     refusals_.clear();
     report(election_event_kind::standing, vote_.term_);
@@ -154,6 +153,12 @@
     if (message.term_ <= vote_.term_) {
         return vote_refusal::old_term;
     }
+    if (is_vote_pending_) {
+        return vote_refusal::storing_vote;
+    }
+    if (role_ == raft_role::candidate && can_win()) {
+        return vote_refusal::standing;
+    }
     if (role_ == raft_role::leader || now - leader_contact_at_ < options_.lease_) {
         return vote_refusal::leader_alive;
     }
@@ -181,8 +186,8 @@
     if (!is_answer || !membership().is_voter(message.from_)) {
         return;
     }
-    votes_.insert(message.from_);
-    if (votes_.size() >= quorum()) {
+    pre_votes_.insert(message.from_);
+    if (pre_votes_.size() >= quorum()) {
         become_candidate(now);
     }
 }
@@ -209,8 +214,7 @@
     report(granted ? election_event_kind::vote_granted : election_event_kind::vote_refused,
            message.term_, message.from_, problem);
     if (granted) {
-        vote_.voted_for_ = message.from_;
-        output_.vote_ = vote_;
+        set_vote({vote_.term_, message.from_, true});
         reset_election_timer(now);
     }
     raft_message reply;
@@ -220,10 +224,12 @@
     send(std::move(reply));
 }
 
+// Votes that arrive after the timeout still elect this replica while it asks for pre-votes, which
+// leaves its term as it is: voters with slow disks may need longer.
 void raft::on_vote_reply(const raft_message& message, instant now)
 {
-    if (role_ != raft_role::candidate || message.term_ != vote_.term_ ||
-        !membership().is_voter(message.from_)) {
+    const bool stands = votes_.contains(options_.self_) && role_ != raft_role::leader;
+    if (!stands || message.term_ != vote_.term_ || !membership().is_voter(message.from_)) {
         return;
     }
     if (!message.accepted_) {
@@ -240,10 +246,9 @@
 // wait for its timeout.
 void raft::on_vote_refused(const raft_message& message, instant now)
 {
-    const bool could_win = membership().voters_.size() - refusals_.size() >= quorum();
+    const bool could_win = can_win();
     refusals_.insert(message.from_);
-    const bool can_win = membership().voters_.size() - refusals_.size() >= quorum();
-    if (could_win && !can_win) {
+    if (could_win && !can_win()) {
         election_due_ =
             now + uniform_between(options_.random_, options_.heartbeat_ / 4, options_.heartbeat_);
     }
--- a/libs/consensus/raft_recovery.cpp
+++ b/libs/consensus/raft_recovery.cpp
@@ -29,7 +29,8 @@
 
 void raft::tick_recovery(instant now)
 {
-    const bool has_no_pending_writes = output_.append_.empty() && !output_.install_;
+    const bool has_no_pending_writes =
+        output_.append_.empty() && !output_.install_ && stored_index() >= log_.last_index();
     if (fixed_peer_count() == 0) {
         complete_recovery({});
     }
@@ -68,7 +69,7 @@
     // In this reply, accepted_ says whether this replica is empty, and log_index_ is 0 unless it
     // leads.
     reply.accepted_ = is_empty();
-    reply.recovering_ = !vote_.is_recovered_;
+    reply.recovering_ = is_recovering();
     reply.log_index_ = role_ == raft_role::leader ? log_.last_index() : 0;
     send(std::move(reply));
 }
@@ -109,9 +110,7 @@
 
 void raft::complete_recovery(const std::string& voted_for)
 {
-    vote_.is_recovered_ = true;
-    vote_.voted_for_ = voted_for;
-    output_.vote_ = vote_;
+    set_vote({vote_.term_, voted_for, true});
     recovery_ = {};
 }
 
--- a/libs/consensus/raft_replication.cpp
+++ b/libs/consensus/raft_replication.cpp
@@ -93,7 +93,7 @@
     reply.kind_ = raft_message_kind::append_reply;
     reply.to_ = message.from_;
     reply.round_ = message.round_;
-    reply.recovering_ = !vote_.is_recovered_;
+    reply.recovering_ = is_recovering();
     if (message.term_ < vote_.term_) {
         send(std::move(reply)); // the sender sees the newer term and steps down
         return;
@@ -132,6 +132,7 @@
                       "committed entry {} would change (the commit index is {})", entry.index_,
                       commit_index_);
             log_.truncate_after(entry.index_ - 1);
+            stored_index_ = std::min(stored_index_, entry.index_ - 1);
             truncate_memberships_after(entry.index_ - 1);
             output_.truncate_after_ =
                 std::min(output_.truncate_after_.value_or(UINT64_MAX), entry.index_ - 1);
@@ -166,7 +167,7 @@
 
 void raft::advance_commit()
 {
-    std::vector<std::uint64_t> matches{is_self_voter() ? log_.last_index() : 0};
+    std::vector<std::uint64_t> matches{is_self_voter() ? stored_index() : 0};
     for (const auto& [name, peer] : peers_) {
         matches.push_back(peer.counts_toward_quorum() ? peer.match_index_ : 0);
     }
--- a/libs/consensus/raft_snapshot.cpp
+++ b/libs/consensus/raft_snapshot.cpp
@@ -46,7 +46,7 @@
     reply.kind_ = raft_message_kind::snapshot_reply;
     reply.to_ = message.from_;
     reply.round_ = message.round_;
-    reply.recovering_ = !vote_.is_recovered_;
+    reply.recovering_ = is_recovering();
     reply.log_index_ = message.log_index_;
     if (message.term_ < vote_.term_) {
         send(std::move(reply));
@@ -84,6 +84,9 @@
     if (log_.term_at(snapshot.index_) == snapshot.term_) {
         rest = log_.entries_after(snapshot.index_);
     }
+    else {
+        stored_index_ = std::min(stored_index_, commit_index_);
+    }
     log_ = replicated_log(snapshot.index_, snapshot.term_, rest);
     commit_index_ = snapshot.index_;
     set_base_membership(snapshot.index_, snapshot.membership_);
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -44,6 +44,7 @@
                              instant now) -> result<control_replica>
 {
     const auto snapshot = state.snapshot_;
+    options.reports_storage_ = static_cast<bool>(hooks.run_in_background_);
     auto replica = raft::create(std::move(options), std::move(state), now);
     if (!replica) {
         return tl::unexpected(replica.error());
@@ -185,7 +186,13 @@
     if (hooks_.on_election_) {
         std::ranges::for_each(output.elections_, hooks_.on_election_);
     }
-    if (const auto stored = persist(output); !stored) {
+    if (auto write = replica_write::of(output); write.is_empty()) {
+        // Nothing to store.
+    }
+    else if (hooks_.run_in_background_) {
+        writes_.add(std::move(write));
+    }
+    else if (const auto stored = store(write); !stored) {
         on_disk_failure(stored.error());
         return;
     }
@@ -196,7 +203,7 @@
         ++snapshots_installed_;
     }
     for (const auto& message : output.messages_) {
-        hooks_.send_(message);
+        send_or_hold(message);
     }
     const auto before = state_.tables_.current();
     for (const auto& entry : output.committed_) {
@@ -213,6 +220,7 @@
     if (bytes_since_snapshot_ > std::max(hooks_.snapshot_threshold_bytes_, snapshot_bytes_)) {
         take_snapshot();
     }
+    begin_writes();
 }
 
 auto control_replica::check_can_propose() const -> result<void>
@@ -227,63 +235,6 @@
     return {};
 }
 
-void control_replica::on_disk_failure(const error& problem)
-{
-    constexpr auto reload_after = std::chrono::seconds(1);
-    disk_failed_ = true;
-    reload_due_ = now_ + reload_after;
-    fail_pending_requests();
-    hooks_.on_disk_failure_(problem);
-}
-
-// After a failed write it is unknown whether the data is on the disk, so Raft restarts from what
-// the disk holds. The applied state is kept: it comes from committed entries and can still be
-// served.
-void control_replica::try_reload(instant now)
-{
-    if (!hooks_.reload_ || now < reload_due_) {
-        return;
-    }
-    auto state = hooks_.reload_();
-    if (!state) {
-        on_disk_failure(state.error());
-        return;
-    }
-    const auto snapshot = state->snapshot_;
-    auto replica = raft::create(raft_.options(), std::move(*state), now);
-    const auto restored = replica ? restore(snapshot) : tl::unexpected(replica.error());
-    if (!restored) {
-        on_disk_failure(restored.error());
-        return;
-    }
-    raft_ = std::move(*replica);
-    disk_failed_ = false;
-}
-
-auto control_replica::restore(const log_snapshot& snapshot) -> result<void>
-{
-    if (snapshot.index_ <= applied_index_) {
-        return {};
-    }
-    auto state = decode_state(snapshot.data_, hooks_.limits_);
-    if (!state) {
-        return tl::unexpected(state.error());
-    }
-    const auto before = state_.tables_.current()->version_.number_;
-    const auto after = state->tables_.current()->version_.number_;
-    invariant(after >= before, "a snapshot would lower the table version from {} to {}", before,
-              after);
-    state_ = std::move(*state);
-    applied_index_ = snapshot.index_;
-    snapshot_bytes_ = snapshot.data_.size();
-    bytes_since_snapshot_ = 0;
-    if (after > before) {
-        hooks_.on_table_(state_.tables_.current());
-    }
-    report_rollouts();
-    return {};
-}
-
 void control_replica::report_rollouts()
 {
     const auto sequence = state_.rollouts_.sequence();
@@ -292,45 +243,6 @@
     }
 }
 
-void control_replica::take_snapshot()
-{
-    if (applied_index_ > raft_.commit_index()) {
-        return; // after a reload, wait until the commit index has caught up with the applied state
-    }
-    auto snapshot = std::make_shared<log_snapshot>();
-    snapshot->index_ = applied_index_;
-    snapshot->term_ = raft_.term_of(applied_index_);
-    snapshot->data_ = encode_state(state_);
-    snapshot->membership_ = raft_.membership_at(applied_index_);
-    const auto stored = hooks_.save_snapshot_(*snapshot, raft_.entries_after(applied_index_));
-    if (!stored) {
-        on_disk_failure(stored.error());
-        return;
-    }
-    snapshot_bytes_ = snapshot->data_.size();
-    bytes_since_snapshot_ = 0;
-    ++snapshots_taken_;
-    raft_.compact(std::move(snapshot));
-}
-
-auto control_replica::persist(const raft_output& output) -> result<void>
-{
-    if (output.vote_) {
-        if (auto saved = hooks_.save_vote_(*output.vote_); !saved) {
-            return saved;
-        }
-    }
-    if (output.install_) {
-        return hooks_.save_snapshot_(*output.install_, output.append_);
-    }
-    if (output.truncate_after_) {
-        if (auto truncated = hooks_.truncate_after_(*output.truncate_after_); !truncated) {
-            return truncated;
-        }
-    }
-    return output.append_.empty() ? result<void>() : hooks_.append_(output.append_);
-}
-
 void control_replica::apply(const log_entry& entry)
 {
     if (entry.index_ <= applied_index_) {
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -15,6 +15,7 @@
 #include "consensus/raft.h"
 #include "control/control_command.h"
 #include "control/control_snapshot.h"
+#include "control/write_queue.h"
 #include "run_record/run_records.h"
 
 namespace sycamorewinch {
@@ -30,6 +31,13 @@
     /** Makes a snapshot and the entries after it durable, replacing the stored snapshot and log. */
     std::function<result<void>(const log_snapshot& snapshot, const std::vector<log_entry>& entries)>
         save_snapshot_;
+    /** Performs \p write, which calls the four hooks above, in the background, and then calls
+     * \p done, in the replica's thread and not from within this hook. Not called again before that.
+     * Heartbeats and elections go on meanwhile. Empty: writes are performed at once, and the
+     * replica does nothing until they have ended. */
+    std::function<void(std::function<result<void>()> write,
+                       std::function<void(const result<void>& outcome, instant now)> done)>
+        run_in_background_;
     /** Reads the disk again after a failed write and makes its content durable. Empty: after a
      * failed write the replica stays out of the group until it is restarted. */
     std::function<result<durable_state>()> reload_;
@@ -123,6 +131,8 @@
     [[nodiscard]] auto snapshots_installed() const -> std::uint64_t { return snapshots_installed_; }
     /** Returns whether a write failed and the disk has not been read again yet. */
     [[nodiscard]] auto disk_failed() const -> bool { return disk_failed_; }
+    /** Returns whether all that this replica has decided to store is durable. */
+    [[nodiscard]] auto is_stored() const -> bool { return !disk_failed_ && writes_.is_empty(); }
 
   private:
     control_replica(raft replica, control_hooks hooks)
@@ -134,7 +144,10 @@
 
     void schedule_flush();
     void process_output();
-    [[nodiscard]] auto persist(const raft_output& output) -> result<void>;
+    [[nodiscard]] auto store(const replica_write& write) const -> result<void>;
+    void send_or_hold(const raft_message& message);
+    void begin_writes();
+    void on_written(const write_batch& batch, const result<void>& outcome, instant now);
     void on_disk_failure(const error& problem);
     void try_reload(instant now);
     [[nodiscard]] auto check_can_propose() const -> result<void>;
@@ -142,6 +155,7 @@
         -> result<std::uint64_t>;
     [[nodiscard]] auto restore(const log_snapshot& snapshot) -> result<void>;
     void take_snapshot();
+    void compact(std::shared_ptr<const log_snapshot> snapshot);
     void apply(const log_entry& entry);
     void apply_accept(const log_entry& entry, const std::string& body);
     void apply_run_batch(const log_entry& entry, const std::string& body);
@@ -183,6 +197,9 @@
     instant reload_due_{};
     instant now_{}; ///< Time passed to the latest call.
     bool flush_scheduled_ = false;
+    write_queue writes_; ///< Those that run in the background.
+    /** A snapshot that this replica has taken and that is not durable yet; null for none. */
+    std::shared_ptr<const log_snapshot> own_snapshot_;
 };
 
 } // namespace sycamorewinch
--- a/libs/control/test/error/randomised.cpp
+++ b/libs/control/test/error/randomised.cpp
@@ -73,6 +73,12 @@
                                  group_property::committed_entries_never_change));
 }
 
+BOOST_AUTO_TEST_CASE(writes_that_are_reported_early_change_committed_entries)
+{
+    BOOST_TEST(detects_violation(broken_variant::writes_are_reported_early,
+                                 group_property::committed_entries_never_change));
+}
+
 BOOST_AUTO_TEST_CASE(wiped_disks_lose_accepted_edits)
 {
     BOOST_TEST(detects_violation(broken_variant::disks_are_wiped,
--- a/libs/control/test/error/simulated_group.cpp
+++ b/libs/control/test/error/simulated_group.cpp
@@ -32,6 +32,7 @@
     pause,
     full_disk,
     lost_disk,
+    slow_disk,
     count,
 };
 
@@ -163,6 +164,12 @@
                                       const std::vector<log_entry>& entries) {
         return process.store_->save_snapshot(snapshot, entries);
     };
+    if (has(faults_, fault_kind::slow_disk) ||
+        variant_ == broken_variant::writes_are_reported_early) {
+        hooks.run_in_background_ = [this, &process](auto write, auto done) {
+            begin_write(process, {std::move(write), std::move(done)});
+        };
+    }
     hooks.reload_ = [&process]() -> result<durable_state> {
         auto store = replica_store::open(process.disk_.open());
         if (!store) {
@@ -230,6 +237,11 @@
 void simulated_group::end_process(process& process, bool loses_power)
 {
     trace(process.name_ + (loses_power ? " loses power" : " crashes"));
+    // The write that is under way may have reached the disk.
+    if (process.replica_ && !process.writes_.empty() && chance(2)) {
+        static_cast<void>(process.writes_.front().write_());
+    }
+    process.writes_.clear();
     process.replica_.reset();
     process.store_.reset();
     static_cast<void>(process.disk_.take_crash());
@@ -239,6 +251,32 @@
     process.restart_at_ = now_ + uniform_between(random_, step_time, std::chrono::seconds(2));
 }
 
+void simulated_group::begin_write(process& process, pending_write write)
+{
+    constexpr auto longest = std::chrono::milliseconds(600);
+    write.due_ = now_ + uniform_between(random_, step_time, chance(4) ? longest : 4 * step_time);
+    process.writes_.push_back(std::move(write));
+}
+
+void simulated_group::finish_writes(process& process)
+{
+    const auto report = [&](pending_write& write, const result<void>& outcome) {
+        if (const auto done = std::exchange(write.done_, nullptr)) {
+            run_on_process(process, [&](auto&, instant now) { done(outcome, now); });
+        }
+    };
+    if (variant_ == broken_variant::writes_are_reported_early && !process.writes_.empty()) {
+        report(process.writes_.back(), {});
+    }
+    while (!process.writes_.empty() && process.writes_.front().due_ <= now_) {
+        auto write = std::move(process.writes_.front());
+        process.writes_.pop_front();
+        result<void> outcome;
+        run_on_process(process, [&](auto&, instant) { outcome = write.write_(); });
+        report(write, outcome);
+    }
+}
+
 void simulated_group::run_on_process(process& process,
                                      const std::function<void(control_replica&, instant)>& work)
 {
@@ -269,6 +307,7 @@
         start_process(process);
     }
     if (now_ >= process.paused_until_) {
+        finish_writes(process);
         run_on_process(process, [](auto& replica, instant now) { replica.tick(now); });
     }
 }
@@ -404,13 +443,13 @@
 }
 
 // A disk is lost only while all replicas have recovered from earlier losses, because accepted edits
-// are guaranteed to survive only the loss of fewer disks than a quorum. One whose last write failed
-// may not have stored that it has recovered.
+// are guaranteed to survive only the loss of fewer disks than a quorum. One whose last write has
+// not ended, or has failed, may not have stored that it has recovered.
 void simulated_group::lose_disk()
 {
     const bool all_count = std::ranges::all_of(processes_, [](const auto& process) {
         return process->replica_ && process->replica_->raft_state().is_recovered() &&
-               !process->replica_->disk_failed();
+               process->replica_->is_stored();
     });
     if (!all_count) {
         return;
--- a/libs/control/test/error/simulated_group.h
+++ b/libs/control/test/error/simulated_group.h
@@ -48,6 +48,7 @@
     proof_without_quorum,      ///< A replica in the leader role answers from its own state.
     disks_are_wiped,           ///< A restart finds an empty disk and skips recovery.
     vote_requests_are_dropped,
+    writes_are_reported_early, ///< As durable, some time before they are.
 };
 
 /** One violation of a property. */
@@ -79,6 +80,12 @@
     [[nodiscard]] auto accepted_count() const -> std::size_t { return accepted_.size(); }
 
   private:
+    /** A write in the background. */
+    struct pending_write {
+        std::function<result<void>()> write_;
+        std::function<void(const result<void>& outcome, instant now)> done_;
+        instant due_{};
+    };
     struct process {
         explicit process(random_hook random) : disk_(std::move(random)) {}
 
@@ -86,6 +93,7 @@
         fake_disk disk_;
         std::optional<replica_store> store_;
         std::unique_ptr<control_replica> replica_; ///< Null while the process is down.
+        std::deque<pending_write> writes_;         ///< In their order.
         duration clock_offset_{};
         instant paused_until_{};
         instant restart_at_{};
@@ -110,6 +118,8 @@
     void step_process(process& process);
     void start_process(process& process);
     void end_process(process& process, bool loses_power);
+    void begin_write(process& process, pending_write write);
+    void finish_writes(process& process);
     [[nodiscard]] auto make_hooks(process& process) -> control_hooks;
     /** Runs \p work on a process; a broken invariant in it is recorded as a violation. */
     void run_on_process(process& process,
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -19,6 +19,7 @@
 #include "daemon/rollout_api.h"
 #include "daemon/rollout_service.h"
 #include "daemon/run_record_service.h"
+#include "event_loop/background_worker.h"
 #include "event_loop/call_after.h"
 #include "event_loop/deadline_timer.h"
 #include "observability/log.h"
@@ -41,6 +42,8 @@
 /** From the end of a process's part in the group to its own: its last messages are sent, and the
  * accepted edits that it still acknowledges. */
 constexpr auto last_messages_time = std::chrono::milliseconds(100);
+/** Longer writes slow down elections and edits noticeably, and are logged. */
+constexpr duration slow_write_threshold = std::chrono::milliseconds(250);
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
 /** Large, since operators upload whole tables. */
 constexpr qint64 max_operator_request_bytes = 8 * 1024 * 1024;
@@ -312,6 +315,9 @@
             log_event(log_level::info, "snapshot", {{"index", snapshot.index_}});
             return store_->save_snapshot(snapshot, entries);
         };
+        hooks.run_in_background_ = [this](auto write, auto done) {
+            write_in_background(std::move(write), std::move(done));
+        };
         hooks.reload_ = [this]() -> result<durable_state> {
             auto store = replica_store::open(files_);
             if (!store) {
@@ -348,6 +354,34 @@
         return hooks;
     }
 
+    void write_in_background(std::function<result<void>()> write,
+                             std::function<void(const result<void>& outcome, instant now)> done)
+    {
+        struct progress {
+            result<void> outcome_;
+            duration time_{};
+        };
+        const auto progress_of_write = std::make_shared<progress>();
+        writer_.run(
+            [write = std::move(write), progress_of_write] {
+                const auto begun_at = monotonic_now();
+                progress_of_write->outcome_ = write();
+                progress_of_write->time_ = monotonic_now() - begun_at;
+            },
+            [this, done = std::move(done), progress_of_write] {
+                record_write(progress_of_write->time_);
+                done(progress_of_write->outcome_, monotonic_now());
+            });
+    }
+
+    void record_write(duration time)
+    {
+        write_times_.record(std::chrono::duration<double>(time).count());
+        if (time >= slow_write_threshold) {
+            log_event(log_level::warning, "slow_disk_write", {{"ms", to_milliseconds(time)}});
+        }
+    }
+
     void log_election(const election_event& event)
     {
         if (event.reason_ != vote_refusal::none) {
@@ -550,6 +584,10 @@
     QObject shutdown_context_;
     std::uint64_t proof_number_ = 0;
     std::shared_ptr<void> external_interface_; ///< Empty without an external interface.
+    histogram& write_times_ = metrics_.seconds(
+        "sycamorewinch_disk_write_seconds",
+        "Time that writes of votes, log entries and snapshots took until they were durable.");
+    background_worker writer_; ///< Destroyed first: its work uses the replica and its store.
 };
 
 } // namespace
--- a/libs/daemon/test/correctness/changing_membership.cpp
+++ b/libs/daemon/test/correctness/changing_membership.cpp
@@ -139,6 +139,29 @@
     }
 }
 
+// Guards against an event loop that waits for the disk: heartbeats and votes stopped for as long as
+// a sync took, no group could form with syncs of 400 ms, and few edits were accepted with 300 ms.
+BOOST_AUTO_TEST_CASE(a_group_with_slow_disks_accepts_edits_and_replaces_machines)
+{
+    for (const auto sync_time : {100, 300, 600}) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            BOOST_TEST_CONTEXT("syncs of " << sync_time << " ms, seed " << seed)
+            {
+                changing_group group(
+                    {.seed_ = seed, .sync_time_ = std::chrono::milliseconds(sync_time)});
+                BOOST_TEST(group.accepted_count() > 0U);
+                for (int count = 0; count < 3; ++count) {
+                    group.add_machine();
+                }
+                group.run(8 * second);
+                remove_machines(group, removal::with_notice, 3, seed % 2 == 0, second);
+                group.check_recovered();
+                BOOST_TEST(group.violation() == "");
+            }
+        }
+    }
+}
+
 // A surplus voter makes their number even. The leader's half removes a silent voter before its
 // lease ends and goes on; the other half must not.
 BOOST_AUTO_TEST_CASE(a_leader_with_half_of_the_voters_goes_on)
--- a/libs/daemon/test/support/changing_group.cpp
+++ b/libs/daemon/test/support/changing_group.cpp
@@ -138,6 +138,13 @@
         disk.entries_ = entries;
         return {};
     };
+    if (options_.sync_time_ > duration::zero()) {
+        hooks.run_in_background_ = [this, &machine](auto write, auto done) {
+            const auto time =
+                uniform_between(random_, options_.sync_time_, 2 * options_.sync_time_);
+            machine.write_ = {std::move(write), std::move(done), now_ + time};
+        };
+    }
     hooks.send_ = [this, &machine](const raft_message& content) {
         send(machine, content.to_, content);
     };
@@ -201,6 +208,7 @@
 
 void changing_group::end(machine& machine)
 {
+    machine.write_.reset();
     machine.group_.reset();
     machine.replica_.reset();
     machine.is_down_ = true;
@@ -242,6 +250,15 @@
     }
 }
 
+void changing_group::finish_write(machine& machine)
+{
+    if (!machine.write_ || now_ < machine.write_->due_) {
+        return;
+    }
+    const auto write = std::exchange(machine.write_, std::nullopt);
+    write->done_(write->write_(), now_);
+}
+
 void changing_group::terminate(machine_id id)
 {
     record_change("terminate", id);
@@ -447,6 +464,7 @@
     if (!is_operable(machine)) {
         return;
     }
+    finish_write(machine);
     machine.replica_->tick(now_);
     if (now_ >= machine.next_tick_) {
         machine.next_tick_ = now_ + group_tick_period;
--- a/libs/daemon/test/support/changing_group.h
+++ b/libs/daemon/test/support/changing_group.h
@@ -29,6 +29,8 @@
     std::uint64_t seed_ = 1;
     unsigned tolerated_losses_ = 2;
     std::size_t founding_machines_ = 5;
+    /** The time of a sync. A vote takes two: of its file and of the folder. */
+    duration sync_time_{};
 };
 
 /** Selects a machine of the simulated group. */
@@ -89,12 +91,18 @@
     [[nodiscard]] auto violation() const -> std::string;
 
   private:
+    struct background_write {
+        std::function<result<void>()> write_;
+        std::function<void(const result<void>& outcome, instant now)> done_;
+        instant due_{};
+    };
     struct machine {
         std::string address_;
         durable_state disk_;
         std::string name_; ///< Empty while the disk is empty.
         std::unique_ptr<control_replica> replica_;
         std::unique_ptr<control_group> group_;
+        std::optional<background_write> write_; ///< The one under way.
         instant next_maintenance_{};
         instant next_tick_{};
         instant running_since_{}; ///< End of the latest outage, or the first start.
@@ -128,6 +136,7 @@
     void end(machine& machine);
     void begin_leaving(machine& machine);
     void finish_leaving(machine& machine);
+    void finish_write(machine& machine);
     [[nodiscard]] auto make_hooks(machine& machine) -> control_hooks;
     [[nodiscard]] auto seeds() const -> std::vector<peer_address>;
     void send(const machine& from, const std::string& to, message_content content);
