Ignore late announcements of a start that only the previous process knew

A target that starts again under its name while its node is cut off announces itself to that node alone.

Cause: the start in the records was taken for the one that was withdrawn, without doubt.

Change: for 10 s after such a withdrawal a later start counts as new only from its first announcement.

--- a/libs/daemon/node_role.cpp
+++ b/libs/daemon/node_role.cpp
@@ -219,7 +219,12 @@
                            "the table does not name the service, and the address is that of a "
                            "target whose service it names");
         }
-        if (registry_.announce(announcement, monotonic_now())) {
+        const auto now = monotonic_now();
+        if (const auto refusal = registry_.refusal_of(announcement, now);
+            refusal != announcement_refusal::none) {
+            log_ignored(announcement, refusal);
+        }
+        if (registry_.announce(announcement, now)) {
             log_event(log_level::info, "target_announced",
                       {{"service", announcement.service_},
                        {"target", announcement.target_},
@@ -235,6 +240,21 @@
         return {};
     }
 
+    void log_ignored(const target_announcement& announcement, announcement_refusal reason)
+    {
+        metrics_
+            .count("sycamorewinch_ignored_announcements_total",
+                   "Announcements of targets that were ignored, by reason.",
+                   {{"reason", name_of(reason)}})
+            .add();
+        log_event(log_level::info, "announcement_ignored",
+                  {{"service", announcement.service_},
+                   {"target", announcement.target_},
+                   {"started", announcement.started_},
+                   {"sequence", announcement.sequence_},
+                   {"reason", name_of(reason)}});
+    }
+
     void disown(const std::vector<target_record>& received)
     {
         const auto gone = registry_.disown(received);
@@ -257,8 +277,15 @@
     void withdraw_target(const std::string& target)
     {
         const auto changed = registry_.withdraw(target, directory_.records(), monotonic_now());
+        std::uint64_t left_start = 0;
+        for (const auto& record : changed) {
+            left_start = std::max(left_start, record.left_start_);
+        }
         log_event(log_level::info, "target_left",
-                  {{"target", target}, {"changed_records", changed.size()}});
+                  {{"target", target},
+                   {"changed_records", changed.size()},
+                   {"left_start", left_start},
+                   {"connected", link_.is_connected()}});
         if (!changed.empty()) {
             publish_local_targets();
             propagate_changes(changed);
--- a/libs/daemon/target_registry.cpp
+++ b/libs/daemon/target_registry.cpp
@@ -4,12 +4,16 @@
 
 #include <fmt/core.h>
 
+#include "base/enum_names.h"
 #include "codec/text_check.h"
 
 namespace sycamorewinch {
 
 namespace {
 
+constexpr enum_names<announcement_refusal, 6> refusal_names{
+    {"none", "superseded", "left", "withdrawn_start", "withdrawn_name", "withdrawn_later"}};
+
 auto has_same_address(const target_announcement& one, const target_announcement& other) -> bool
 {
     return !one.address_.host_.empty() && one.address_ == other.address_;
@@ -17,6 +21,11 @@
 
 } // namespace
 
+auto name_of(announcement_refusal reason) -> std::string_view
+{
+    return refusal_names.name(reason);
+}
+
 auto announcement_problem(const target_announcement& announcement) -> std::string
 {
     if (const auto problem = foreign_name_problem(announcement.service_, max_name_bytes);
@@ -46,7 +55,7 @@
 
 auto target_registry::announce(const target_announcement& announcement, instant now) -> bool
 {
-    if (is_superseded(announcement) || is_withdrawn(announcement, now)) {
+    if (refusal_of(announcement, now) != announcement_refusal::none) {
         return false;
     }
     const bool has_retired_others = retire_others_at_address(announcement);
@@ -95,7 +104,16 @@
     return !was_known || has_returned || announcement.started_ != target.announcement_.started_;
 }
 
-auto target_registry::is_superseded(const target_announcement& announcement) const -> bool
+auto target_registry::refusal_of(const target_announcement& announcement, instant now) const
+    -> announcement_refusal
+{
+    const auto refusal = registered_refusal_of(announcement);
+    return refusal != announcement_refusal::none ? refusal
+                                                 : withdrawal_refusal_of(announcement, now);
+}
+
+auto target_registry::registered_refusal_of(const target_announcement& announcement) const
+    -> announcement_refusal
 {
     for (const auto& [name, target] : targets_) {
         const auto& known = target.announcement_;
@@ -104,18 +122,18 @@
             continue;
         }
         if (announcement.started_ < known.started_) {
-            return true;
+            return announcement_refusal::superseded;
         }
         const bool is_same_start = is_same && announcement.started_ == known.started_;
         if (is_same_start && target.has_left_) {
-            return true;
+            return announcement_refusal::left;
         }
         if (is_same_start && announcement.sequence_ != 0 &&
             announcement.sequence_ <= known.sequence_) {
-            return true;
+            return announcement_refusal::superseded;
         }
     }
-    return false;
+    return announcement_refusal::none;
 }
 
 auto target_registry::retire_others_at_address(const target_announcement& announcement) -> bool
@@ -221,15 +239,27 @@
     }
 }
 
-auto target_registry::is_withdrawn(const target_announcement& announcement, instant now) const
-    -> bool
+// The records may tell an earlier start than the one that left, whose announcements no other
+// process may have heard of. Only the first announcement of a start shows that it began after the
+// withdrawal.
+auto target_registry::withdrawal_refusal_of(const target_announcement& announcement,
+                                            instant now) const -> announcement_refusal
 {
     const auto found = std::ranges::find(withdrawals_, announcement.target_, &withdrawal::target_);
     if (found == withdrawals_.end()) {
-        return false;
+        return announcement_refusal::none;
+    }
+    const auto age = now - found->at_;
+    if (found->left_start_ == 0) {
+        return age < withdrawal_retention ? announcement_refusal::withdrawn_name
+                                          : announcement_refusal::none;
+    }
+    if (announcement.started_ <= found->left_start_) {
+        return announcement_refusal::withdrawn_start;
     }
-    return found->left_start_ != 0 ? announcement.started_ <= found->left_start_
-                                   : now - found->at_ < withdrawal_retention;
+    return announcement.sequence_ > 1 && age < max_announcement_delay
+               ? announcement_refusal::withdrawn_later
+               : announcement_refusal::none;
 }
 
 auto target_registry::mark_leaving(const std::string& service, const std::string& target)
--- a/libs/daemon/target_registry.h
+++ b/libs/daemon/target_registry.h
@@ -39,6 +39,22 @@
  * not read, or an address without a port. Empty if it may be. */
 [[nodiscard]] auto announcement_problem(const target_announcement& announcement) -> std::string;
 
+/** Why an announcement is ignored. */
+enum class announcement_refusal : std::uint8_t {
+    none,
+    superseded,      ///< A later one of the same start, or a later start at the address, is known.
+    left,            ///< This start has announced leaving to this process.
+    withdrawn_start, ///< This start was withdrawn, as the records of the other processes tell.
+    withdrawn_name,  ///< The target was withdrawn, and no record tells which start of it.
+    withdrawn_later, ///< This start may be the one withdrawn, though the records tell an earlier
+                     ///< one.
+};
+
+/** Returns the name of \p reason for logs and metrics. */
+[[nodiscard]] auto name_of(announcement_refusal reason) -> std::string_view;
+
+/** How long after a withdrawal an announcement that was sent before may arrive. */
+constexpr duration max_announcement_delay = std::chrono::seconds(10);
 /** How long the withdrawal of a target that is not registered is remembered, if no other process
  * tells which start of it has left. Announcements may be late by seconds. */
 constexpr duration withdrawal_retention = std::chrono::seconds(60);
@@ -65,10 +81,12 @@
     target_registry(std::string availability_zone, std::string node_address,
                     std::uint64_t incarnation, std::string node_admin = {});
 
-    /** Processes an announcement; returns whether any record changed. It is ignored if superseded
-     * by a later announcement of the same start or by a later start at the same address, or if the
-     * target has left and not restarted. Other targets registered at the address are marked gone.
-     */
+    /** Returns why \p announcement would be ignored, or none. */
+    [[nodiscard]] auto refusal_of(const target_announcement& announcement, instant now) const
+        -> announcement_refusal;
+
+    /** Processes an announcement, unless refusal_of() ignores it; returns whether any record
+     * changed. Other targets registered at the address are marked gone. */
     auto announce(const target_announcement& announcement, instant now) -> bool;
 
     /** Returns whether \p announcement, of a service that the table does not name, would replace a
@@ -138,14 +156,15 @@
 
     /** Returns whether \p record is of a target beside this node that is not registered. */
     [[nodiscard]] auto is_of_earlier_process(const target_record& record) const -> bool;
-    [[nodiscard]] auto is_withdrawn(const target_announcement& announcement, instant now) const
-        -> bool;
+    [[nodiscard]] auto withdrawal_refusal_of(const target_announcement& announcement,
+                                             instant now) const -> announcement_refusal;
     void resolve_withdrawals(const std::vector<target_record>& received,
                              std::vector<target_record>& changed);
     /** Returns whether \p announcement is the first one of a start of \p target. */
     [[nodiscard]] static auto is_start(const registered_target& target,
                                        const target_announcement& announcement) -> bool;
-    [[nodiscard]] auto is_superseded(const target_announcement& announcement) const -> bool;
+    [[nodiscard]] auto registered_refusal_of(const target_announcement& announcement) const
+        -> announcement_refusal;
     auto retire_others_at_address(const target_announcement& announcement) -> bool;
     auto next_sequence() -> std::uint64_t;
     auto set_state(registered_target& target, target_state state) -> bool;
--- a/libs/daemon/test/correctness/target_registry.cpp
+++ b/libs/daemon/test/correctness/target_registry.cpp
@@ -159,6 +159,28 @@
     }
 }
 
+// Guards against a late announcement of a start that no other process had heard of when it left:
+// their records tell the start before.
+BOOST_AUTO_TEST_CASE(a_late_announcement_of_a_start_that_only_the_previous_process_knew_is_ignored)
+{
+    target_registry before_restart("zone-a", "127.0.0.1:1", 5);
+    before_restart.announce(announcement_of("d1", 100, 8), instant{});
+    const auto known_elsewhere = before_restart.records();
+
+    target_registry registry("zone-a", "127.0.0.1:1", 6);
+    instant now{};
+    BOOST_TEST(registry.withdraw("d1", known_elsewhere, now).size() == 1U);
+    now += std::chrono::milliseconds(2'500);
+    BOOST_TEST(!registry.announce(announcement_of("d1", 200, 5), now));
+    BOOST_TEST((registry.refusal_of(announcement_of("d1", 200, 5), now) ==
+                announcement_refusal::withdrawn_later));
+    BOOST_TEST(registry.records().empty());
+    // A start that goes on announcing itself has begun afterwards.
+    now = instant{} + max_announcement_delay;
+    BOOST_TEST(registry.announce(announcement_of("d1", 300, 4), now));
+    BOOST_TEST((state_of(registry, "d1") == target_state::up));
+}
+
 // A record that has been marked gone must not be marked again when it comes back from the others.
 BOOST_AUTO_TEST_CASE(a_withdrawal_changes_a_record_once)
 {
