Name what a replica logs of elections, store or queue in one place

Lines about elections share the event name election, with the kind as a field, so that one search finds them. Storing at once and queueing were decided in two places. A candidate's count of refusals can no longer exceed its voters when the membership shrinks meanwhile.

--- a/cmake/prepare_build_folder.cmake
+++ b/cmake/prepare_build_folder.cmake
@@ -37,7 +37,7 @@
   list(POP_FRONT recorded recorded_origin)
 endif()
 
-# Returns whether a source has changed and is older than the last build.
+# Sets \p result to whether a source has changed and is older than the last build.
 function(find_missed_change result)
   set(${result} FALSE PARENT_SCOPE)
   set(log ${BUILD_FOLDER}/.ninja_log)
--- a/libs/consensus/raft.h
+++ b/libs/consensus/raft.h
@@ -275,7 +275,7 @@
     /** Returns whether enough voters have not refused this candidate their vote. */
     [[nodiscard]] auto can_win() const -> bool
     {
-        return membership().voters_.size() - refusals_.size() >= quorum();
+        return refusals_.size() + quorum() <= membership().voters_.size();
     }
     void check_lease(instant now);
     [[nodiscard]] auto find_successor() const -> std::string;
--- a/libs/control/control_replica.cpp
+++ b/libs/control/control_replica.cpp
@@ -186,13 +186,7 @@
     if (hooks_.on_election_) {
         std::ranges::for_each(output.elections_, hooks_.on_election_);
     }
-    if (auto write = replica_write::of(output); write.is_empty()) {
-        // Nothing to store.
-    }
-    else if (hooks_.run_in_background_) {
-        writes_.add(std::move(write));
-    }
-    else if (const auto stored = store(write); !stored) {
+    if (const auto stored = store_or_queue(replica_write::of(output)); !stored) {
         on_disk_failure(stored.error());
         return;
     }
--- a/libs/control/control_replica.h
+++ b/libs/control/control_replica.h
@@ -144,6 +144,8 @@
 
     void schedule_flush();
     void process_output();
+    /** Stores \p write, or queues it if writes run in the background. */
+    [[nodiscard]] auto store_or_queue(replica_write write) -> result<void>;
     [[nodiscard]] auto store(const replica_write& write) const -> result<void>;
     void send_or_hold(const raft_message& message);
     void begin_writes();
--- a/libs/control/control_replica_storage.cpp
+++ b/libs/control/control_replica_storage.cpp
@@ -155,13 +155,12 @@
     replica_write write{{}, snapshot, {}, raft_.entries_after(applied_index_)};
     snapshot_bytes_ = snapshot->data_.size();
     bytes_since_snapshot_ = 0;
-    if (hooks_.run_in_background_) {
-        own_snapshot_ = std::move(snapshot);
-        writes_.add(std::move(write));
+    if (const auto stored = store_or_queue(std::move(write)); !stored) {
+        on_disk_failure(stored.error());
         return;
     }
-    if (const auto stored = store(write); !stored) {
-        on_disk_failure(stored.error());
+    if (hooks_.run_in_background_) {
+        own_snapshot_ = std::move(snapshot);
         return;
     }
     compact(std::move(snapshot));
@@ -176,6 +175,17 @@
     }
 }
 
+auto control_replica::store_or_queue(replica_write write) -> result<void>
+{
+    if (!hooks_.run_in_background_) {
+        return store(write);
+    }
+    if (!write.is_empty()) {
+        writes_.add(std::move(write));
+    }
+    return {};
+}
+
 auto control_replica::store(const replica_write& write) const -> result<void>
 {
     if (write.vote_) {
--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -394,8 +394,9 @@
         // Pre-votes are repeated several times a second while there is no leader.
         const auto level = event.kind_ == election_event_kind::pre_vote_refused ? log_level::debug
                                                                                 : log_level::info;
-        log_event(level, name_of(event.kind_),
-                  {{"term", event.term_},
+        log_event(level, "election",
+                  {{"kind", name_of(event.kind_)},
+                   {"term", event.term_},
                    {"peer", event.peer_},
                    {"reason", name_of(event.reason_)},
                    {"last_index", replica_->raft_state().last_index()},
