--- a/libs/daemon/control_role.cpp
+++ b/libs/daemon/control_role.cpp
@@ -14,6 +14,7 @@
 #include "daemon/peer_listener.h"
 #include "daemon/progress_tracker.h"
 #include "daemon/publisher_server.h"
+#include "daemon/replica_diagnostics.h"
 #include "daemon/replica_links.h"
 #include "daemon/replica_name.h"
 #include "daemon/rollout_api.h"
@@ -42,8 +43,6 @@
 /** From the end of a process's part in the group to its own: its last messages are sent, and the
  * accepted edits that it still acknowledges. */
 constexpr auto last_messages_time = std::chrono::milliseconds(100);
-/** Longer writes slow down elections and edits noticeably, and are logged. */
-constexpr duration slow_write_threshold = std::chrono::milliseconds(250);
 constexpr auto lease_check_period = std::chrono::milliseconds(500);
 /** Large, since operators upload whole tables. */
 constexpr qint64 max_operator_request_bytes = 8 * 1024 * 1024;
@@ -346,7 +345,7 @@
             rollouts_.on_rollouts(rollouts);
         };
         hooks.on_election_ = [this](const election_event& event) {
-            log_election(event);
+            diagnostics_.on_election(event, replica_->raft_state());
         };
         hooks.on_disk_failure_ = [](const error& problem) {
             log_event(log_level::error, "disk_failure", {{"message", problem.message_}});
@@ -357,52 +356,23 @@
     void write_in_background(std::function<result<void>()> write,
                              std::function<void(const result<void>& outcome, instant now)> done)
     {
-        struct progress {
+        struct ended_write {
             result<void> outcome_;
             duration time_{};
         };
-        const auto progress_of_write = std::make_shared<progress>();
+        const auto ended = std::make_shared<ended_write>();
         writer_.run(
-            [write = std::move(write), progress_of_write] {
+            [write = std::move(write), ended] {
                 const auto begun_at = monotonic_now();
-                progress_of_write->outcome_ = write();
-                progress_of_write->time_ = monotonic_now() - begun_at;
+                ended->outcome_ = write();
+                ended->time_ = monotonic_now() - begun_at;
             },
-            [this, done = std::move(done), progress_of_write] {
-                record_write(progress_of_write->time_);
-                done(progress_of_write->outcome_, monotonic_now());
+            [this, done = std::move(done), ended] {
+                diagnostics_.on_write(ended->time_);
+                done(ended->outcome_, monotonic_now());
             });
     }
 
-    void record_write(duration time)
-    {
-        write_times_.record(std::chrono::duration<double>(time).count());
-        if (time >= slow_write_threshold) {
-            log_event(log_level::warning, "slow_disk_write", {{"ms", to_milliseconds(time)}});
-        }
-    }
-
-    void log_election(const election_event& event)
-    {
-        if (event.reason_ != vote_refusal::none) {
-            metrics_
-                .count("sycamorewinch_refused_votes_total",
-                       "Votes and pre-votes refused to other control replicas, by reason.",
-                       {{"kind", name_of(event.kind_)}, {"reason", name_of(event.reason_)}})
-                .add();
-        }
-        // Pre-votes are repeated several times a second while there is no leader.
-        const auto level = event.kind_ == election_event_kind::pre_vote_refused ? log_level::debug
-                                                                                : log_level::info;
-        log_event(level, "election",
-                  {{"kind", name_of(event.kind_)},
-                   {"term", event.term_},
-                   {"peer", event.peer_},
-                   {"reason", name_of(event.reason_)},
-                   {"last_index", replica_->raft_state().last_index()},
-                   {"commit_index", replica_->raft_state().commit_index()}});
-    }
-
     // The leader has its quorum confirm that its version is current; a follower asks the leader.
     void start_proof()
     {
@@ -585,9 +555,7 @@
     QObject shutdown_context_;
     std::uint64_t proof_number_ = 0;
     std::shared_ptr<void> external_interface_; ///< Empty without an external interface.
-    histogram& write_times_ = metrics_.seconds(
-        "sycamorewinch_disk_write_seconds",
-        "Time that writes of votes, log entries and snapshots took until they were durable.");
+    replica_diagnostics diagnostics_{metrics_};
     background_worker writer_; ///< Destroyed first: its work uses the replica and its store.
 };
 
